--- /dev/null
+++ b/crates/poplarpaddle-balancer/src/main.rs
@@ -0,0 +1,2 @@
+//! Placeholder.
+fn main() {}
--- /dev/null
+++ b/crates/poplarpaddle/src/lib.rs
@@ -0,0 +1,34 @@
+//! Deterministic core of the poplarpaddle layer-4 load balancer.
+//!
+//! The crate makes every decision of a balancer and performs no I/O. Time, packets, peer messages and store answers
+//! go in; packets, messages, store calls and the next deadline come out. The same input gives the same output.
+//!
+//! # Example
+//!
+//! ```
+//! use poplarpaddle::prelude::*;
+//!
+//! let flow = Flow {
+//!     caller: "192.0.2.7:40000".parse().unwrap(),
+//!     service: "10.0.0.1:80".parse().unwrap(),
+//! };
+//! assert_eq!(flow.to_string(), "192.0.2.7:40000>10.0.0.1:80");
+//! ```
+//!
+//! # Trade-offs
+//!
+//! The core holds no locks and is driven by one thread per engine. That bounds a balancer to one core for its
+//! decisions, and in return every run can be replayed.
+
+pub mod admission;
+pub mod error;
+pub mod event;
+pub mod map;
+pub mod object;
+pub mod packet;
+pub mod path;
+pub mod prelude;
+pub mod store;
+pub mod time;
+pub mod view;
+pub mod wire;
--- /dev/null
+++ b/crates/poplarpaddle/src/object.rs
@@ -0,0 +1,115 @@
+//! The objects that operators edit.
+//!
+//! Objects refer to one another by name. Each is small and edited on its own; only the whole set is checked and
+//! published. JSON is the form in files and in the store; unknown fields are errors.
+
+use std::collections::BTreeMap;
+use std::net::Ipv4Addr;
+
+use serde::{Deserialize, Serialize};
+
+/// An availability zone.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Zone {
+    /// Unique name.
+    pub name: String,
+    /// Region of the zone. Balancers of one region share the ownership of shards.
+    pub region: String,
+}
+
+/// A class of urgency.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Priority {
+    /// Unique name.
+    pub name: String,
+    /// 0 is the most urgent; ranks are unique.
+    pub rank: u8,
+    /// Per cent of starts that the class keeps while it waits and more urgent work floods in.
+    pub share: u8,
+    /// Longest wait for a start, in milliseconds.
+    pub queue_ms: u32,
+}
+
+/// A port of a service and the priority of the work on it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Port {
+    /// TCP port, the same at the service address and at the targets.
+    pub port: u16,
+    /// Name of the priority.
+    pub priority: String,
+}
+
+/// A service: one address with ports, served by targets.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Service {
+    /// Unique name.
+    pub name: String,
+    /// Address that callers use; belongs to one service.
+    pub address: Ipv4Addr,
+    /// Ports, at least one.
+    pub ports: Vec<Port>,
+    /// Number of shards; without it one per 16 targets.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub shards: Option<u16>,
+}
+
+/// A target: one service on one host. Targets with the same address share the host's slots.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Target {
+    /// Unique name.
+    pub name: String,
+    /// Name of the service.
+    pub service: String,
+    /// Name of the zone.
+    pub zone: String,
+    /// Address of the host.
+    pub address: Ipv4Addr,
+    /// Requests that run at the same time.
+    pub slots: u16,
+    /// Open connections that the host holds.
+    pub connections: u32,
+    /// True when the target takes no new flows.
+    #[serde(default)]
+    pub draining: bool,
+}
+
+/// Kinds of objects that operators edit, in the order in which they are written.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize, derive_more::Display)]
+#[serde(rename_all = "lowercase")]
+pub enum Kind {
+    /// [`Zone`].
+    #[display("zone")]
+    Zone,
+    /// [`Priority`].
+    #[display("priority")]
+    Priority,
+    /// [`Service`].
+    #[display("service")]
+    Service,
+    /// [`Target`].
+    #[display("target")]
+    Target,
+}
+
+/// The whole set of objects, by name.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Set {
+    /// Zones by name.
+    #[serde(default)]
+    pub zones: BTreeMap<String, Zone>,
+    /// Priorities by name.
+    #[serde(default)]
+    pub priorities: BTreeMap<String, Priority>,
+    /// Services by name.
+    #[serde(default)]
+    pub services: BTreeMap<String, Service>,
+    /// Targets by name.
+    #[serde(default)]
+    pub targets: BTreeMap<String, Target>,
+}
