Add I/O adapters: clock, settings, logs, metrics, events, store and peer clients

Cause: the daemons and the command line need the same access to clock, files and sockets. Change: crate poplarpaddle-io. Settings are checked whole; a write to the store without a usable answer is reported as unknown, since it may have taken effect.

--- /dev/null
+++ b/crates/poplarpaddle-io/src/clock.rs
@@ -0,0 +1,68 @@
+//! The process clock.
+//!
+//! ```
+//! use poplarpaddle_io::clock::Clock;
+//!
+//! let clock = Clock::new();
+//! let first = clock.now();
+//! assert!(clock.now() >= first);
+//! ```
+
+use std::sync::OnceLock;
+use std::time::{Duration, Instant, SystemTime};
+
+use poplarpaddle::time::Time;
+
+/// Wall clock and monotonic clock, read together once per process.
+static ANCHOR: OnceLock<Anchor> = OnceLock::new();
+
+#[derive(Debug, Clone, Copy)]
+struct Anchor {
+    time: Time,
+    instant: Instant,
+}
+
+/// Gives [`Time`] that never goes backwards within the process. All clocks of a process agree.
+#[derive(Debug, Clone, Copy)]
+pub struct Clock {
+    anchor: Anchor,
+}
+
+impl Clock {
+    /// Returns a clock; the first call in a process reads the wall clock.
+    #[must_use]
+    pub fn new() -> Self {
+        let anchor = *ANCHOR.get_or_init(|| Anchor { time: wall(), instant: Instant::now() });
+        Self { anchor }
+    }
+
+    /// Returns the time now.
+    #[must_use]
+    pub fn now(&self) -> Time {
+        self.anchor.time + self.anchor.instant.elapsed()
+    }
+
+    /// Returns the time left until `deadline`, zero when it passed.
+    #[must_use]
+    pub fn until(&self, deadline: Time) -> Duration {
+        deadline.since(self.now())
+    }
+
+    /// Returns the instant of `deadline` for timers; deadlines more than a day away are cut to a day.
+    #[must_use]
+    pub fn instant(&self, deadline: Time) -> Instant {
+        const FARTHEST: Duration = Duration::from_hours(24);
+        Instant::now() + self.until(deadline).min(FARTHEST)
+    }
+}
+
+impl Default for Clock {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+fn wall() -> Time {
+    let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
+    Time::from_nanos(0) + since
+}
--- /dev/null
+++ b/crates/poplarpaddle-io/src/log.rs
@@ -0,0 +1,33 @@
+//! JSON-line logs by `slog`.
+//!
+//! ```
+//! let (logger, _guard) = poplarpaddle_io::log::stderr("balancer-1", slog::Level::Info);
+//! slog::info!(logger, "started"; "zone" => "kitami");
+//! ```
+//!
+//! A thread of its own writes the lines, so a slow terminal does not delay the data path. When it falls behind, lines
+//! are dropped and their number is logged.
+
+use slog::{Drain as _, FnValue, Logger, Record, o};
+use slog_async::AsyncGuard;
+
+use crate::clock::Clock;
+
+/// Lines that wait for the writing thread.
+const QUEUE: usize = 4096;
+
+/// Returns a logger to standard error and a guard that writes the remaining lines when it is dropped.
+pub fn stderr(process: &str, level: slog::Level) -> (Logger, AsyncGuard) {
+    let clock = Clock::new();
+    let json = slog_json::Json::new(std::io::stderr())
+        .add_key_value(o!(
+            "msg" => FnValue(move |record: &Record<'_>| record.msg().to_string()),
+            "level" => FnValue(move |record: &Record<'_>| record.level().as_str().to_ascii_lowercase()),
+            "time" => FnValue(move |_: &Record<'_>| clock.now().as_nanos()),
+        ))
+        .build();
+    let drain = slog::LevelFilter::new(json, level).fuse();
+    let (drain, guard) = slog_async::Async::new(drain).chan_size(QUEUE).build_with_guard();
+    let logger = Logger::root(drain.fuse(), o!("process" => process.to_owned()));
+    (logger, guard)
+}
--- /dev/null
+++ b/crates/poplarpaddle-io/src/peer.rs
@@ -0,0 +1,131 @@
+//! Peer messages over HTTP with `rmp-serde`.
+//!
+//! ```no_run
+//! # async fn example() -> Result<(), poplarpaddle::error::Error> {
+//! use std::time::Duration;
+//! use poplarpaddle_io::{clock::Clock, peer::Client};
+//!
+//! let client = Client::new()?;
+//! let deadline = Clock::new().now() + Duration::from_millis(500);
+//! let manifest = client.fetch("127.0.0.1:7000".parse().unwrap(), "/peer/manifest", deadline).await?;
+//! # Ok(()) }
+//! ```
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use poplarpaddle::error::{Error, Kind, Result};
+use poplarpaddle::time::Time;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use crate::clock::Clock;
+use crate::store::{body, cause};
+
+/// Media type of peer messages.
+pub const MEDIA_TYPE: &str = "application/msgpack";
+
+/// Largest gossip message, in bytes.
+pub const MESSAGE_LIMIT: usize = 64 << 10;
+
+/// Largest manifest or part, in bytes; the store takes values of up to 1 MB.
+pub const VALUE_LIMIT: usize = 1 << 20;
+
+/// Time for a TCP connection to a peer.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Sends messages to other balancers.
+#[derive(Debug, Clone)]
+pub struct Client {
+    client: reqwest::Client,
+    clock: Clock,
+}
+
+impl Client {
+    /// Returns a client.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the HTTP client cannot be set up.
+    pub fn new() -> Result<Self> {
+        let client = reqwest::Client::builder()
+            .connect_timeout(CONNECT_TIMEOUT)
+            .pool_max_idle_per_host(1)
+            .no_proxy()
+            .build()
+            .map_err(|error| Error::new(Kind::Io, format!("cannot set up the HTTP client: {error}")))?;
+        Ok(Self { client, clock: Clock::new() })
+    }
+
+    /// Posts `message` to `path` of the peer at `address` and returns its answer.
+    ///
+    /// # Errors
+    ///
+    /// [`Kind::Unavailable`] without an answer before `deadline`, [`Kind::Message`] when the answer is not understood.
+    pub async fn post<M: Serialize + Sync, A: DeserializeOwned>(
+        &self,
+        address: SocketAddr,
+        path: &str,
+        message: &M,
+        deadline: Time,
+    ) -> Result<A> {
+        let request = self
+            .client
+            .post(format!("http://{address}{path}"))
+            .header(reqwest::header::CONTENT_TYPE, MEDIA_TYPE)
+            .body(encode(message)?);
+        let answer = self.send(request, address, path, MESSAGE_LIMIT, deadline).await?;
+        decode(&answer)
+    }
+
+    /// Returns the bytes at `path` of the HTTP server at `address`.
+    ///
+    /// # Errors
+    ///
+    /// [`Kind::Unavailable`] without an answer before `deadline`, [`Kind::Missing`] for status 404.
+    pub async fn fetch(&self, address: SocketAddr, path: &str, deadline: Time) -> Result<Vec<u8>> {
+        let request = self.client.get(format!("http://{address}{path}"));
+        self.send(request, address, path, VALUE_LIMIT, deadline).await
+    }
+
+    async fn send(
+        &self,
+        request: reqwest::RequestBuilder,
+        address: SocketAddr,
+        path: &str,
+        limit: usize,
+        deadline: Time,
+    ) -> Result<Vec<u8>> {
+        let unavailable =
+            |message: String| Error::new(Kind::Unavailable, format!("no answer from {address}{path}: {message}"));
+        let request = request.timeout(self.clock.until(deadline));
+        let mut response = request.send().await.map_err(|error| unavailable(cause(&error)))?;
+        let status = response.status();
+        if status == reqwest::StatusCode::NOT_FOUND {
+            return Err(Error::new(Kind::Missing, format!("{address} does not have {path}")));
+        }
+        if !status.is_success() {
+            return Err(unavailable(format!("status {status}")));
+        }
+        body(&mut response, limit).await.map_err(unavailable)
+    }
+}
+
+/// Encodes a peer message.
+///
+/// # Errors
+///
+/// [`Kind::Internal`] when the type cannot be encoded.
+pub fn encode<M: Serialize>(message: &M) -> Result<Vec<u8>> {
+    rmp_serde::to_vec(message).map_err(|error| Error::new(Kind::Internal, format!("cannot encode a message: {error}")))
+}
+
+/// Decodes a peer message.
+///
+/// # Errors
+///
+/// [`Kind::Message`] with the place of the fault when the bytes are not a message of this type.
+pub fn decode<M: DeserializeOwned>(bytes: &[u8]) -> Result<M> {
+    rmp_serde::from_slice(bytes)
+        .map_err(|error| Error::new(Kind::Message, format!("{} bytes are not a peer message: {error}", bytes.len())))
+}
--- /dev/null
+++ b/crates/poplarpaddle-io/src/settings/document.rs
@@ -0,0 +1,233 @@
+//! An INI document whose keys are taken one by one, so that what is left over is unknown.
+
+use std::fmt;
+
+use ini_core::{Item, Parser};
+
+/// One fault of a settings file.
+#[derive(Debug, Clone, PartialEq, Eq, derive_more::Display)]
+#[display("{file}:{line}: {message}")]
+pub struct Fault {
+    /// Name of the file.
+    pub file: String,
+    /// Line, counted from 1; 0 when the fault is something missing.
+    pub line: u32,
+    /// What is wrong, with key, value and what is allowed.
+    pub message: String,
+}
+
+/// Every fault of a settings file.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Faults(pub Vec<Fault>);
+
+impl fmt::Display for Faults {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (index, fault) in self.0.iter().enumerate() {
+            if index > 0 {
+                writeln!(f)?;
+            }
+            write!(f, "{fault}")?;
+        }
+        Ok(())
+    }
+}
+
+impl std::error::Error for Faults {}
+
+struct Entry<'a> {
+    section: &'a str,
+    key: &'a str,
+    value: &'a str,
+    line: u32,
+    taken: bool,
+}
+
+struct Section<'a> {
+    name: &'a str,
+    line: u32,
+    known: bool,
+}
+
+/// What became of a key.
+enum Value<T> {
+    Absent,
+    Bad,
+    Good(T),
+}
+
+/// A parsed document and the faults found so far.
+pub(super) struct Document<'a> {
+    file: &'a str,
+    sections: Vec<Section<'a>>,
+    entries: Vec<Entry<'a>>,
+    known: Vec<(&'static str, &'static str)>,
+    missing: Vec<&'static str>,
+    faults: Vec<Fault>,
+}
+
+impl<'a> Document<'a> {
+    /// Splits `text` into sections and keys.
+    pub(super) fn parse(file: &'a str, text: &'a str) -> Self {
+        let mut document = Self {
+            file,
+            sections: Vec::new(),
+            entries: Vec::new(),
+            known: Vec::new(),
+            missing: Vec::new(),
+            faults: Vec::new(),
+        };
+        let mut section = "";
+        let mut parser = Parser::new(text).auto_trim(true);
+        while let Some(item) = parser.next() {
+            let line = parser.line();
+            match item {
+                Item::Section(name) => {
+                    section = name;
+                    document.section(name, line);
+                }
+                Item::Property(key, Some(value)) => document.entry(section, key, value, line),
+                Item::Property(text, None) => {
+                    document.fault(line, format!("{text:?} is neither a section, a key = value nor a ; comment"));
+                }
+                Item::Error(text) => document.fault(line, format!("section header {text:?} has no closing bracket")),
+                Item::Comment(_) | Item::Blank | Item::SectionEnd => {}
+            }
+        }
+        document
+    }
+
+    /// Returns the value of a key that has to be present, or `default` after noting the fault.
+    pub(super) fn require<T>(
+        &mut self,
+        section: &'static str,
+        key: &'static str,
+        allowed: &str,
+        default: T,
+        parse: impl FnOnce(&str) -> Option<T>,
+    ) -> T {
+        match self.take(section, key, allowed, parse) {
+            Value::Good(value) => return value,
+            Value::Bad => {}
+            Value::Absent => self.note_missing(section, key, allowed),
+        }
+        default
+    }
+
+    /// Returns the value of a key, or `default` when it is not present.
+    pub(super) fn optional<T>(
+        &mut self,
+        section: &'static str,
+        key: &'static str,
+        allowed: &str,
+        default: T,
+        parse: impl FnOnce(&str) -> Option<T>,
+    ) -> T {
+        match self.take(section, key, allowed, parse) {
+            Value::Good(value) => value,
+            Value::Bad | Value::Absent => default,
+        }
+    }
+
+    /// Returns every fault, unknown sections and keys included.
+    pub(super) fn finish(mut self) -> Result<(), Faults> {
+        self.unknown_sections();
+        self.unknown_keys();
+        if self.faults.is_empty() {
+            return Ok(());
+        }
+        self.faults.sort_by_key(|fault| fault.line);
+        Err(Faults(self.faults))
+    }
+
+    fn take<T>(
+        &mut self,
+        section: &'static str,
+        key: &'static str,
+        allowed: &str,
+        parse: impl FnOnce(&str) -> Option<T>,
+    ) -> Value<T> {
+        self.known.push((section, key));
+        for known in self.sections.iter_mut().filter(|known| known.name == section) {
+            known.known = true;
+        }
+        let matches = |entry: &&mut Entry<'_>| entry.section == section && entry.key == key && !entry.taken;
+        let Some(entry) = self.entries.iter_mut().find(matches) else {
+            return Value::Absent;
+        };
+        entry.taken = true;
+        let (value, line) = (entry.value, entry.line);
+        if let Some(parsed) = parse(value) {
+            return Value::Good(parsed);
+        }
+        self.fault(line, format!("[{section}] {key} = {value:?} is not allowed; allowed: {allowed}"));
+        Value::Bad
+    }
+
+    fn note_missing(&mut self, section: &'static str, key: &str, allowed: &str) {
+        if self.sections.iter().any(|known| known.name == section) {
+            self.fault(0, format!("[{section}] {key} is missing; allowed: {allowed}"));
+        } else if !self.missing.contains(&section) {
+            self.missing.push(section);
+            self.fault(0, format!("section [{section}] is missing"));
+        }
+    }
+
+    fn section(&mut self, name: &'a str, line: u32) {
+        if let Some(first) = self.sections.iter().find(|section| section.name == name) {
+            let message = format!("section [{name}] stands twice, first in line {}", first.line);
+            self.fault(line, message);
+        }
+        self.sections.push(Section { name, line, known: false });
+    }
+
+    fn entry(&mut self, section: &'a str, key: &'a str, value: &'a str, line: u32) {
+        let twin = self.entries.iter().find(|entry| entry.section == section && entry.key == key);
+        if let Some(first) = twin {
+            let message = format!("[{section}] {key} = {value:?} stands twice, first in line {}", first.line);
+            self.fault(line, message);
+            return;
+        }
+        self.entries.push(Entry { section, key, value, line, taken: false });
+    }
+
+    fn unknown_sections(&mut self) {
+        let mut names: Vec<&str> = self.known.iter().map(|(section, _)| *section).collect();
+        names.dedup();
+        let allowed = names.join(", ");
+        let unknown: Vec<(u32, String)> = self
+            .sections
+            .iter()
+            .filter(|section| !section.known)
+            .map(|section| (section.line, format!("section [{}] is unknown; allowed: {allowed}", section.name)))
+            .collect();
+        for (line, message) in unknown {
+            self.fault(line, message);
+        }
+    }
+
+    fn unknown_keys(&mut self) {
+        let mut unknown = Vec::new();
+        for entry in self.entries.iter().filter(|entry| !entry.taken) {
+            let keys: Vec<&str> =
+                self.known.iter().filter(|(section, _)| *section == entry.section).map(|(_, key)| *key).collect();
+            if keys.is_empty() && !entry.section.is_empty() {
+                continue;
+            }
+            let message = format!(
+                "[{}] {} = {:?} is an unknown key; allowed: {}",
+                entry.section,
+                entry.key,
+                entry.value,
+                keys.join(", ")
+            );
+            unknown.push((entry.line, message));
+        }
+        for (line, message) in unknown {
+            self.fault(line, message);
+        }
+    }
+
+    fn fault(&mut self, line: u32, message: String) {
+        self.faults.push(Fault { file: self.file.to_owned(), line, message });
+    }
+}
--- /dev/null
+++ b/crates/poplarpaddle-io/src/store.rs
@@ -0,0 +1,203 @@
+//! The platform's object API over HTTP with JSON.
+//!
+//! [`Http`] performs one call at a time and never retries: retries, budgets and read-back belong to the core, which knows
+//! what a call means. A write without a usable answer is reported as [`Outcome::Unknown`], since it may have taken effect.
+
+use std::time::Duration;
+
+use eyre::{Context as _, ensure};
+use poplarpaddle::error::{Error, Kind};
+use poplarpaddle::store::{Call, Object, Outcome, Pending, Store, Vm};
+use poplarpaddle::time::Time;
+use reqwest::{Method, StatusCode};
+use serde::Deserialize;
+use serde::de::DeserializeOwned;
+
+use crate::clock::Clock;
+
+/// Time for a TCP connection to the store; a connection that takes longer counts as an outage.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Largest answer that is read, in bytes: a list of values of up to 1 MB each has to stay below it.
+const ANSWER_LIMIT: usize = 256 << 20;
+
+/// Object API client.
+#[derive(Debug, Clone)]
+pub struct Http {
+    client: reqwest::Client,
+    url: String,
+    clock: Clock,
+}
+
+#[derive(Deserialize)]
+struct Version {
+    version: u64,
+}
+
+/// An HTTP answer or the reason why there is none.
+enum Reply {
+    Answer(StatusCode, Vec<u8>),
+    /// The request did not reach the store.
+    Unsent(String),
+    /// The request may have reached the store.
+    Lost(String),
+}
+
+impl Http {
+    /// Returns a client for the store at `url`, such as `http://127.0.0.1:9000`.
+    ///
+    /// # Errors
+    ///
+    /// Fails when `url` is not an `http` URL or the client cannot be set up.
+    pub fn new(url: &str) -> eyre::Result<Self> {
+        let parsed = reqwest::Url::parse(url).wrap_err_with(|| format!("store URL {url:?} is not a URL"))?;
+        ensure!(parsed.scheme() == "http", "store URL {url:?} must start with http://");
+        let client = reqwest::Client::builder().connect_timeout(CONNECT_TIMEOUT).no_proxy().build()?;
+        Ok(Self { client, url: url.trim_end_matches('/').to_owned(), clock: Clock::new() })
+    }
+
+    async fn perform(&self, call: &Call, deadline: Time) -> Outcome {
+        match call {
+            Call::List { kind } => self.read(&format!("/objects/{kind}"), &[], deadline, Outcome::Objects).await,
+            Call::Vms => self.read("/vms", &[], deadline, |vms: Vec<Vm>| Outcome::Vms(vms)).await,
+            Call::Get { kind, name } => self.object(&format!("/objects/{kind}/{name}"), &[], deadline).await,
+            Call::Watch { kind, name, after, deadline: until } => {
+                let wait = self.clock.until(*until).as_millis();
+                let query = [("after", after.to_string()), ("timeout_ms", wait.to_string())];
+                self.object(&format!("/objects/{kind}/{name}/watch"), &query, deadline).await
+            }
+            Call::Put { kind, name, version, value } => {
+                let path = format!("/objects/{kind}/{name}");
+                self.write(Method::PUT, &path, *version, Some(value), deadline).await
+            }
+            Call::Delete { kind, name, version } => {
+                let path = format!("/objects/{kind}/{name}");
+                self.write(Method::DELETE, &path, *version, None, deadline).await
+            }
+        }
+    }
+
+    async fn read<T: DeserializeOwned>(
+        &self,
+        path: &str,
+        query: &[(&str, String)],
+        deadline: Time,
+        outcome: impl FnOnce(T) -> Outcome,
+    ) -> Outcome {
+        match self.send(Method::GET, path, query, None, deadline).await {
+            Reply::Answer(StatusCode::OK, body) => match decode(path, &body) {
+                Ok(value) => outcome(value),
+                Err(error) => Outcome::Failed(error),
+            },
+            other => Outcome::Failed(failure(path, other)),
+        }
+    }
+
+    async fn object(&self, path: &str, query: &[(&str, String)], deadline: Time) -> Outcome {
+        match self.send(Method::GET, path, query, None, deadline).await {
+            Reply::Answer(StatusCode::NOT_FOUND, _) => Outcome::Object(None),
+            Reply::Answer(StatusCode::OK, body) => match decode::<Object>(path, &body) {
+                Ok(object) => Outcome::Object(Some(object)),
+                Err(error) => Outcome::Failed(error),
+            },
+            other => Outcome::Failed(failure(path, other)),
+        }
+    }
+
+    async fn write(
+        &self,
+        method: Method,
+        path: &str,
+        version: u64,
+        value: Option<&serde_json::Value>,
+        deadline: Time,
+    ) -> Outcome {
+        let query = [("if_version", version.to_string())];
+        match self.send(method, path, &query, value, deadline).await {
+            Reply::Answer(StatusCode::OK, body) => match decode::<Version>(path, &body) {
+                Ok(version) => Outcome::Written(version.version),
+                Err(_) => Outcome::Unknown,
+            },
+            Reply::Answer(StatusCode::CONFLICT, body) => match decode::<Version>(path, &body) {
+                Ok(version) => Outcome::Conflict(version.version),
+                Err(_) => Outcome::Unknown,
+            },
+            Reply::Answer(StatusCode::NOT_FOUND, _) => Outcome::Conflict(0),
+            Reply::Answer(status, _) if status.is_server_error() => Outcome::Unknown,
+            Reply::Lost(_) => Outcome::Unknown,
+            other => Outcome::Failed(failure(path, other)),
+        }
+    }
+
+    async fn send(
+        &self,
+        method: Method,
+        path: &str,
+        query: &[(&str, String)],
+        value: Option<&serde_json::Value>,
+        deadline: Time,
+    ) -> Reply {
+        let mut request =
+            self.client.request(method, format!("{}{path}", self.url)).query(query).timeout(self.clock.until(deadline));
+        if let Some(value) = value {
+            request = request.json(value);
+        }
+        match request.send().await {
+            Ok(mut response) => match body(&mut response, ANSWER_LIMIT).await {
+                Ok(body) => Reply::Answer(response.status(), body),
+                Err(message) => Reply::Lost(message),
+            },
+            Err(error) if error.is_connect() || error.is_builder() => Reply::Unsent(cause(&error)),
+            Err(error) => Reply::Lost(cause(&error)),
+        }
+    }
+}
+
+impl Store for Http {
+    fn call<'a>(&'a self, call: &'a Call, deadline: Time) -> Pending<'a> {
+        Box::pin(self.perform(call, deadline))
+    }
+}
+
+/// Reads a body of at most `limit` bytes.
+pub(crate) async fn body(response: &mut reqwest::Response, limit: usize) -> Result<Vec<u8>, String> {
+    let mut body = Vec::new();
+    while let Some(chunk) = response.chunk().await.map_err(|error| cause(&error))? {
+        if body.len() + chunk.len() > limit {
+            return Err(format!("answer is longer than {limit} bytes"));
+        }
+        body.extend_from_slice(&chunk);
+    }
+    Ok(body)
+}
+
+/// Returns the innermost message of `error`, which names the cause better than the outer ones.
+pub(crate) fn cause(error: &reqwest::Error) -> String {
+    let mut message = error.to_string();
+    let mut source = std::error::Error::source(error);
+    while let Some(inner) = source {
+        message = inner.to_string();
+        source = inner.source();
+    }
+    message
+}
+
+fn decode<T: DeserializeOwned>(path: &str, body: &[u8]) -> Result<T, Error> {
+    serde_json::from_slice(body)
+        .map_err(|error| Error::new(Kind::Unavailable, format!("store answer to {path} is not understood: {error}")))
+}
+
+fn failure(path: &str, reply: Reply) -> Error {
+    match reply {
+        Reply::Answer(StatusCode::PAYLOAD_TOO_LARGE, _) => {
+            Error::new(Kind::Limit, format!("store refuses the value of {path}: larger than 1 MB"))
+        }
+        Reply::Answer(status, body) => {
+            let text = String::from_utf8_lossy(&body[..body.len().min(200)]).into_owned();
+            Error::new(Kind::Unavailable, format!("store answers {path} with status {status}: {text}"))
+        }
+        Reply::Unsent(message) | Reply::Lost(message) => {
+            Error::new(Kind::Unavailable, format!("store does not answer {path}: {message}"))
+        }
+    }
+}
--- /dev/null
+++ b/crates/poplarpaddle-io/tests/settings.rs
@@ -0,0 +1,55 @@
+//! Settings files: every fault is found in one pass and names file, line, key, value and what is allowed.
+
+use poplarpaddle_io::settings::Settings;
+
+const GOOD: &str = include_str!("../../../settings/balancer.ini");
+
+/// Guards against an example file that the daemon would refuse.
+#[test]
+fn example_file_is_accepted() {
+    let settings = Settings::parse("balancer.ini", GOOD).unwrap();
+    assert_eq!(settings.node.zone, "kitami");
+    assert_eq!(settings.members.seeds.len(), 2);
+}
+
+/// Guards against a fault that hides another one, and against faults without a place.
+#[test]
+fn every_fault_is_reported() {
+    let text = "
+[node]
+name = entry 1
+zone = kitami
+region = okhotsk
+colour = red
+[listen]
+data = 127.0.0.1
+data = 127.0.0.1:1
+relay = 127.0.0.1:7001
+peer = 127.0.0.1:7002
+nonsense
+[members]
+ping_ms = 5
+[memmbers]
+ping_ms = 100
+[store]
+url = https://127.0.0.1:1
+[log
+";
+    let faults = Settings::parse("bad.ini", text).unwrap_err();
+    insta::assert_snapshot!(faults.to_string());
+}
+
+/// Guards against a panic on any text.
+#[test]
+fn arbitrary_text_does_not_panic() {
+    let pieces = ["[", "]", "=", "node", "\n", "\r", ";", " ", "name", "é", "\0", "listen", "127.0.0.1:1", ","];
+    let mut state = 7_u64;
+    for _ in 0..2000 {
+        let mut text = String::new();
+        for _ in 0..40 {
+            state = state.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+            text.push_str(pieces[usize::try_from(state >> 33).unwrap() % pieces.len()]);
+        }
+        let _faults = Settings::parse("any.ini", &text).unwrap_err();
+    }
+}
