Add the admission gate, host limits and the retry budget

The data path needs a decision on when and where new work starts. Add the priority queues with shares, deadlines and early refusal behind admission::Gate, the adaptive limit with warm-up per host, and the retry budget with backoff. admission::gate builds the gate from its settings.

--- a/crates/poplarpaddle/src/admission.rs
+++ b/crates/poplarpaddle/src/admission.rs
@@ -3,8 +3,15 @@
 //! New work is an opening or the first payload of a request on an idle flow. A [`Gate`] decides whether it starts now,
 //! waits, or is refused, and which host it starts on. The data path holds the packets; the gate holds only tickets.
 
+mod host;
+mod lane;
+mod queue;
+mod settings;
+
 use std::net::Ipv4Addr;
 
+pub use self::queue::Queue;
+pub use self::settings::{Order, Settings};
 use crate::packet::Flow;
 use crate::path::Reason;
 use crate::time::Time;
@@ -115,3 +122,9 @@
     /// Returns the number of waiting tickets.
     fn waiting(&self) -> usize;
 }
+
+/// Returns the gate of the design.
+#[must_use]
+pub fn gate(settings: Settings) -> Box<dyn Gate> {
+    Box::new(Queue::new(settings))
+}
--- /dev/null
+++ b/crates/poplarpaddle/src/admission/host.rs
@@ -0,0 +1,169 @@
+//! Accounts of the hosts of a gate.
+
+use std::cmp::Ordering;
+use std::collections::BTreeMap;
+use std::net::Ipv4Addr;
+
+use super::{Host, Settings};
+use crate::limit::Limit;
+use crate::time::Time;
+use crate::view::HostState;
+
+/// Account of one host.
+#[derive(Debug)]
+pub(super) struct Account {
+    pub(super) limit: Limit,
+    pub(super) in_flight: u32,
+    connections: u32,
+    max_connections: u32,
+    state: HostState,
+    listed: bool,
+}
+
+impl Account {
+    fn unlisted(settings: &Settings) -> Self {
+        Self {
+            limit: Limit::new(settings.limit, settings.unlisted_slots),
+            in_flight: 0,
+            connections: 0,
+            max_connections: 0,
+            state: HostState::Serving,
+            listed: false,
+        }
+    }
+
+    /// Returns true when openings may go to this host now or later.
+    ///
+    /// Openings in flight are not yet counted as connections, so all work in flight is added.
+    pub(super) const fn usable(&self) -> bool {
+        self.listed
+            && matches!(self.state, HostState::Serving | HostState::Cold)
+            && self.connections.saturating_add(self.in_flight) < self.max_connections
+    }
+
+    const fn has_room(&self) -> bool {
+        self.in_flight < self.limit.allowed()
+    }
+
+    fn takes_opening(&self, now: Time) -> bool {
+        self.usable() && self.has_room() && now.reached(self.limit.paused_until())
+    }
+
+    /// Returns true when payload of an established flow may start. A misplaced host gets no packet at all.
+    pub(super) fn takes_payload(&self) -> bool {
+        self.has_room() && self.state != HostState::Misplaced
+    }
+
+    /// Orders by work in flight relative to the limit, then by connections.
+    fn compare(&self, other: &Self) -> Ordering {
+        let mine = u64::from(self.in_flight) * u64::from(other.limit.allowed());
+        let theirs = u64::from(other.in_flight) * u64::from(self.limit.allowed());
+        mine.cmp(&theirs).then(self.connections.cmp(&other.connections))
+    }
+
+    fn update(&mut self, now: Time, host: &Host) {
+        let back = self.state == HostState::Down && host.state == HostState::Serving;
+        let cold = host.state == HostState::Cold && (self.state != HostState::Cold || !self.listed);
+        self.limit.set_slots(host.slots);
+        // A host that was down has probably restarted, also when no report ever said cold.
+        if back || cold {
+            self.limit.chill(now);
+        }
+        self.max_connections = host.connections;
+        self.state = host.state;
+        self.listed = true;
+    }
+}
+
+/// Accounts by address.
+#[derive(Debug, Default)]
+pub(super) struct Accounts {
+    accounts: BTreeMap<Ipv4Addr, Account>,
+}
+
+impl Accounts {
+    /// Takes over the list; hosts that are gone stay while they have work or flows.
+    pub(super) fn replace(&mut self, now: Time, hosts: &[Host], settings: &Settings) {
+        for account in self.accounts.values_mut() {
+            account.listed = false;
+        }
+        for host in hosts {
+            let account = self.accounts.entry(host.address).or_insert_with(|| Account {
+                limit: Limit::new(settings.limit, host.slots),
+                ..Account::unlisted(settings)
+            });
+            account.update(now, host);
+        }
+        self.accounts.retain(|_, account| account.listed || account.in_flight > 0 || account.connections > 0);
+    }
+
+    pub(super) fn get(&self, host: Ipv4Addr) -> Option<&Account> {
+        self.accounts.get(&host)
+    }
+
+    pub(super) fn get_mut(&mut self, host: Ipv4Addr) -> Option<&mut Account> {
+        self.accounts.get_mut(&host)
+    }
+
+    /// Returns the account of a host, a new one when the host is not known.
+    pub(super) fn ensure(&mut self, host: Ipv4Addr, settings: &Settings) -> &mut Account {
+        self.accounts.entry(host).or_insert_with(|| Account::unlisted(settings))
+    }
+
+    pub(super) fn connect(&mut self, host: Ipv4Addr, settings: &Settings) {
+        let account = self.ensure(host, settings);
+        account.connections = account.connections.saturating_add(1);
+    }
+
+    pub(super) fn disconnect(&mut self, host: Ipv4Addr) {
+        if let Some(account) = self.accounts.get_mut(&host) {
+            account.connections = account.connections.saturating_sub(1);
+        }
+        self.forget(host);
+    }
+
+    pub(super) fn end(&mut self, host: Ipv4Addr) {
+        if let Some(account) = self.accounts.get_mut(&host) {
+            account.in_flight = account.in_flight.saturating_sub(1);
+        }
+        self.forget(host);
+    }
+
+    /// Drops the account of an unlisted host that has neither work nor flows.
+    fn forget(&mut self, host: Ipv4Addr) {
+        let idle = |account: &Account| !account.listed && account.in_flight == 0 && account.connections == 0;
+        if self.accounts.get(&host).is_some_and(idle) {
+            self.accounts.remove(&host);
+        }
+    }
+
+    /// Returns the least loaded of the first `preferred` candidates that take an opening, else of all candidates.
+    pub(super) fn choose(&self, now: Time, candidates: &[Ipv4Addr], preferred: usize) -> Option<Ipv4Addr> {
+        let (near, far) = candidates.split_at(preferred.min(candidates.len()));
+        self.least(now, near).or_else(|| self.least(now, far))
+    }
+
+    fn least(&self, now: Time, candidates: &[Ipv4Addr]) -> Option<Ipv4Addr> {
+        let accounts = candidates.iter().filter_map(|host| Some((*host, self.accounts.get(host)?)));
+        let open = accounts.filter(|(_, account)| account.takes_opening(now));
+        open.min_by(|(_, a), (_, b)| a.compare(b)).map(|(host, _)| host)
+    }
+
+    /// Returns true when at least one host takes an opening now.
+    pub(super) fn any_opening(&self, now: Time) -> bool {
+        self.accounts.values().any(|account| account.takes_opening(now))
+    }
+
+    /// Returns the sum of the limits of the hosts that take openings at `now`, at least 1.
+    pub(super) fn capacity(&self, now: Time) -> u64 {
+        let open = |account: &&Account| account.usable() && now.reached(account.limit.paused_until());
+        let limits = self.accounts.values().filter(open);
+        limits.map(|account| u64::from(account.limit.allowed())).sum::<u64>().max(1)
+    }
+
+    /// Returns the first end of a pause after `now`.
+    pub(super) fn next_resume(&self, now: Time) -> Time {
+        let pauses = self.accounts.values().filter(|account| account.usable()).map(|a| a.limit.paused_until());
+        pauses.filter(|&until| !now.reached(until)).min().unwrap_or(Time::NEVER)
+    }
+}
--- /dev/null
+++ b/crates/poplarpaddle/src/admission/lane.rs
@@ -0,0 +1,137 @@
+//! Waiting tickets of one priority.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::Ipv4Addr;
+
+use super::{Order, Ticket, TicketId};
+use crate::time::Time;
+
+/// Credit that buys one start ahead of more urgent work, in per cent of a start.
+pub(super) const CREDIT_START: u32 = 100;
+
+/// Unit of the observed portion of starts.
+pub(super) const WHOLE: u64 = 1 << 16;
+
+/// Weight of one start in the observed portion, as a shift.
+const PORTION_SHIFT: u32 = 5;
+
+/// Position of a ticket within its queue; the smallest starts first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct Key {
+    place: u64,
+    pub(super) id: TicketId,
+}
+
+impl Key {
+    pub(super) const fn new(order: Order, id: TicketId, deadline: Time) -> Self {
+        let place = match order {
+            Order::Arrival => 0,
+            Order::Newest => u64::MAX - id.0,
+            Order::Deadline => deadline.as_nanos(),
+        };
+        Self { place, id }
+    }
+}
+
+/// A waiting ticket.
+#[derive(Debug)]
+pub(super) struct Entry {
+    pub(super) key: Key,
+    pub(super) priority: usize,
+    pub(super) opening: bool,
+    pub(super) retried: bool,
+    pub(super) candidates: Box<[Ipv4Addr]>,
+    pub(super) deadline: Time,
+    /// Start of the wait; later than the offer when the ticket backs off.
+    pub(super) ready: Time,
+    pub(super) bytes: usize,
+}
+
+/// Queue of one priority.
+#[derive(Debug)]
+pub(super) struct Lane {
+    /// Guaranteed per cent of contested starts.
+    share: u32,
+    /// Saved-up share, in per cent of a start.
+    pub(super) credit: u32,
+    /// Portion of the contested starts that this priority got lately, of [`WHOLE`].
+    portion: u64,
+    pub(super) openings: BTreeSet<Key>,
+    /// Payload of established flows by host.
+    pub(super) bound: BTreeMap<Ipv4Addr, BTreeSet<Key>>,
+    entries: usize,
+    bytes: usize,
+}
+
+impl Lane {
+    pub(super) fn new(share: u8) -> Self {
+        Self {
+            share: u32::from(share),
+            credit: 0,
+            portion: WHOLE,
+            openings: BTreeSet::new(),
+            bound: BTreeMap::new(),
+            entries: 0,
+            bytes: 0,
+        }
+    }
+
+    /// Returns true when the ticket fits into `entries` and `bytes`.
+    pub(super) const fn fits(&self, ticket: &Ticket<'_>, entries: usize, bytes: usize) -> bool {
+        let (entries, bytes) =
+            if ticket.opening { (entries - entries / 4, bytes - bytes / 4) } else { (entries, bytes) };
+        self.entries < entries && self.bytes.saturating_add(ticket.bytes) <= bytes
+    }
+
+    /// Counts a ticket against the bounds.
+    pub(super) const fn admit(&mut self, bytes: usize) {
+        self.entries += 1;
+        self.bytes += bytes;
+    }
+
+    /// Makes a ticket eligible to start.
+    pub(super) fn insert(&mut self, entry: &Entry) {
+        match entry.candidates.first() {
+            Some(&host) if !entry.opening => {
+                self.bound.entry(host).or_default().insert(entry.key);
+            }
+            _ => {
+                self.openings.insert(entry.key);
+            }
+        }
+    }
+
+    /// Removes a ticket from the queue and from the bounds.
+    pub(super) fn remove(&mut self, entry: &Entry) {
+        self.entries -= 1;
+        self.bytes -= entry.bytes;
+        self.openings.remove(&entry.key);
+        if let Some(host) = entry.candidates.first()
+            && let Some(queue) = self.bound.get_mut(host)
+        {
+            queue.remove(&entry.key);
+            if queue.is_empty() {
+                self.bound.remove(host);
+            }
+        }
+        if self.openings.is_empty() && self.bound.is_empty() {
+            self.credit = 0;
+        }
+    }
+
+    /// Accounts for a start that this priority competed for.
+    pub(super) fn contest(&mut self, won: bool) {
+        self.portion -= self.portion >> PORTION_SHIFT;
+        self.credit += self.share;
+        if won {
+            self.portion += WHOLE >> PORTION_SHIFT;
+            self.credit = self.credit.saturating_sub(CREDIT_START);
+        }
+    }
+
+    /// Returns the portion of starts that an opening of this priority can expect, of [`WHOLE`], at least 1.
+    pub(super) fn portion(&self) -> u64 {
+        let guaranteed = WHOLE * u64::from(self.share) / 100;
+        self.portion.max(guaranteed).clamp(1, WHOLE)
+    }
+}
--- /dev/null
+++ b/crates/poplarpaddle/src/admission/queue.rs
@@ -0,0 +1,362 @@
+//! The gate of the design: priority queues with shares, deadlines, host limits and a retry budget.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::Ipv4Addr;
+use std::time::Duration;
+
+use super::host::{Account, Accounts};
+use super::lane::{CREDIT_START, Entry, Key, Lane, WHOLE};
+use super::{Decision, Departure, End, Gate, Host, Order, Settings, Ticket, TicketId};
+use crate::path::Reason;
+use crate::retry::Budget;
+use crate::time::Time;
+
+/// Answers slower than this many times the mean of their priority do not raise a limit.
+const TIMELY_FACTOR: u32 = 4;
+
+/// Weight of one answer in the mean service time, as a divisor.
+const MEAN_WEIGHT: u32 = 32;
+
+/// A gate with one queue for each priority.
+///
+/// # Trade-offs
+///
+/// The expected wait is estimated from the mean service time, the limits, and the portion of starts that the priority
+/// got lately. The estimate follows a change of load within some tens of starts; until then tickets expire in the queue
+/// instead of being refused at once.
+#[derive(Debug)]
+pub struct Queue {
+    settings: Settings,
+    hosts: Accounts,
+    lanes: Vec<Lane>,
+    entries: BTreeMap<TicketId, Entry>,
+    expiry: BTreeSet<(Time, TicketId)>,
+    /// Retries that back off, by the time at which they may start.
+    backing_off: BTreeSet<(Time, TicketId)>,
+    budget: Budget,
+    /// Mean time from start to answer.
+    service: Mean,
+    /// The same for each priority.
+    services: Vec<Mean>,
+    next_id: u64,
+    now: Time,
+}
+
+/// Smoothed mean of service times, none before the first sample.
+#[derive(Debug, Clone, Copy, Default)]
+struct Mean(Option<Duration>);
+
+impl Mean {
+    fn add(&mut self, sample: Duration) {
+        self.0 = Some(self.0.map_or(sample, |mean| (mean * (MEAN_WEIGHT - 1) + sample) / MEAN_WEIGHT));
+    }
+}
+
+/// A ticket that can start now.
+#[derive(Debug, Clone, Copy)]
+struct Startable {
+    lane: usize,
+    key: Key,
+    host: Ipv4Addr,
+}
+
+impl Queue {
+    /// Returns a gate without hosts.
+    #[must_use]
+    pub fn new(settings: Settings) -> Self {
+        let mut lanes: Vec<Lane> = settings.priorities.iter().map(|priority| Lane::new(priority.share)).collect();
+        if lanes.is_empty() {
+            lanes.push(Lane::new(0));
+        }
+        Self {
+            hosts: Accounts::default(),
+            services: vec![Mean::default(); lanes.len()],
+            lanes,
+            entries: BTreeMap::new(),
+            expiry: BTreeSet::new(),
+            backing_off: BTreeSet::new(),
+            budget: Budget::new(settings.retry),
+            service: Mean::default(),
+            next_id: 0,
+            now: Time::default(),
+            settings,
+        }
+    }
+
+    /// Returns how much work `host` may have in flight, none when it is not known.
+    #[must_use]
+    pub fn limit(&self, host: Ipv4Addr) -> Option<u32> {
+        self.hosts.get(host).map(|account| account.limit.allowed())
+    }
+
+    /// Returns the work in flight on `host`.
+    #[must_use]
+    pub fn in_flight(&self, host: Ipv4Addr) -> u32 {
+        self.hosts.get(host).map_or(0, |account| account.in_flight)
+    }
+
+    /// Unknown priorities count as the least urgent one.
+    fn lane(&self, priority: usize) -> usize {
+        priority.min(self.lanes.len() - 1)
+    }
+
+    fn start(&mut self, host: Ipv4Addr, first_opening: bool) {
+        self.hosts.ensure(host, &self.settings).in_flight += 1;
+        if first_opening {
+            self.budget.deposit();
+        }
+    }
+
+    fn offer_opening(&mut self, now: Time, ticket: &Ticket<'_>) -> Decision {
+        if now.reached(ticket.deadline) {
+            return Decision::Refuse(Reason::Deadline);
+        }
+        if !self.any_usable(ticket.candidates) {
+            return Decision::Refuse(Reason::NoTarget);
+        }
+        // Waiting openings go first; the ticket joins them and `next` decides.
+        let idle = self.lanes.iter().all(|lane| lane.openings.is_empty());
+        if idle && let Some(host) = self.hosts.choose(now, ticket.candidates, self.settings.preferred) {
+            self.start(host, true);
+            return Decision::Start(host);
+        }
+        if self.expected_start(now, self.lane(ticket.priority)) >= ticket.deadline {
+            return Decision::Refuse(Reason::Deadline);
+        }
+        self.wait(ticket, now, false)
+    }
+
+    fn offer_payload(&mut self, now: Time, ticket: &Ticket<'_>) -> Decision {
+        let Some(&host) = ticket.candidates.first() else {
+            return Decision::Refuse(Reason::NoTarget);
+        };
+        let queued = self.lanes.iter().any(|lane| lane.bound.contains_key(&host));
+        let room = self.hosts.ensure(host, &self.settings).takes_payload();
+        if room && !queued && !now.reached(ticket.deadline) {
+            self.start(host, false);
+            return Decision::Start(host);
+        }
+        self.wait(ticket, now, false)
+    }
+
+    fn any_usable(&self, candidates: &[Ipv4Addr]) -> bool {
+        candidates.iter().any(|&host| self.hosts.get(host).is_some_and(Account::usable))
+    }
+
+    /// Returns when a new opening of `lane` can expect to start.
+    ///
+    /// By Little's law the hosts finish as much work per mean service time as their limits allow in flight; the priority
+    /// gets its observed portion of that.
+    fn expected_start(&self, now: Time, lane: usize) -> Time {
+        let Some(service) = self.service.0 else {
+            return now;
+        };
+        if self.settings.order == Order::Newest {
+            return now;
+        }
+        let lane = &self.lanes[lane];
+        let ahead = u128::try_from(lane.openings.len() + 1).unwrap_or(u128::MAX);
+        let per_start = service.as_nanos() * u128::from(WHOLE) / u128::from(lane.portion());
+        let wait = per_start.saturating_mul(ahead) / u128::from(self.hosts.capacity(now));
+        now + Duration::from_nanos(u64::try_from(wait).unwrap_or(u64::MAX))
+    }
+
+    fn fits(&self, ticket: &Ticket<'_>) -> bool {
+        self.lanes[self.lane(ticket.priority)].fits(ticket, self.settings.entries, self.settings.bytes)
+    }
+
+    fn wait(&mut self, ticket: &Ticket<'_>, ready: Time, retried: bool) -> Decision {
+        if !self.fits(ticket) {
+            return Decision::Refuse(Reason::QueueFull);
+        }
+        let priority = self.lane(ticket.priority);
+        let id = TicketId(self.next_id);
+        self.next_id += 1;
+        let entry = Entry {
+            key: Key::new(self.settings.order, id, ticket.deadline),
+            priority,
+            opening: ticket.opening,
+            retried,
+            candidates: ticket.candidates.into(),
+            deadline: ticket.deadline,
+            ready,
+            bytes: ticket.bytes,
+        };
+        self.lanes[priority].admit(entry.bytes);
+        self.expiry.insert((entry.deadline, id));
+        if retried {
+            self.backing_off.insert((ready, id));
+        } else {
+            self.lanes[priority].insert(&entry);
+        }
+        self.entries.insert(id, entry);
+        Decision::Wait(id)
+    }
+
+    fn remove(&mut self, id: TicketId) -> Option<Entry> {
+        let entry = self.entries.remove(&id)?;
+        self.lanes[entry.priority].remove(&entry);
+        self.expiry.remove(&(entry.deadline, id));
+        self.backing_off.remove(&(entry.ready, id));
+        Some(entry)
+    }
+
+    fn expire(&mut self, now: Time) -> Option<TicketId> {
+        let &(deadline, id) = self.expiry.first()?;
+        if !now.reached(deadline) {
+            return None;
+        }
+        self.remove(id);
+        Some(id)
+    }
+
+    fn end_backoff(&mut self, now: Time) {
+        while let Some(&(ready, id)) = self.backing_off.first()
+            && now.reached(ready)
+        {
+            self.backing_off.pop_first();
+            if let Some(entry) = self.entries.get(&id) {
+                self.lanes[entry.priority].insert(entry);
+            }
+        }
+    }
+
+    /// Returns the first ticket of `lane` that has a host with room.
+    fn startable(&self, now: Time, lane: usize) -> Option<Startable> {
+        let opening = self.startable_opening(now, lane);
+        let payload = self.startable_payload(lane);
+        opening.into_iter().chain(payload).min_by_key(|startable| startable.key)
+    }
+
+    fn startable_opening(&self, now: Time, lane: usize) -> Option<Startable> {
+        if self.lanes[lane].openings.is_empty() || !self.hosts.any_opening(now) {
+            return None;
+        }
+        let mut keys = self.lanes[lane].openings.iter();
+        keys.find_map(|&key| {
+            let candidates = &self.entries.get(&key.id)?.candidates;
+            let host = self.hosts.choose(now, candidates, self.settings.preferred)?;
+            Some(Startable { lane, key, host })
+        })
+    }
+
+    fn startable_payload(&self, lane: usize) -> Option<Startable> {
+        let queues = self.lanes[lane].bound.iter();
+        let open = queues.filter(|(host, _)| self.hosts.get(**host).is_none_or(Account::takes_payload));
+        let heads = open.filter_map(|(&host, keys)| Some(Startable { lane, key: *keys.first()?, host }));
+        heads.min_by_key(|startable| startable.key)
+    }
+
+    /// Chooses between priorities: one that saved up its share first, else the most urgent.
+    fn choose(&mut self, now: Time) -> Option<Startable> {
+        let rivals: Vec<Startable> = (0..self.lanes.len()).filter_map(|lane| self.startable(now, lane)).collect();
+        let owed = rivals.iter().filter(|rival| self.lanes[rival.lane].credit >= CREDIT_START);
+        let most = owed.max_by_key(|rival| (self.lanes[rival.lane].credit, std::cmp::Reverse(rival.lane)));
+        let chosen = *most.or_else(|| rivals.first())?;
+        for rival in &rivals {
+            self.lanes[rival.lane].contest(rival.lane == chosen.lane);
+        }
+        Some(chosen)
+    }
+
+    fn answered(&mut self, now: Time, host: Ipv4Addr, lane: usize, started: Time) {
+        let took = now.since(started);
+        let timely = self.services[lane].0.is_none_or(|mean| took <= mean * TIMELY_FACTOR);
+        self.service.add(took);
+        self.services[lane].add(took);
+        self.budget.succeed();
+        if timely && let Some(account) = self.hosts.get_mut(host) {
+            account.limit.raise(now);
+        }
+    }
+
+    fn failed(&mut self, now: Time, host: Ipv4Addr) {
+        self.budget.fail();
+        if let Some(account) = self.hosts.get_mut(host) {
+            account.limit.cut(now);
+        }
+    }
+}
+
+impl Gate for Queue {
+    fn set_hosts(&mut self, now: Time, hosts: &[Host]) {
+        self.now = now;
+        self.hosts.replace(now, hosts, &self.settings);
+    }
+
+    fn offer(&mut self, now: Time, ticket: &Ticket<'_>) -> Decision {
+        self.now = now;
+        if ticket.opening { self.offer_opening(now, ticket) } else { self.offer_payload(now, ticket) }
+    }
+
+    fn adopt(&mut self, now: Time, host: Ipv4Addr) {
+        self.now = now;
+        self.hosts.ensure(host, &self.settings).in_flight += 1;
+    }
+
+    fn finish(&mut self, now: Time, host: Ipv4Addr, priority: usize, end: End) {
+        self.now = now;
+        match end {
+            End::Answered(started) => self.answered(now, host, self.lane(priority), started),
+            End::Shed | End::Unanswered => self.failed(now, host),
+            End::Closed => {}
+        }
+        self.hosts.end(host);
+    }
+
+    fn retry(&mut self, now: Time, ticket: &Ticket<'_>, failed: Ipv4Addr) -> Decision {
+        self.now = now;
+        let others: Vec<Ipv4Addr> = ticket.candidates.iter().copied().filter(|&host| host != failed).collect();
+        if !self.any_usable(&others) {
+            return Decision::Refuse(Reason::NoTarget);
+        }
+        let ready = now + self.budget.backoff();
+        if ready >= ticket.deadline {
+            return Decision::Refuse(Reason::Deadline);
+        }
+        let ticket = Ticket { candidates: &others, ..*ticket };
+        if !self.fits(&ticket) {
+            return Decision::Refuse(Reason::QueueFull);
+        }
+        if !self.budget.withdraw() {
+            return Decision::Refuse(Reason::NoTarget);
+        }
+        self.wait(&ticket, ready, true)
+    }
+
+    fn connect(&mut self, host: Ipv4Addr) {
+        self.hosts.connect(host, &self.settings);
+    }
+
+    fn disconnect(&mut self, host: Ipv4Addr) {
+        self.hosts.disconnect(host);
+    }
+
+    fn cancel(&mut self, ticket: TicketId) {
+        self.remove(ticket);
+    }
+
+    fn next(&mut self, now: Time) -> Option<Departure> {
+        self.now = now;
+        if let Some(id) = self.expire(now) {
+            return Some(Departure::Expire(id));
+        }
+        self.end_backoff(now);
+        let Startable { key, host, .. } = self.choose(now)?;
+        let entry = self.remove(key.id)?;
+        self.start(host, entry.opening && !entry.retried);
+        Some(Departure::Start(key.id, host))
+    }
+
+    fn deadline(&self) -> Time {
+        let expiry = self.expiry.first().map_or(Time::NEVER, |&(deadline, _)| deadline);
+        let ready = self.backing_off.first().map_or(Time::NEVER, |&(ready, _)| ready);
+        let waiting = self.lanes.iter().any(|lane| !lane.openings.is_empty());
+        let resume = if waiting { self.hosts.next_resume(self.now) } else { Time::NEVER };
+        expiry.min(ready).min(resume)
+    }
+
+    fn waiting(&self) -> usize {
+        self.entries.len()
+    }
+}
--- a/crates/poplarpaddle/src/lib.rs
+++ b/crates/poplarpaddle/src/lib.rs
@@ -23,11 +23,13 @@
 pub mod admission;
 pub mod error;
 pub mod event;
+pub mod limit;
 pub mod map;
 pub mod object;
 pub mod packet;
 pub mod path;
 pub mod prelude;
+pub mod retry;
 pub mod store;
 pub mod time;
 pub mod view;
--- /dev/null
+++ b/crates/poplarpaddle/tests/admission.rs
@@ -0,0 +1,337 @@
+//! Tests of the gate, its limits and its retry budget.
+
+use std::net::Ipv4Addr;
+use std::time::Duration;
+
+use poplarpaddle::admission::{Decision, Departure, End, Gate, Host, Queue, Settings, Ticket, TicketId};
+use poplarpaddle::limit::{self, Limit};
+use poplarpaddle::prelude::*;
+use poplarpaddle::view::HostState;
+
+const SLOTS: u16 = 3;
+const ROOM: u32 = 4;
+
+fn address(index: u8) -> Ipv4Addr {
+    Ipv4Addr::new(127, 0, 1, index)
+}
+
+fn host(index: u8) -> Host {
+    Host { address: address(index), slots: SLOTS, connections: 100, state: HostState::Serving, busy: None }
+}
+
+fn ms(millis: u64) -> Time {
+    Time::from_millis(millis)
+}
+
+fn gate(hosts: u8, settings: Settings) -> Queue {
+    let mut gate = Queue::new(settings);
+    let hosts: Vec<Host> = (0..hosts).map(host).collect();
+    gate.set_hosts(ms(0), &hosts);
+    gate
+}
+
+fn ticket(priority: usize, candidates: &[Ipv4Addr]) -> Ticket<'_> {
+    let flow =
+        Flow { caller: "192.0.2.7:40000".parse().expect("valid"), service: "10.0.0.1:80".parse().expect("valid") };
+    Ticket { flow, priority, opening: true, candidates, deadline: ms(10_000), bytes: 60 }
+}
+
+fn waiting(decision: Decision) -> TicketId {
+    match decision {
+        Decision::Wait(id) => id,
+        other => panic!("expected a waiting ticket, got {other:?}"),
+    }
+}
+
+/// Fills all room of a gate with openings.
+fn fill(gate: &mut Queue, candidates: &[Ipv4Addr]) {
+    let room = candidates.len() * ROOM as usize;
+    for _ in 0..room {
+        assert!(matches!(gate.offer(ms(0), &ticket(0, candidates)), Decision::Start(_)));
+    }
+}
+
+/// Guards against starvation: without shares an urgent flood takes every start.
+#[test]
+fn shares_hold_in_an_urgent_flood() {
+    let hosts = [address(0)];
+    let mut gate = gate(1, Settings::default());
+    fill(&mut gate, &hosts);
+    let mut started = [0_usize; 3];
+    let mut priorities = poplarpaddle::map::seeded::<TicketId, usize>(1);
+    for step in 0..1_000 {
+        for priority in [0, 0, 1, 2] {
+            if let Decision::Wait(id) = gate.offer(ms(step), &ticket(priority, &hosts)) {
+                priorities.insert(id, priority);
+            }
+        }
+        gate.finish(ms(step), hosts[0], 0, End::Closed);
+        while let Some(departure) = gate.next(ms(step)) {
+            if let Departure::Start(id, _) = departure {
+                started[priorities[&id]] += 1;
+            }
+        }
+    }
+    assert_eq!(started.iter().sum::<usize>(), 1_000);
+    assert!(started[1] >= 195, "share of 20 % not kept: {started:?}");
+    assert!(started[2] >= 45, "share of 5 % not kept: {started:?}");
+    assert!(started[0] > started[1] + started[2], "the most urgent work does not go first: {started:?}");
+}
+
+/// Guards against idle work that delays urgent work when shares are not at stake.
+#[test]
+fn most_urgent_goes_first() {
+    let hosts = [address(0)];
+    let mut gate = gate(1, Settings::default());
+    fill(&mut gate, &hosts);
+    let idle = waiting(gate.offer(ms(0), &ticket(2, &hosts)));
+    let urgent = waiting(gate.offer(ms(0), &ticket(0, &hosts)));
+    for expected in [urgent, idle] {
+        gate.finish(ms(1), hosts[0], 0, End::Closed);
+        assert_eq!(gate.next(ms(1)), Some(Departure::Start(expected, hosts[0])));
+        assert_eq!(gate.next(ms(1)), None);
+    }
+}
+
+/// Guards against work that runs after its caller gave up, and against a refused ticket that still starts.
+#[test]
+fn expired_and_refused_work_never_starts() {
+    let hosts = [address(0)];
+    let mut gate = gate(1, Settings::default());
+    fill(&mut gate, &hosts);
+    let id = waiting(gate.offer(ms(0), &Ticket { deadline: ms(50), ..ticket(0, &hosts) }));
+    assert_eq!(gate.deadline(), ms(50));
+    gate.finish(ms(50), hosts[0], 0, End::Closed);
+    assert_eq!(gate.next(ms(50)), Some(Departure::Expire(id)));
+    assert_eq!(gate.next(ms(50)), None);
+
+    let late = gate.offer(ms(50), &Ticket { deadline: ms(50), ..ticket(0, &hosts) });
+    assert_eq!(late, Decision::Refuse(Reason::Deadline));
+    assert_eq!(gate.waiting(), 0);
+    assert_eq!(gate.next(ms(60)), None);
+}
+
+/// Guards against openings that wait in vain: the refusal must come at once, while the caller can still go elsewhere.
+#[test]
+fn hopeless_opening_is_refused_early() {
+    let hosts = [address(0)];
+    let mut gate = gate(1, Settings::default());
+    fill(&mut gate, &hosts);
+    // One answer teaches a service time of 100 ms, so that four places give a start every 25 ms.
+    gate.finish(ms(100), hosts[0], 0, End::Answered(ms(0)));
+    assert!(matches!(gate.offer(ms(100), &ticket(0, &hosts)), Decision::Start(_)));
+    let soon = Ticket { deadline: ms(190), ..ticket(0, &hosts) };
+    let decisions: Vec<bool> =
+        (0..6).map(|_| matches!(gate.offer(ms(100), &soon), Decision::Refuse(Reason::Deadline))).collect();
+    assert_eq!(decisions, [false, false, false, true, true, true]);
+}
+
+/// Guards against payload of established flows that is lost because openings filled the queue.
+#[test]
+fn openings_leave_room_for_payload_and_bounds_hold() {
+    let cases = [
+        // (entries, bytes, openings that fit, payloads that fit after them)
+        (8, 1 << 20, 6, 2),
+        (100, 600, 7, 3),
+    ];
+    for (entries, bytes, openings, payloads) in cases {
+        let hosts = [address(0)];
+        let mut gate = gate(1, Settings { entries, bytes, ..Default::default() });
+        fill(&mut gate, &hosts);
+        let mut count = |opening| {
+            let fits =
+                |_: &usize| matches!(gate.offer(ms(0), &Ticket { opening, ..ticket(0, &hosts) }), Decision::Wait(_));
+            (0..20).filter(fits).count()
+        };
+        assert_eq!(count(true), openings, "openings with {entries} entries and {bytes} bytes");
+        assert_eq!(count(false), payloads, "payloads with {entries} entries and {bytes} bytes");
+        assert_eq!(gate.offer(ms(0), &ticket(0, &hosts)), Decision::Refuse(Reason::QueueFull));
+        // Another priority has its own queue.
+        assert!(matches!(gate.offer(ms(0), &ticket(1, &hosts)), Decision::Wait(_)));
+    }
+}
+
+/// Guards against retries that multiply the load when every host sheds.
+#[test]
+fn retries_stay_within_the_budget_under_full_shedding() {
+    let hosts: Vec<Ipv4Addr> = (0..4).map(address).collect();
+    let mut gate = gate(4, Settings::default());
+    let mut openings = 0;
+    let mut retries = 0;
+    for step in 0..20_000 {
+        let now = ms(step);
+        let ticket = Ticket { deadline: ms(step + 200), ..ticket(0, &hosts) };
+        let mut tries = Vec::new();
+        if let Decision::Start(host) = gate.offer(now, &ticket) {
+            openings += 1;
+            tries.push(host);
+        }
+        while let Some(departure) = gate.next(now) {
+            if let Departure::Start(_, host) = departure {
+                tries.push(host);
+            }
+        }
+        for host in tries {
+            gate.finish(now, host, 0, End::Shed);
+            retries += usize::from(matches!(gate.retry(now, &ticket, host), Decision::Wait(_)));
+        }
+    }
+    assert!(openings > 10, "hosts must be tried again, {openings} openings started");
+    assert!(retries > 0, "no retry at all");
+    assert!(retries <= openings / 10 + 10, "{retries} retries of {openings} openings");
+}
+
+/// Guards against a retry on the host that failed, before its backoff, or past the deadline.
+#[test]
+fn retry_goes_elsewhere_after_backoff() {
+    let hosts = [address(0), address(1)];
+    let mut gate = gate(2, Settings::default());
+    let Decision::Start(first) = gate.offer(ms(0), &ticket(0, &hosts)) else { panic!("no start") };
+    gate.finish(ms(1), first, 0, End::Shed);
+    let id = waiting(gate.retry(ms(1), &ticket(0, &hosts), first));
+    assert_eq!(gate.next(ms(1)), None);
+    let ready = gate.deadline();
+    assert!(ready > ms(1) && ready <= ms(10), "backoff until {ready}");
+    let Some(Departure::Start(started, second)) = gate.next(ready) else { panic!("no retry") };
+    assert_eq!(started, id);
+    assert_ne!(second, first);
+
+    gate.finish(ms(20), second, 0, End::Unanswered);
+    let late = Ticket { deadline: ms(21), ..ticket(0, &hosts) };
+    assert_eq!(gate.retry(ms(20), &late, second), Decision::Refuse(Reason::Deadline));
+}
+
+/// Guards against a limit that stays low for good, and against one that ignores failures.
+#[test]
+fn limit_is_cut_and_recovers() {
+    let settings = limit::Settings::default();
+    let mut limit = Limit::new(settings, SLOTS);
+    assert_eq!(limit.allowed(), ROOM);
+    limit.cut(ms(100));
+    assert_eq!(limit.allowed(), 2);
+    limit.cut(ms(101));
+    assert_eq!(limit.allowed(), 2, "one burst of sheds is one signal");
+    limit.cut(ms(200));
+    limit.cut(ms(300));
+    assert_eq!(limit.allowed(), 1);
+    assert_eq!(limit.paused_until(), ms(300) + settings.pause);
+    limit.cut(ms(500));
+    assert_eq!(limit.paused_until(), ms(500) + settings.pause * 2, "the pause grows with each failure");
+    for step in 0..20 {
+        limit.raise(ms(1_000 + step));
+    }
+    assert_eq!(limit.allowed(), ROOM);
+}
+
+/// Guards against a burst of openings on a cold host, and against a report that throttles a host which answers in time.
+#[test]
+fn cold_hosts_warm_up() {
+    let hosts = [address(0)];
+    let mut gate = Queue::new(Settings::default());
+    gate.set_hosts(ms(0), &[Host { state: HostState::Cold, ..host(0) }]);
+    let mut limits = Vec::new();
+    for step in 0..8 {
+        limits.push(gate.limit(hosts[0]).expect("host is listed"));
+        assert!(matches!(gate.offer(ms(step), &ticket(0, &hosts)), Decision::Start(_)));
+        gate.finish(ms(step + 1), hosts[0], 0, End::Answered(ms(step)));
+    }
+    assert_eq!(limits[0], 1);
+    assert!(limits.is_sorted(), "{limits:?}");
+    assert_eq!(limits[7], ROOM);
+
+    let state = |state| [Host { state, ..host(0) }];
+    gate.set_hosts(ms(10), &state(HostState::Serving));
+    gate.set_hosts(ms(20), &state(HostState::Cold));
+    assert_eq!(gate.limit(hosts[0]), Some(ROOM), "a report outweighed answers in time");
+    gate.set_hosts(ms(20_000), &state(HostState::Down));
+    gate.set_hosts(ms(21_000), &state(HostState::Serving));
+    assert_eq!(gate.limit(hosts[0]), Some(1), "a host that was down may have restarted");
+}
+
+/// Guards against new work on hosts that must not get any, while payload of their flows goes on.
+#[test]
+fn only_serving_hosts_take_openings() {
+    let cases = [
+        (HostState::Serving, true, true),
+        (HostState::Cold, true, true),
+        (HostState::Draining, false, true),
+        (HostState::Down, false, true),
+        (HostState::Misplaced, false, false),
+    ];
+    for (state, openings, payload) in cases {
+        let hosts = [address(0)];
+        let mut gate = Queue::new(Settings::default());
+        gate.set_hosts(ms(0), &[Host { state, ..host(0) }]);
+        for (opening, expected) in [(false, payload), (true, openings)] {
+            let decision = gate.offer(ms(0), &Ticket { opening, ..ticket(0, &hosts) });
+            let starts = decision == Decision::Start(hosts[0]);
+            assert_eq!(starts, expected, "{state:?}, opening {opening}: {decision:?}");
+            if starts {
+                gate.finish(ms(0), hosts[0], 0, End::Closed);
+            }
+        }
+    }
+}
+
+/// Guards against openings that wait for a host which started to drain, instead of going elsewhere or expiring.
+#[test]
+fn waiting_opening_leaves_a_draining_host() {
+    let hosts = [address(0), address(1)];
+    let mut gate = gate(2, Settings::default());
+    fill(&mut gate, &hosts);
+    waiting(gate.offer(ms(0), &ticket(0, &hosts)));
+    gate.set_hosts(ms(1), &[Host { state: HostState::Draining, ..host(0) }, host(1)]);
+    gate.finish(ms(1), hosts[0], 0, End::Closed);
+    assert_eq!(gate.next(ms(1)), None, "started on a draining host");
+    gate.finish(ms(2), hosts[1], 0, End::Closed);
+    assert!(matches!(gate.next(ms(2)), Some(Departure::Start(_, started)) if started == hosts[1]));
+}
+
+/// Guards against more connections than a host holds.
+#[test]
+fn connection_limit_holds() {
+    let hosts = [address(0)];
+    let mut gate = Queue::new(Settings::default());
+    gate.set_hosts(ms(0), &[Host { connections: 2, ..host(0) }]);
+    for _ in 0..2 {
+        assert!(matches!(gate.offer(ms(0), &ticket(0, &hosts)), Decision::Start(_)));
+        gate.connect(hosts[0]);
+        gate.finish(ms(0), hosts[0], 0, End::Closed);
+    }
+    assert_eq!(gate.offer(ms(0), &ticket(0, &hosts)), Decision::Refuse(Reason::NoTarget));
+    gate.disconnect(hosts[0]);
+    assert!(matches!(gate.offer(ms(0), &ticket(0, &hosts)), Decision::Start(_)));
+}
+
+/// Guards against uneven placement: the first four candidates share the load, the others take the overflow.
+#[test]
+fn placement_prefers_four_and_widens() {
+    let hosts: Vec<Ipv4Addr> = (0..6).map(address).collect();
+    let mut gate = gate(6, Settings::default());
+    let mut starts = || match gate.offer(ms(0), &ticket(0, &hosts)) {
+        Decision::Start(host) => host,
+        other => panic!("expected a start, got {other:?}"),
+    };
+    let first: Vec<Ipv4Addr> = (0..4).map(|_| starts()).collect();
+    assert_eq!(first, hosts[..4]);
+    for _ in 0..12 {
+        assert!(hosts[..4].contains(&starts()));
+    }
+    for _ in 0..8 {
+        assert!(hosts[4..].contains(&starts()));
+    }
+}
+
+/// Guards against work that is lost with the list: it must be counted until it ends.
+#[test]
+fn unlisted_host_keeps_its_account() {
+    let hosts = [address(0)];
+    let mut gate = gate(1, Settings::default());
+    fill(&mut gate, &hosts);
+    gate.set_hosts(ms(1), &[]);
+    assert_eq!(gate.in_flight(hosts[0]), ROOM);
+    let payload = Ticket { opening: false, ..ticket(0, &hosts) };
+    let id = waiting(gate.offer(ms(1), &payload));
+    gate.finish(ms(2), hosts[0], 0, End::Answered(ms(2) + Duration::ZERO));
+    assert_eq!(gate.next(ms(2)), Some(Departure::Start(id, hosts[0])));
+}
