Add configuration of a node: manifest, parts, state in force

Cause: nodes need one form of the published configuration that the store and peers serve alike, and a rule for which generation is in force. Change: config::{Manifest, Part, Digest, State}, compile to view::Config, release of endpoints, bucket rule. Result: 4 tests; a change of one target leaves 1 missing part; 9 kinds of wrong manifests leave the generation in force.

--- /dev/null
+++ b/crates/poplarpaddle/src/config/compile.rs
@@ -0,0 +1,215 @@
+//! From manifest and parts to the look-ups of the data path.
+
+use std::collections::BTreeSet;
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+use super::{Entry, Manifest, Part, Released, Row, bucket};
+use crate::error::{Error, Kind, Result};
+use crate::map::{Map, seeded};
+use crate::object::{Port, default_shards};
+use crate::view;
+
+/// Compiles a generation. `parts` are the parts of the manifest in the order of their buckets, empty buckets left out.
+///
+/// A released endpoint still maps to its old service, and the old address of a service to the service. A service that is
+/// gone keeps a place, with its released targets only, while the manifest lists any; so its established flows go on and
+/// it takes no new ones. A port that a service gave up is unknown at once, and only its endpoints stay mapped.
+///
+/// # Errors
+///
+/// [`Kind::Object`] when the parts contradict each other or the manifest; the message names object, field and value.
+pub fn compile(manifest: &Manifest, parts: impl IntoIterator<Item = Result<Part>>) -> Result<view::Config> {
+    let mut entries = collect(manifest, parts)?;
+    entries.sort_unstable_by(|a, b| a.name.cmp(&b.name));
+    let mut compiler = Compiler::new(manifest);
+    let gone = departed(manifest, &entries);
+    for entry in entries.into_iter().chain(gone) {
+        compiler.add_service(entry)?;
+    }
+    compiler.services.sort_unstable_by(|a, b| a.name.cmp(&b.name));
+    compiler.index()?;
+    for released in &manifest.released {
+        compiler.add_released(released)?;
+    }
+    Ok(compiler.config(manifest))
+}
+
+fn collect(manifest: &Manifest, parts: impl IntoIterator<Item = Result<Part>>) -> Result<Vec<Entry>> {
+    let mut entries = Vec::new();
+    let occupied = manifest.parts.iter().enumerate().filter(|(_, digest)| digest.is_some());
+    for ((index, _), part) in occupied.zip(parts) {
+        for entry in part?.services {
+            let expected = bucket(&entry.name, manifest.parts.len());
+            if expected != index {
+                return Err(fault("service", &entry.name, "bucket", &index, &expected));
+            }
+            entries.push(entry);
+        }
+    }
+    Ok(entries)
+}
+
+/// Services without an entry that released endpoints refer to, without targets.
+fn departed(manifest: &Manifest, entries: &[Entry]) -> Vec<Entry> {
+    let mut gone: Vec<Entry> = Vec::new();
+    for group in &manifest.released {
+        if entries.binary_search_by(|entry| entry.name.cmp(&group.service)).is_ok() {
+            continue;
+        }
+        let found = gone.iter().position(|entry| entry.name == group.service);
+        let index = found.unwrap_or_else(|| {
+            gone.push(empty(group));
+            gone.len() - 1
+        });
+        add_ports(&mut gone[index], group, manifest);
+    }
+    gone
+}
+
+fn empty(group: &Released) -> Entry {
+    let (name, address) = (group.service.clone(), group.address);
+    Entry { name, address, ports: Vec::new(), shards: None, targets: Vec::new() }
+}
+
+/// Adds the ports of a group. A port whose priority is gone too gets the least urgent one; no new work arrives there.
+fn add_ports(entry: &mut Entry, group: &Released, manifest: &Manifest) {
+    let last = manifest.priorities.iter().max_by_key(|priority| priority.rank);
+    for port in &group.ports {
+        if entry.ports.iter().any(|known| known.port == port.port) {
+            continue;
+        }
+        let known = manifest.priorities.iter().any(|priority| priority.name == port.priority);
+        let fallback = last.filter(|_last| !known).map(|priority| priority.name.clone());
+        entry.ports.push(Port { port: port.port, priority: fallback.unwrap_or_else(|| port.priority.clone()) });
+    }
+}
+
+fn fault(kind: &str, name: &str, field: &str, value: &dyn std::fmt::Display, allowed: &dyn std::fmt::Display) -> Error {
+    Error::new(Kind::Object, format!("{kind} {name:?}: {field} is {value}, allowed: {allowed}"))
+}
+
+#[derive(Debug)]
+struct Compiler {
+    priorities: Vec<view::Priority>,
+    services: Vec<view::Service>,
+    addresses: Map<SocketAddrV4, view::ServiceIndex>,
+    endpoints: Map<SocketAddrV4, view::ServiceIndex>,
+}
+
+impl Compiler {
+    fn new(manifest: &Manifest) -> Self {
+        let mut priorities: Vec<view::Priority> = manifest.priorities.iter().map(priority).collect();
+        priorities.sort_by(|a, b| (a.rank, &a.name).cmp(&(b.rank, &b.name)));
+        let seed = manifest.seed.0;
+        Self { priorities, services: Vec::new(), addresses: seeded(seed), endpoints: seeded(seed) }
+    }
+
+    fn add_service(&mut self, entry: Entry) -> Result<()> {
+        let count = u16::try_from(entry.targets.len()).unwrap_or(u16::MAX);
+        let ports = entry.ports.iter().map(|port| self.port(&entry.name, port)).collect::<Result<Vec<_>>>()?;
+        if ports.is_empty() {
+            return Err(fault("service", &entry.name, "number of ports", &0, &"1 or more"));
+        }
+        let shards = entry.shards.unwrap_or_else(|| default_shards(usize::from(count)));
+        if shards == 0 {
+            return Err(fault("service", &entry.name, "shards", &0, &"1 or more"));
+        }
+        let mut targets: Vec<view::Target> = entry.targets.into_iter().map(|row| target(row, false)).collect();
+        targets.sort_unstable_by(|a, b| a.name.cmp(&b.name));
+        self.services.push(view::Service { name: entry.name, address: entry.address, ports, shards, targets });
+        Ok(())
+    }
+
+    fn port(&self, service: &str, port: &Port) -> Result<view::Port> {
+        let found = self.priorities.iter().position(|priority| priority.name == port.priority);
+        let Some(priority) = found else {
+            return Err(fault("service", service, "priority", &port.priority, &"a priority of the manifest"));
+        };
+        Ok(view::Port { port: port.port, priority })
+    }
+
+    /// Fills the look-ups from the services, which are in their final order now.
+    fn index(&mut self) -> Result<()> {
+        let services = std::mem::take(&mut self.services);
+        for (index, pair) in services.windows(2).enumerate() {
+            if pair[0].name == pair[1].name {
+                return Err(fault("service", &pair[0].name, "entry", &(index + 1), &"one for each name"));
+            }
+        }
+        for (index, service) in services.iter().enumerate() {
+            let index = view::ServiceIndex(u32::try_from(index).unwrap_or(u32::MAX));
+            for port in &service.ports {
+                let address = SocketAddrV4::new(service.address, port.port);
+                claim(&mut self.addresses, &services, address, index, "address")?;
+                for target in &service.targets {
+                    let endpoint = SocketAddrV4::new(target.address, port.port);
+                    claim(&mut self.endpoints, &services, endpoint, index, "endpoint")?;
+                }
+            }
+        }
+        self.services = services;
+        Ok(())
+    }
+
+    fn add_released(&mut self, released: &Released) -> Result<()> {
+        let found = self.services.binary_search_by(|service| service.name.as_str().cmp(&released.service));
+        let Ok(position) = found else {
+            return Err(fault("service", &released.service, "released entry", &"unassigned", &"a known service"));
+        };
+        let index = view::ServiceIndex(u32::try_from(position).unwrap_or(u32::MAX));
+        for endpoint in released.endpoints() {
+            let holder = *self.endpoints.entry(endpoint).or_insert(index);
+            if holder != index {
+                return Err(taken(&self.services, "released endpoint", endpoint, index, holder));
+            }
+        }
+        let service = &mut self.services[position];
+        for port in service.ports.iter().filter(|port| released.ports.iter().any(|old| old.port == port.port)) {
+            self.addresses.entry(SocketAddrV4::new(released.address, port.port)).or_insert(index);
+        }
+        let present: BTreeSet<Ipv4Addr> = service.targets.iter().map(|target| target.address).collect();
+        let absent = released.targets.iter().filter(|row| !present.contains(&row.address));
+        service.targets.extend(absent.map(|row| target(row.clone(), true)));
+        Ok(())
+    }
+
+    fn config(self, manifest: &Manifest) -> view::Config {
+        let Self { priorities, services, addresses, endpoints } = self;
+        let (generation, seed) = (manifest.generation, manifest.seed.0);
+        view::Config { generation, seed, services, priorities, addresses, endpoints }
+    }
+}
+
+fn claim(
+    map: &mut Map<SocketAddrV4, view::ServiceIndex>,
+    services: &[view::Service],
+    address: SocketAddrV4,
+    index: view::ServiceIndex,
+    field: &str,
+) -> Result<()> {
+    match map.insert(address, index) {
+        None => Ok(()),
+        Some(holder) => Err(taken(services, field, address, index, holder)),
+    }
+}
+
+fn taken(
+    services: &[view::Service],
+    field: &str,
+    address: SocketAddrV4,
+    index: view::ServiceIndex,
+    holder: view::ServiceIndex,
+) -> Error {
+    let name = |index: view::ServiceIndex| services.get(index.0 as usize).map_or("", |service| service.name.as_str());
+    let allowed = format!("one that service {:?} does not have", name(holder));
+    fault("service", name(index), field, &address, &allowed)
+}
+
+fn priority(object: &crate::object::Priority) -> view::Priority {
+    view::Priority { name: object.name.clone(), rank: object.rank, share: object.share, queue_ms: object.queue_ms }
+}
+
+fn target(row: Row, released: bool) -> view::Target {
+    let Row { name, zone, address, slots, connections, draining } = row;
+    view::Target { name, zone, address, slots, connections, draining, released }
+}
--- /dev/null
+++ b/crates/poplarpaddle/src/config/release.rs
@@ -0,0 +1,117 @@
+//! Endpoints and addresses that left a service and may not enter another one yet.
+
+use std::collections::BTreeSet;
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+use serde::{Deserialize, Serialize};
+
+use super::{Entry, Row};
+use crate::map::seeded;
+use crate::object::{Port, Set};
+use crate::time::Time;
+
+/// Endpoints that left a service: every target in `targets` on every port in `ports`.
+///
+/// When the service itself is gone or has another address, `address` is released too.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Released {
+    /// Name of the service.
+    pub service: String,
+    /// Address of the service at that time.
+    pub address: Ipv4Addr,
+    /// Ports of the service at that time.
+    pub ports: Vec<Port>,
+    /// Targets at that time.
+    pub targets: Vec<Row>,
+    /// From this time on another service may have the endpoints, in milliseconds since the Unix epoch.
+    pub not_before_ms: u64,
+}
+
+impl Released {
+    /// Returns the time from which another service may have the endpoints.
+    #[must_use]
+    pub const fn not_before(&self) -> Time {
+        Time::from_millis(self.not_before_ms)
+    }
+
+    /// Returns the endpoints.
+    pub fn endpoints(&self) -> impl Iterator<Item = SocketAddrV4> {
+        let ports = |row: &Row| {
+            let address = row.address;
+            self.ports.iter().map(move |port| SocketAddrV4::new(address, port.port))
+        };
+        self.targets.iter().flat_map(ports)
+    }
+}
+
+/// Returns the entries of `before` whose time has not passed at `now`, without what `set` gave back to the same service.
+#[must_use]
+pub fn carry(before: &[Released], set: &Set, now: Time) -> Vec<Released> {
+    let open = before.iter().filter(|released| !now.reached(released.not_before()));
+    let mut claims = Claims::default();
+    let kept = open.filter_map(|released| claims.without_returned(set, released));
+    kept.collect()
+}
+
+/// Returns what the services `before` hold and `set` no longer gives to the same service.
+#[must_use]
+pub fn release(before: &[Entry], set: &Set, not_before: Time) -> Vec<Released> {
+    let mut claims = Claims::default();
+    let whole = before.iter().map(|entry| Released {
+        service: entry.name.clone(),
+        address: entry.address,
+        ports: entry.ports.clone(),
+        targets: entry.targets.clone(),
+        not_before_ms: not_before.as_millis(),
+    });
+    let mut released: Vec<Released> = Vec::new();
+    for group in whole {
+        let Some(service) = set.services.get(&group.service).filter(|service| service.address == group.address) else {
+            released.push(group);
+            continue;
+        };
+        let (kept, dropped): (Vec<Port>, Vec<Port>) =
+            group.ports.iter().cloned().partition(|old| service.ports.iter().any(|port| port.port == old.port));
+        let on_kept = Released { ports: kept, ..group.clone() };
+        released.extend(claims.without_returned(set, &on_kept));
+        if !dropped.is_empty() && !group.targets.is_empty() {
+            released.push(Released { ports: dropped, ..group });
+        }
+    }
+    released
+}
+
+/// Target addresses of services, collected once for each set.
+#[derive(Debug, Default)]
+struct Claims<'a> {
+    targets: Option<crate::map::Map<&'a str, BTreeSet<Ipv4Addr>>>,
+}
+
+impl<'a> Claims<'a> {
+    fn of(&mut self, set: &'a Set, service: &str) -> Option<&BTreeSet<Ipv4Addr>> {
+        let targets = self.targets.get_or_insert_with(|| {
+            let mut map = seeded::<&str, BTreeSet<Ipv4Addr>>(0);
+            for target in set.targets.values() {
+                map.entry(target.service.as_str()).or_default().insert(target.address);
+            }
+            map
+        });
+        targets.get(service)
+    }
+
+    /// Returns `released` without the targets that the same service has again on all ports of the group.
+    fn without_returned(&mut self, set: &'a Set, released: &Released) -> Option<Released> {
+        let Some(service) = set.services.get(&released.service) else {
+            return Some(released.clone());
+        };
+        let has_ports = released.ports.iter().all(|old| service.ports.iter().any(|port| port.port == old.port));
+        let moved = service.address != released.address;
+        let Some(addresses) = self.of(set, &released.service).filter(|_addresses| has_ports && !moved) else {
+            return (moved || !released.targets.is_empty()).then(|| released.clone());
+        };
+        let targets: Vec<Row> =
+            released.targets.iter().filter(|row| !addresses.contains(&row.address)).cloned().collect();
+        (!targets.is_empty()).then(|| Released { targets, ..released.clone() })
+    }
+}
--- /dev/null
+++ b/crates/poplarpaddle/src/config/state.rs
@@ -0,0 +1,211 @@
+//! Which generation is in force at a node, and what it has to fetch.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+use super::{Digest, MAX_TOTAL_BYTES, Manifest, Part, compile};
+use crate::error::{Error, Kind, Result};
+use crate::map::{Map, seeded};
+use crate::view;
+
+/// What became of an offered manifest or part.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Offer {
+    /// A generation in force or being fetched is higher.
+    Stale,
+    /// The generation in force already holds it.
+    Current,
+    /// The generation is taken once these parts are supplied.
+    Missing(Vec<Digest>),
+    /// The generation is in force now.
+    Applied,
+}
+
+type Parts = Map<Digest, Arc<[u8]>>;
+
+/// The configuration of one node.
+#[derive(Debug)]
+pub struct State {
+    fleet: String,
+    force: Option<Force>,
+    pending: Option<Pending>,
+}
+
+#[derive(Debug)]
+struct Force {
+    bytes: Vec<u8>,
+    digest: Digest,
+    parts: Parts,
+    config: Arc<view::Config>,
+}
+
+#[derive(Debug)]
+struct Pending {
+    bytes: Vec<u8>,
+    digest: Digest,
+    manifest: Manifest,
+    parts: Parts,
+    missing: BTreeSet<Digest>,
+    /// Sum of the part bytes.
+    total: usize,
+}
+
+impl State {
+    /// Returns the state of a node of `fleet` without a configuration.
+    #[must_use]
+    pub fn new(fleet: &str) -> Self {
+        Self { fleet: fleet.to_owned(), force: None, pending: None }
+    }
+
+    /// Takes the bytes of a manifest from the store or a peer.
+    ///
+    /// Parts of the generation in force are used again, so only changed ones are missing.
+    ///
+    /// # Errors
+    ///
+    /// [`Kind::Message`] when it is malformed or of another fleet, [`Kind::Limit`] when it exceeds a bound,
+    /// [`Kind::Digest`] when its generation is in force with another content, [`Kind::Object`] when it does not compile.
+    /// The generation in force stays.
+    pub fn offer(&mut self, manifest: &[u8]) -> Result<Offer> {
+        let digest = Digest::of(manifest);
+        if digest == self.digest() {
+            return Ok(Offer::Current);
+        }
+        if let Some(pending) = self.pending.as_ref().filter(|pending| pending.digest == digest) {
+            return Ok(pending.offer());
+        }
+        let decoded = Manifest::decode(manifest)?;
+        self.verify(&decoded, digest)?;
+        let pending_generation = self.pending.as_ref().map_or(0, |pending| pending.manifest.generation);
+        if decoded.generation < self.generation().max(pending_generation) {
+            return Ok(Offer::Stale);
+        }
+        self.pending = Some(self.begin(manifest.to_vec(), digest, decoded)?);
+        self.complete()
+    }
+
+    /// Takes the bytes of a part.
+    ///
+    /// # Errors
+    ///
+    /// [`Kind::Digest`] when no generation that is in force or being fetched holds a part with the digest of these
+    /// bytes, [`Kind::Limit`] when the parts together exceed a bound, [`Kind::Message`] or [`Kind::Object`] when the
+    /// generation does not compile. It is given up then, and the generation in force stays.
+    pub fn supply(&mut self, part: &[u8]) -> Result<Offer> {
+        let digest = Digest::of(part);
+        let Some(pending) = self.pending.as_mut().filter(|pending| pending.missing.contains(&digest)) else {
+            return self.supply_known(digest);
+        };
+        pending.add(digest, Arc::from(part)).inspect_err(|_error| self.pending = None)?;
+        self.complete()
+    }
+
+    /// Returns the generation in force, 0 for none.
+    #[must_use]
+    pub fn generation(&self) -> u64 {
+        self.force.as_ref().map_or(0, |force| force.config.generation)
+    }
+
+    /// Returns the digest of the manifest in force, all zeros for none.
+    #[must_use]
+    pub fn digest(&self) -> Digest {
+        self.force.as_ref().map_or_else(Digest::default, |force| force.digest)
+    }
+
+    /// Returns the bytes of the manifest in force, as served to peers.
+    #[must_use]
+    pub fn manifest(&self) -> Option<&[u8]> {
+        self.force.as_ref().map(|force| force.bytes.as_slice())
+    }
+
+    /// Returns the bytes of a part of the generation in force or being fetched, as served to peers.
+    #[must_use]
+    pub fn part(&self, digest: &Digest) -> Option<&[u8]> {
+        let force = self.force.as_ref().and_then(|force| force.parts.get(digest));
+        let pending = || self.pending.as_ref().and_then(|pending| pending.parts.get(digest));
+        force.or_else(pending).map(AsRef::as_ref)
+    }
+
+    /// Returns the compiled generation in force.
+    #[must_use]
+    pub fn current(&self) -> Option<&Arc<view::Config>> {
+        self.force.as_ref().map(|force| &force.config)
+    }
+
+    fn verify(&self, manifest: &Manifest, digest: Digest) -> Result<()> {
+        if manifest.fleet != self.fleet {
+            let message = format!("manifest: fleet is {:?}, allowed: {:?}", manifest.fleet, self.fleet);
+            return Err(Error::new(Kind::Message, message));
+        }
+        if manifest.generation == self.generation() {
+            let (generation, own) = (manifest.generation, self.digest());
+            let message = format!("manifest: digest of generation {generation} is {digest}, allowed: {own}");
+            return Err(Error::new(Kind::Digest, message));
+        }
+        Ok(())
+    }
+
+    fn begin(&self, bytes: Vec<u8>, digest: Digest, manifest: Manifest) -> Result<Pending> {
+        let missing = manifest.digests().collect();
+        let mut pending = Pending { bytes, digest, manifest, parts: seeded(0), missing, total: 0 };
+        for digest in pending.manifest.digests().collect::<Vec<_>>() {
+            let force = self.force.as_ref().and_then(|force| force.parts.get(&digest));
+            let before = || self.pending.as_ref().and_then(|pending| pending.parts.get(&digest));
+            if let Some(part) = force.or_else(before) {
+                pending.add(digest, Arc::clone(part))?;
+            }
+        }
+        Ok(pending)
+    }
+
+    fn supply_known(&self, digest: Digest) -> Result<Offer> {
+        if self.part(&digest).is_some() {
+            return Ok(self.pending.as_ref().map_or(Offer::Current, Pending::offer));
+        }
+        let generation = self.generation();
+        let message = format!("part: digest is {digest}, allowed: a missing part of a generation above {generation}");
+        Err(Error::new(Kind::Digest, message))
+    }
+
+    /// Puts the pending generation in force when no part is missing.
+    fn complete(&mut self) -> Result<Offer> {
+        if let Some(pending) = self.pending.as_ref().filter(|pending| !pending.missing.is_empty()) {
+            return Ok(pending.offer());
+        }
+        let Some(pending) = self.pending.take() else {
+            return Ok(Offer::Current);
+        };
+        let parts = pending.manifest.digests().map(|digest| pending.decode(&digest));
+        let config = Arc::new(compile(&pending.manifest, parts)?);
+        let Pending { bytes, digest, parts, .. } = pending;
+        self.force = Some(Force { bytes, digest, parts, config });
+        Ok(Offer::Applied)
+    }
+}
+
+impl Pending {
+    fn offer(&self) -> Offer {
+        Offer::Missing(self.missing.iter().copied().collect())
+    }
+
+    fn add(&mut self, digest: Digest, part: Arc<[u8]>) -> Result<()> {
+        if !self.missing.remove(&digest) {
+            return Ok(());
+        }
+        self.total += part.len();
+        if self.total > MAX_TOTAL_BYTES {
+            let (generation, total) = (self.manifest.generation, self.total);
+            let message = format!(
+                "manifest: parts of generation {generation} have {total} bytes or more, allowed: up to {MAX_TOTAL_BYTES}"
+            );
+            return Err(Error::new(Kind::Limit, message));
+        }
+        self.parts.insert(digest, part);
+        Ok(())
+    }
+
+    fn decode(&self, digest: &Digest) -> Result<Part> {
+        let bytes = self.parts.get(digest).map_or(&[][..], AsRef::as_ref);
+        Part::decode(bytes)
+    }
+}
--- a/crates/poplarpaddle/src/object.rs
+++ b/crates/poplarpaddle/src/object.rs
@@ -113,3 +113,13 @@
     #[serde(default)]
     pub targets: BTreeMap<String, Target>,
 }
+
+/// Targets of one shard when the service object names no number of shards.
+const TARGETS_PER_SHARD: usize = 16;
+
+/// Returns the number of shards of a service with `targets` targets whose object names none.
+#[must_use]
+pub fn default_shards(targets: usize) -> u16 {
+    let shards = targets.div_ceil(TARGETS_PER_SHARD).max(1);
+    u16::try_from(shards).unwrap_or(u16::MAX)
+}
--- /dev/null
+++ b/crates/poplarpaddle/tests/objects/config.rs
@@ -0,0 +1,129 @@
+//! The generation in force at a node.
+
+use std::net::SocketAddrV4;
+
+use poplarpaddle::config::{Digest, Manifest, Offer, Released, Row, State, bucket, buckets};
+use poplarpaddle::error::Kind;
+use poplarpaddle::object::Set;
+
+use crate::support::{add_target, generation, set};
+
+fn apply(state: &mut State, set: &Set, number: u64) -> Offer {
+    let (manifest, parts) = generation(set, number);
+    let Offer::Missing(missing) = state.offer(&manifest.encode().unwrap()).unwrap() else {
+        return Offer::Current;
+    };
+    let wanted = parts.iter().filter(|part| missing.contains(&Digest::of(part)));
+    wanted.map(|part| state.supply(part).unwrap()).last().unwrap()
+}
+
+/// Guards against a node that returns to an older configuration or takes half of a newer one.
+#[test]
+fn generation_never_goes_back() {
+    let mut state = State::new("kauri");
+    let old = set(4, 3);
+    assert_eq!(apply(&mut state, &old, 2), Offer::Applied);
+    let mut new = old.clone();
+    add_target(&mut new, 1, 900);
+    let (manifest, parts) = generation(&new, 3);
+    let bytes = manifest.encode().unwrap();
+    let Offer::Missing(missing) = state.offer(&bytes).unwrap() else { panic!("the changed part is missing") };
+    assert_eq!(missing.len(), 1, "parts that did not change are not fetched again");
+    assert_eq!(state.generation(), 2, "nothing changes before every part is there");
+    let older = generation(&old, 1).0.encode().unwrap();
+    assert_eq!(state.offer(&older).unwrap(), Offer::Stale);
+    let part = parts.iter().find(|part| Digest::of(part) == missing[0]).unwrap();
+    assert_eq!(state.supply(part).unwrap(), Offer::Applied);
+    assert_eq!(state.generation(), 3);
+    assert_eq!(state.manifest(), Some(bytes.as_slice()));
+    assert_eq!(state.digest(), Digest::of(&bytes));
+    assert_eq!(state.part(&missing[0]), Some(part.as_slice()));
+    for (offered, expected) in [(&older, Offer::Stale), (&bytes, Offer::Current)] {
+        assert_eq!(state.offer(offered).unwrap(), expected);
+        assert_eq!(state.generation(), 3);
+    }
+}
+
+/// Guards against a node that takes content that its manifest does not name, another fleet's configuration, or a
+/// generation that does not compile.
+#[test]
+fn wrong_content_is_refused() {
+    let fleet = set(4, 3);
+    let (manifest, parts) = generation(&fleet, 2);
+    let mut state = State::new("kauri");
+    apply(&mut state, &fleet, 1);
+    let changed = |change: &dyn Fn(&mut Manifest)| {
+        let mut manifest = manifest.clone();
+        change(&mut manifest);
+        poplarpaddle::config::encode(&manifest).unwrap()
+    };
+    let swapped = changed(&|manifest| manifest.parts.rotate_left(1));
+    let cases = [
+        (changed(&|manifest| manifest.fleet = "kitami".to_owned()), Kind::Message, "fleet is \"kitami\""),
+        (changed(&|manifest| manifest.generation = 1), Kind::Digest, "digest of generation 1 is"),
+        (changed(&|manifest| manifest.generation = 0), Kind::Message, "generation is 0, allowed: 1 or more"),
+        (changed(&|manifest| manifest.format = 9), Kind::Message, "format is 9, allowed: 1"),
+        (changed(&|manifest| manifest.parts.clear()), Kind::Message, "number of parts is 0, allowed: 1 to 8192"),
+        (changed(&|manifest| manifest.priorities.clear()), Kind::Object, "priority is urgent, allowed: a priority"),
+        (swapped, Kind::Object, "bucket is"),
+        (b"{\"format\":1,".to_vec(), Kind::Message, "manifest is malformed: EOF"),
+        (vec![b' '; 1_000_001], Kind::Limit, "manifest has 1000001 bytes, allowed: up to 1000000"),
+    ];
+    for (bytes, kind, text) in cases {
+        let error = state.offer(&bytes).unwrap_err();
+        assert_eq!(error.kind(), kind, "{error}");
+        assert!(error.message().contains(text), "{error}");
+        assert_eq!(state.generation(), 1);
+    }
+    let mut fresh = State::new("kauri");
+    fresh.offer(&manifest.encode().unwrap()).unwrap();
+    let mut damaged = parts.iter().find(|part| part.len() > 100).unwrap().clone();
+    damaged[40] ^= 1;
+    assert_eq!(fresh.supply(&damaged).unwrap_err().kind(), Kind::Digest);
+    assert_eq!(fresh.generation(), 0);
+}
+
+/// Guards against answers of old flows that no longer find their service, and against new work on released targets.
+#[test]
+fn released_endpoints_stay_mapped() {
+    let mut fleet = set(2, 2);
+    let moved = fleet.targets.remove("host-0").unwrap();
+    let gone = fleet.services.remove("service-1").unwrap();
+    let lost: Vec<Row> = ["host-2", "host-3"].map(|name| Row::from(&fleet.targets.remove(name).unwrap())).into();
+    let kept = fleet.services["service-0"].clone();
+    let group = |service: &poplarpaddle::object::Service, targets: Vec<Row>| Released {
+        service: service.name.clone(),
+        address: service.address,
+        ports: service.ports.clone(),
+        targets,
+        not_before_ms: 60_000,
+    };
+    let (mut manifest, parts) = generation(&fleet, 1);
+    manifest.released = vec![group(&kept, vec![Row::from(&moved)]), group(&gone, lost)];
+    let mut state = State::new("kauri");
+    state.offer(&manifest.encode().unwrap()).unwrap();
+    let applied = parts.iter().filter(|part| manifest.digests().any(|digest| digest == Digest::of(part)));
+    assert_eq!(applied.map(|part| state.supply(part).unwrap()).last(), Some(Offer::Applied));
+    let config = state.current().unwrap();
+    let names: Vec<&str> = config.services.iter().map(|service| service.name.as_str()).collect();
+    assert_eq!(names, ["service-0", "service-1"]);
+    let flags = |index: usize| config.services[index].targets.iter().map(|target| target.released).collect::<Vec<_>>();
+    assert_eq!(flags(0), [false, true]);
+    assert_eq!(flags(1), [true, true]);
+    for (endpoint, service) in [("127.16.0.1:80", 0), ("127.16.0.2:80", 0), ("127.16.0.3:80", 1)] {
+        assert_eq!(config.endpoints[&endpoint.parse::<SocketAddrV4>().unwrap()].0, service, "{endpoint}");
+    }
+    assert_eq!(config.addresses[&"10.0.0.2:80".parse::<SocketAddrV4>().unwrap()].0, 1);
+}
+
+/// Guards against buckets that move between versions, and against a count that rewrites every part needlessly.
+#[test]
+fn buckets_are_stable() {
+    let counts = [(0, None, 16), (20, None, 16), (5_121, None, 32), (73_000, None, 256), (73_000, Some(1024), 1024)];
+    for (targets, before, expected) in counts {
+        assert_eq!(buckets(targets, before).unwrap(), expected, "{targets} targets after {before:?} buckets");
+    }
+    assert_eq!(buckets(3_000_000, None).unwrap_err().kind(), Kind::Limit);
+    let homes = ["bookings", "crewdocs", "pour-slot", "catalogue"].map(|name| bucket(name, 16));
+    assert_eq!(homes, [14, 12, 4, 10]);
+}
--- /dev/null
+++ b/crates/poplarpaddle/tests/objects/main.rs
@@ -0,0 +1,4 @@
+//! Tests of objects, check, configuration and publishing.
+
+mod config;
+mod support;
--- /dev/null
+++ b/crates/poplarpaddle/tests/objects/support.rs
@@ -0,0 +1,63 @@
+//! Sets of objects and manifests for the tests.
+
+use std::net::Ipv4Addr;
+
+use poplarpaddle::config::{Digest, FORMAT, Manifest, PublishId, Seed, divide};
+use poplarpaddle::object::{Port, Priority, Service, Set, Target, Zone};
+
+/// A set of `services` services on port 80 with `targets` targets each.
+pub fn set(services: u32, targets: u32) -> Set {
+    let mut set = Set::default();
+    for zone in ["nz-south-a", "nz-south-b", "nz-south-c"] {
+        let object = Zone { name: zone.to_owned(), region: "nz-south".to_owned() };
+        set.zones.insert(zone.to_owned(), object);
+    }
+    for (rank, name) in ["urgent", "normal"].into_iter().enumerate() {
+        let rank = u8::try_from(rank).unwrap();
+        let object = Priority { name: name.to_owned(), rank, share: 20, queue_ms: 500 };
+        set.priorities.insert(name.to_owned(), object);
+    }
+    for service in 0..services {
+        add_service(&mut set, service);
+        (0..targets).for_each(|target| add_target(&mut set, service, service * targets + target));
+    }
+    set
+}
+
+pub fn add_service(set: &mut Set, index: u32) {
+    let name = format!("service-{index}");
+    let address = Ipv4Addr::from(0x0a00_0001 + index);
+    let ports = vec![Port { port: 80, priority: "urgent".to_owned() }];
+    set.services.insert(name.clone(), Service { name, address, ports, shards: None });
+}
+
+pub fn add_target(set: &mut Set, service: u32, index: u32) {
+    let name = format!("host-{index}");
+    let zone = ["nz-south-a", "nz-south-b", "nz-south-c"][index as usize % 3].to_owned();
+    let service = format!("service-{service}");
+    let address = Ipv4Addr::from(0x7f10_0001 + index);
+    let target = Target { name: name.clone(), service, zone, address, slots: 3, connections: 4400, draining: false };
+    set.targets.insert(name, target);
+}
+
+/// The encoded manifest and parts of a generation without released endpoints.
+pub fn generation(set: &Set, generation: u64) -> (Manifest, Vec<Vec<u8>>) {
+    let encode = |(bucket, part): (usize, &poplarpaddle::config::Part)| part.encode(bucket).unwrap();
+    let divided = divide(set, 16);
+    let parts: Vec<Vec<u8>> = divided.iter().enumerate().map(encode).collect();
+    let occupied =
+        |(part, bytes): (&poplarpaddle::config::Part, &Vec<u8>)| (!part.services.is_empty()).then(|| Digest::of(bytes));
+    let manifest = Manifest {
+        format: FORMAT,
+        fleet: "kauri".to_owned(),
+        generation,
+        publish: PublishId(u128::from(generation)),
+        earlier: Vec::new(),
+        seed: Seed(7),
+        zones: set.zones.values().cloned().collect(),
+        priorities: set.priorities.values().cloned().collect(),
+        parts: divided.iter().zip(&parts).map(occupied).collect(),
+        released: Vec::new(),
+    };
+    (manifest, parts)
+}
