Add reading and whole-set check of objects

Cause: a set of objects is checked as a whole before it is published, and operators need every fault at once. Change: object::{Item, Fault, Change}, a reader that names place, field and value of each fault, check::set for references, names, ranges, addresses and endpoints, check::released for endpoints that are not free yet.

--- /dev/null
+++ b/crates/poplarpaddle/src/check.rs
@@ -0,0 +1,183 @@
+//! The check of the whole set of objects before it is published.
+//!
+//! ```
+//! use poplarpaddle::check;
+//! use poplarpaddle::object::{Set, Zone};
+//!
+//! let mut set = Set::default();
+//! let zone = Zone { name: "nz-south-a".to_owned(), region: String::new() };
+//! set.zones.insert(zone.name.clone(), zone);
+//! let faults = check::set(&set);
+//! assert!(faults[0].to_string().starts_with("zone \"nz-south-a\": region is \"\", allowed: 1 to 63 characters"));
+//! ```
+//!
+//! Every fault is found in one pass, so that an operator corrects a set once and not fault by fault. The check is
+//! stricter than what a node needs to compile a configuration: bounds here may be tightened without a change of nodes.
+
+mod address;
+mod release;
+
+use std::collections::BTreeMap;
+
+use self::address::Addresses;
+pub use self::release::released;
+use crate::object::{Fault, Priority, Service, Set, Target, Zone};
+
+/// Longest name in characters, as for a label of a host name.
+pub const MAX_NAME: usize = 63;
+
+/// Highest number of shards of a service. 1024 shards of 16 targets fill a part of 1 MB.
+pub const MAX_SHARDS: u16 = 1024;
+
+/// Highest number of ports of a service.
+pub const MAX_PORTS: usize = 64;
+
+/// Highest number of priorities; each costs a queue in every shard.
+pub const MAX_PRIORITIES: usize = 16;
+
+/// Highest number of zones; the manifest lists them all.
+pub const MAX_ZONES: usize = 256;
+
+/// Highest number of targets, about twice the size that the design aims at.
+pub const MAX_TARGETS: usize = 150_000;
+
+/// Longest queueing of a priority in milliseconds; callers give up before.
+pub const MAX_QUEUE_MS: u32 = 600_000;
+
+/// Highest number of slots of a host.
+pub const MAX_SLOTS: u16 = 10_000;
+
+/// Highest number of connections of a host.
+pub const MAX_CONNECTIONS: u32 = 1_000_000;
+
+const MAX_SHARE: u8 = 100;
+
+/// Returns every fault of the set: first those of single objects, then those of addresses, each in the order of kinds
+/// and names.
+#[must_use]
+pub fn set(set: &Set) -> Vec<Fault> {
+    let mut checker = Checker { set, faults: Vec::new() };
+    checker.sizes();
+    set.zones.iter().for_each(|(key, zone)| checker.zone(key, zone));
+    checker.priorities();
+    set.services.iter().for_each(|(key, service)| checker.service(key, service));
+    set.targets.iter().for_each(|(key, target)| checker.target(key, target));
+    let mut faults = checker.faults;
+    Addresses::new(set).check(&mut faults);
+    faults
+}
+
+struct Checker<'a> {
+    set: &'a Set,
+    faults: Vec<Fault>,
+}
+
+impl Checker<'_> {
+    fn fault(
+        &mut self,
+        place: &str,
+        field: impl Into<String>,
+        value: &dyn std::fmt::Display,
+        allowed: impl Into<String>,
+    ) {
+        self.faults.push(Fault::new(place, field, value, allowed));
+    }
+
+    fn range(&mut self, place: &str, field: impl Into<String>, value: u64, min: u64, max: u64) {
+        if value < min || value > max {
+            self.fault(place, field, &value, format!("{min} to {max}"));
+        }
+    }
+
+    fn sizes(&mut self) {
+        let sizes = [
+            ("number of zones", self.set.zones.len(), MAX_ZONES),
+            ("number of priorities", self.set.priorities.len(), MAX_PRIORITIES),
+            ("number of targets", self.set.targets.len(), MAX_TARGETS),
+        ];
+        for (field, count, max) in sizes {
+            self.range("set", field, count as u64, 0, max as u64);
+        }
+    }
+
+    fn name(&mut self, place: &str, field: &str, name: &str) {
+        let inner = |c: char| c.is_ascii_lowercase() || c.is_ascii_digit() || matches!(c, '-' | '_' | '.');
+        let edge = |c: Option<char>| c.is_some_and(|c| c.is_ascii_lowercase() || c.is_ascii_digit());
+        let valid = name.len() <= MAX_NAME && name.chars().all(inner) && edge(name.chars().next());
+        if !valid {
+            let allowed =
+                format!("1 to {MAX_NAME} characters of a-z, 0-9, '-', '_' and '.', the first a letter or digit");
+            self.fault(place, field, &format_args!("{name:?}"), allowed);
+        }
+    }
+
+    fn key(&mut self, place: &str, key: &str, name: &str) {
+        self.name(place, "name", name);
+        if key != name {
+            self.fault(place, "name", &format_args!("{name:?}"), format!("{key:?}"));
+        }
+    }
+
+    fn reference(&mut self, place: &str, field: impl Into<String>, name: &str, exists: bool, kind: &str) {
+        if !exists {
+            self.fault(place, field, &format_args!("{name:?}"), format!("the name of an existing {kind}"));
+        }
+    }
+
+    fn zone(&mut self, key: &str, zone: &Zone) {
+        let place = format!("zone {key:?}");
+        self.key(&place, key, &zone.name);
+        self.name(&place, "region", &zone.region);
+    }
+
+    fn priorities(&mut self) {
+        let mut ranks: BTreeMap<u8, &str> = BTreeMap::new();
+        let mut total: u64 = 0;
+        for (key, priority) in &self.set.priorities {
+            self.priority(key, priority);
+            total += u64::from(priority.share);
+            if let Some(other) = ranks.get(&priority.rank) {
+                let allowed = format!("a rank that priority {other:?} does not have");
+                self.fault(&format!("priority {key:?}"), "rank", &priority.rank, allowed);
+            }
+            ranks.entry(priority.rank).or_insert(key);
+        }
+        self.range("set", "sum of the shares of priorities", total, 0, u64::from(MAX_SHARE));
+    }
+
+    fn priority(&mut self, key: &str, priority: &Priority) {
+        let place = format!("priority {key:?}");
+        self.key(&place, key, &priority.name);
+        self.range(&place, "share", priority.share.into(), 0, MAX_SHARE.into());
+        self.range(&place, "queue_ms", priority.queue_ms.into(), 1, MAX_QUEUE_MS.into());
+    }
+
+    fn service(&mut self, key: &str, service: &Service) {
+        let place = format!("service {key:?}");
+        self.key(&place, key, &service.name);
+        self.range(&place, "number of ports", service.ports.len() as u64, 1, MAX_PORTS as u64);
+        if let Some(shards) = service.shards {
+            self.range(&place, "shards", shards.into(), 1, MAX_SHARDS.into());
+        }
+        for (index, port) in service.ports.iter().enumerate() {
+            let field = format!("ports[{index}]");
+            self.range(&place, format!("{field}.port"), port.port.into(), 1, u16::MAX.into());
+            let exists = self.set.priorities.contains_key(&port.priority);
+            self.reference(&place, format!("{field}.priority"), &port.priority, exists, "priority");
+            if let Some(first) = service.ports[..index].iter().position(|other| other.port == port.port) {
+                let allowed = format!("a port other than ports[{first}].port");
+                self.fault(&place, format!("{field}.port"), &port.port, allowed);
+            }
+        }
+    }
+
+    fn target(&mut self, key: &str, target: &Target) {
+        let place = format!("target {key:?}");
+        self.key(&place, key, &target.name);
+        let (service, zone) = (&target.service, &target.zone);
+        self.reference(&place, "service", service, self.set.services.contains_key(service), "service");
+        self.reference(&place, "zone", zone, self.set.zones.contains_key(zone), "zone");
+        self.range(&place, "slots", target.slots.into(), 1, MAX_SLOTS.into());
+        self.range(&place, "connections", target.connections.into(), 1, MAX_CONNECTIONS.into());
+    }
+}
--- /dev/null
+++ b/crates/poplarpaddle/src/check/release.rs
@@ -0,0 +1,57 @@
+//! Endpoints and addresses that another service released a short time ago.
+
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+use crate::config::Released;
+use crate::map::{Map, seeded};
+use crate::object::{Fault, Set};
+use crate::time::Time;
+
+/// Returns a fault for each endpoint or address in `set` that another service released and that is not free at `now`.
+///
+/// Until then answers of the old flows are still mapped to the old service.
+#[must_use]
+pub fn released(set: &Set, released: &[Released], now: Time) -> Vec<Fault> {
+    let open: Vec<&Released> = released.iter().filter(|group| !now.reached(group.not_before())).collect();
+    if open.is_empty() {
+        return Vec::new();
+    }
+    let mut faults = Vec::new();
+    services(set, &open, now, &mut faults);
+    targets(set, &open, now, &mut faults);
+    faults
+}
+
+fn services(set: &Set, open: &[&Released], now: Time, faults: &mut Vec<Fault>) {
+    let mut addresses: Map<Ipv4Addr, &Released> = seeded(0);
+    addresses.extend(open.iter().map(|group| (group.address, *group)));
+    for service in set.services.values() {
+        let group = addresses.get(&service.address).filter(|group| group.service != service.name);
+        if let Some(group) = group {
+            let place = format!("service {:?}", service.name);
+            faults.push(Fault::new(place, "address", &service.address, allowed(group, now)));
+        }
+    }
+}
+
+fn targets(set: &Set, open: &[&Released], now: Time, faults: &mut Vec<Fault>) {
+    let mut endpoints: Map<SocketAddrV4, &Released> = seeded(0);
+    endpoints.extend(open.iter().flat_map(|group| group.endpoints().map(move |endpoint| (endpoint, *group))));
+    for target in set.targets.values() {
+        let ports = set.services.get(&target.service).map_or(&[][..], |service| service.ports.as_slice());
+        for port in ports {
+            let endpoint = SocketAddrV4::new(target.address, port.port);
+            let group = endpoints.get(&endpoint).filter(|group| group.service != target.service);
+            if let Some(group) = group {
+                let place = format!("target {:?}", target.name);
+                faults.push(Fault::new(place, "endpoint", &endpoint, allowed(group, now)));
+            }
+        }
+    }
+}
+
+fn allowed(group: &Released, now: Time) -> String {
+    let wait = group.not_before().since(now);
+    let seconds = wait.as_millis().div_ceil(1000);
+    format!("one that service {:?} did not release; free in {seconds} s after a publish without it", group.service)
+}
--- a/crates/poplarpaddle/src/lib.rs
+++ b/crates/poplarpaddle/src/lib.rs
@@ -21,6 +21,7 @@
 //! decisions, and in return every run can be replayed.
 
 pub mod admission;
+pub mod check;
 pub mod config;
 pub mod error;
 pub mod event;
--- a/crates/poplarpaddle/src/object.rs
+++ b/crates/poplarpaddle/src/object.rs
@@ -2,12 +2,34 @@
 //!
 //! Objects refer to one another by name. Each is small and edited on its own; only the whole set is checked and
 //! published. JSON is the form in files and in the store; unknown fields are errors.
+//!
+//! ```
+//! use poplarpaddle::object::{Item, Kind};
+//!
+//! let text = br#"{"name": "nz-south-a", "region": 7}"#;
+//! let faults = Item::from_json("zone/nz-south-a.json", Kind::Zone, text).unwrap_err();
+//! assert_eq!(faults[0].to_string(), "zone/nz-south-a.json: region is 7, allowed: a text");
+//! ```
+//!
+//! Objects are read field by field from the JSON value instead of by `serde`, which stops at the first fault and names
+//! no field for a value of the wrong type.
+
+mod change;
+mod fault;
+mod item;
+mod reader;
 
 use std::collections::BTreeMap;
 use std::net::Ipv4Addr;
+use std::str::FromStr;
 
 use serde::{Deserialize, Serialize};
 
+pub use self::change::{Change, Difference};
+pub use self::fault::Fault;
+pub use self::item::Item;
+use crate::error::{Error, Kind as ErrorKind};
+
 /// An availability zone.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -96,6 +118,25 @@
     Target,
 }
 
+impl Kind {
+    /// Every kind, in the order in which objects are written.
+    pub const ALL: [Self; 4] = [Self::Zone, Self::Priority, Self::Service, Self::Target];
+}
+
+impl FromStr for Kind {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self, Error> {
+        let found = Self::ALL.into_iter().find(|kind| kind.to_string() == text);
+        found.ok_or_else(|| {
+            Error::new(
+                ErrorKind::Argument,
+                format!("kind {text:?} is unknown, allowed: zone, priority, service, target"),
+            )
+        })
+    }
+}
+
 /// The whole set of objects, by name.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- /dev/null
+++ b/crates/poplarpaddle/src/object/fault.rs
@@ -0,0 +1,46 @@
+//! Faults of objects.
+
+use crate::error::{Error, Kind};
+
+/// Longest value shown in a fault, in characters.
+const MAX_SHOWN: usize = 80;
+
+/// One fault of one object: where it is, the value found and what is allowed.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, derive_more::Display)]
+#[display("{place}: {field} is {value}, allowed: {allowed}")]
+pub struct Fault {
+    /// File, or kind and name of the object.
+    pub place: String,
+    /// Field of the object, such as `ports[0].port`.
+    pub field: String,
+    /// Value of the field as JSON text, shortened when long.
+    pub value: String,
+    /// What the field may be.
+    pub allowed: String,
+}
+
+impl Fault {
+    /// Returns a fault. A long value is shortened.
+    #[must_use]
+    pub fn new(
+        place: impl Into<String>,
+        field: impl Into<String>,
+        value: &dyn std::fmt::Display,
+        allowed: impl Into<String>,
+    ) -> Self {
+        let full = value.to_string();
+        let mut value: String = full.chars().take(MAX_SHOWN).collect();
+        if value.len() < full.len() {
+            value.push_str("...");
+        }
+        Self { place: place.into(), field: field.into(), value, allowed: allowed.into() }
+    }
+
+    /// Returns one error that lists all faults, a line each.
+    #[must_use]
+    pub fn error(faults: &[Self]) -> Error {
+        let lines: Vec<String> = faults.iter().map(ToString::to_string).collect();
+        let noun = if faults.len() == 1 { "fault" } else { "faults" };
+        Error::new(Kind::Object, format!("{} {noun} in the objects\n{}", faults.len(), lines.join("\n")))
+    }
+}
--- a/crates/poplarpaddle/tests/objects/main.rs
+++ b/crates/poplarpaddle/tests/objects/main.rs
@@ -1,4 +1,5 @@
 //! Tests of objects, check, configuration and publishing.
 
+mod check;
 mod config;
 mod support;
