--- a/crates/poplarpaddle/src/lib.rs
+++ b/crates/poplarpaddle/src/lib.rs
@@ -23,11 +23,16 @@
 pub mod admission;
 pub mod error;
 pub mod event;
+pub mod flow;
+pub mod ip;
 pub mod map;
 pub mod object;
+pub mod ownership;
 pub mod packet;
 pub mod path;
+pub mod placement;
 pub mod prelude;
+pub mod recovery;
 pub mod store;
 pub mod time;
 pub mod view;
--- /dev/null
+++ b/crates/poplarpaddle/src/ownership.rs
@@ -0,0 +1,244 @@
+//! Which balancer owns which shard, now and before.
+//!
+//! A shard belongs to the member with the highest random weight of (shard, member), so that a change of one member
+//! moves only the shards of that member. While no member is alive, the leaving ones keep the shards.
+//!
+//! ```
+//! use poplarpaddle::ownership::Ownership;
+//!
+//! let ownership = Ownership::default();
+//! assert_eq!(ownership.owned_by(poplarpaddle::path::MemberId(1)).count(), 0);
+//! ```
+//!
+//! Each shard keeps a short list of former owners, which may hold entries of its flows. A member that has just started
+//! saw no former owner; it takes the runners-up by weight instead, since one of them owned the shard before it joined.
+//! An update costs one weight a shard and joined member, and a weight a member for each shard whose owner is gone.
+
+use smallvec::SmallVec;
+
+use crate::map;
+use crate::packet::Flow;
+use crate::path::MemberId;
+use crate::view::{Config, Member, Presence, ServiceIndex};
+
+/// Former owners kept for each shard. Three cover a rolling replacement that moves a shard at each of three steps
+/// within the life of a quiet flow; each costs two relays before the first probe.
+pub const FORMER: usize = 3;
+
+/// A list of former owners, the latest first.
+pub type Former = SmallVec<[MemberId; FORMER]>;
+
+/// A shard and its owners.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Shard {
+    /// Identifies the shard in all generations with the same seed.
+    pub key: u64,
+    /// The owner, none without members.
+    pub owner: Option<MemberId>,
+    /// Former owners, the latest first; some may be unreachable.
+    pub former: Former,
+    weight: u64,
+}
+
+/// Where a flow belongs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Place {
+    /// Index of the service.
+    pub service: ServiceIndex,
+    /// Hash of the flow, equal on every balancer.
+    pub hash: u64,
+    /// Index of the shard in its service.
+    pub shard: u16,
+    /// Key of the shard.
+    pub key: u64,
+    /// Owner of the shard.
+    pub owner: Option<MemberId>,
+}
+
+#[derive(Debug, Clone, Default)]
+struct Service {
+    name: String,
+    shards: Vec<Shard>,
+    /// Shards of the layout before the number of shards changed; their owners may hold entries.
+    earlier: Vec<Shard>,
+}
+
+/// Owners of all shards of a configuration.
+#[derive(Debug, Clone, Default)]
+pub struct Ownership {
+    seed: u64,
+    owners: Vec<MemberId>,
+    reachable: Vec<MemberId>,
+    services: Vec<Service>,
+}
+
+impl Ownership {
+    /// Takes over new members.
+    pub fn set_members(&mut self, members: &[Member]) {
+        let owners = owners_of(members);
+        let joined: Vec<MemberId> = owners.iter().copied().filter(|id| !self.owners.contains(id)).collect();
+        self.reachable = members.iter().map(|member| member.id).collect();
+        let first = self.owners.is_empty();
+        self.owners = owners;
+        let (owners, reachable) = (&self.owners, &self.reachable);
+        for service in &mut self.services {
+            for shard in &mut service.shards {
+                if first || shard.owner.is_none() {
+                    shard.rank(owners, reachable);
+                } else {
+                    shard.update(owners, &joined);
+                }
+            }
+        }
+    }
+
+    /// Takes over a new configuration. Shards of a service that keeps its name keep their owners.
+    pub fn set_config(&mut self, config: &Config) {
+        let same_seed = self.seed == config.seed;
+        self.seed = config.seed;
+        let mut old: map::Map<String, Service> = map::seeded(config.seed);
+        for service in self.services.drain(..) {
+            old.insert(service.name.clone(), service);
+        }
+        for service in &config.services {
+            let known = old.remove(&service.name).filter(|_| same_seed);
+            let service = self.compile(&service.name, service.shards.max(1), known.unwrap_or_default());
+            self.services.push(service);
+        }
+    }
+
+    /// Returns where `flow` belongs, none when no service has its address.
+    #[must_use]
+    pub fn locate(&self, config: &Config, flow: &Flow) -> Option<Place> {
+        let service = *config.addresses.get(&flow.service)?;
+        let shards = &self.services.get(service.0 as usize)?.shards;
+        let hash = map::hash(self.seed, flow);
+        let shard = position(hash, shards.len());
+        let Shard { key, owner, .. } = shards[shard];
+        Some(Place { service, hash, shard: u16::try_from(shard).unwrap_or(u16::MAX), key, owner })
+    }
+
+    /// Returns the reachable members other than the owner that may hold the entry of a flow, the likeliest first.
+    #[must_use]
+    pub fn former(&self, place: &Place) -> Former {
+        let mut found = Former::new();
+        let Some(service) = self.services.get(place.service.0 as usize) else { return found };
+        let current = &service.shards[position(place.hash, service.shards.len())];
+        let earlier =
+            (!service.earlier.is_empty()).then(|| &service.earlier[position(place.hash, service.earlier.len())]);
+        let members = earlier
+            .into_iter()
+            .flat_map(|shard| shard.owner.into_iter().chain(shard.former.iter().copied().take(1)))
+            .chain(current.former.iter().copied());
+        for member in members {
+            if found.len() < FORMER && Some(member) != place.owner && !found.contains(&member) && self.reaches(member) {
+                found.push(member);
+            }
+        }
+        found
+    }
+
+    /// Returns the shards that `member` owns, with their service and index, in the order of the services.
+    pub fn owned_by(&self, member: MemberId) -> impl Iterator<Item = (ServiceIndex, u16, &Shard)> {
+        self.services.iter().zip(0..).flat_map(move |(service, number)| {
+            let shards = service.shards.iter().zip(0..);
+            let owned = shards.filter(move |(shard, _)| shard.owner == Some(member));
+            owned.map(move |(shard, index)| (ServiceIndex(number), index, shard))
+        })
+    }
+
+    /// Returns true when `member` can be reached.
+    #[must_use]
+    pub fn reaches(&self, member: MemberId) -> bool {
+        self.reachable.contains(&member)
+    }
+
+    fn compile(&self, name: &str, count: u16, known: Service) -> Service {
+        let mut shards = Vec::with_capacity(usize::from(count));
+        for index in 0..count {
+            let kept = known.shards.get(usize::from(index)).cloned();
+            shards.push(kept.unwrap_or_else(|| self.shard(name, index)));
+        }
+        let resized = !known.shards.is_empty() && known.shards.len() != shards.len();
+        let earlier = if resized { known.shards } else { known.earlier };
+        Service { name: name.to_owned(), shards, earlier }
+    }
+
+    fn shard(&self, name: &str, index: u16) -> Shard {
+        let key = map::hash(self.seed, &(name, index));
+        let mut shard = Shard { key, owner: None, former: Former::new(), weight: 0 };
+        shard.rank(&self.owners, &self.reachable);
+        shard
+    }
+}
+
+impl Shard {
+    /// Takes the owner and the former owners from the weights alone.
+    fn rank(&mut self, owners: &[MemberId], reachable: &[MemberId]) {
+        self.choose(owners);
+        let mut ranked: SmallVec<[(u64, MemberId); FORMER]> = SmallVec::new();
+        for member in reachable.iter().copied().filter(|member| Some(*member) != self.owner) {
+            let weight = weight(self.key, member);
+            let at = ranked.partition_point(|(other, _)| *other > weight);
+            if at < FORMER {
+                ranked.truncate(FORMER - 1);
+                ranked.insert(at.min(ranked.len()), (weight, member));
+            }
+        }
+        self.former = ranked.into_iter().map(|(_, member)| member).collect();
+    }
+
+    /// Follows a change of members.
+    fn update(&mut self, owners: &[MemberId], joined: &[MemberId]) {
+        let before = self.owner;
+        if before.is_none_or(|owner| !owners.contains(&owner)) {
+            self.choose(owners);
+        } else {
+            for member in joined {
+                self.consider(*member);
+            }
+        }
+        if before != self.owner {
+            self.remember(before);
+        }
+    }
+
+    fn choose(&mut self, owners: &[MemberId]) {
+        self.owner = None;
+        for member in owners {
+            self.consider(*member);
+        }
+    }
+
+    fn consider(&mut self, member: MemberId) {
+        let weight = weight(self.key, member);
+        if self.owner.is_none_or(|owner| (weight, member) > (self.weight, owner)) {
+            self.owner = Some(member);
+            self.weight = weight;
+        }
+    }
+
+    fn remember(&mut self, before: Option<MemberId>) {
+        let owner = self.owner;
+        self.former.retain(|member| Some(*member) != owner && Some(*member) != before);
+        if let Some(before) = before {
+            self.former.truncate(FORMER - 1);
+            self.former.insert(0, before);
+        }
+    }
+}
+
+fn owners_of(members: &[Member]) -> Vec<MemberId> {
+    let alive = members.iter().filter(|member| member.presence == Presence::Alive);
+    let owners: Vec<MemberId> = alive.map(|member| member.id).collect();
+    if owners.is_empty() { members.iter().map(|member| member.id).collect() } else { owners }
+}
+
+fn weight(key: u64, member: MemberId) -> u64 {
+    map::hash(key, &member.0)
+}
+
+#[expect(clippy::cast_possible_truncation, reason = "the remainder is below the number of shards")]
+const fn position(hash: u64, shards: usize) -> usize {
+    (hash % shards as u64) as usize
+}
--- a/crates/poplarpaddle/src/path.rs
+++ b/crates/poplarpaddle/src/path.rs
@@ -2,6 +2,45 @@
 //!
 //! The engine decides about one packet at a time and calls an [`Outlet`] with the outcome. The outlet rewrites and sends,
 //! so the engine itself knows nothing of sockets or IP headers.
+//!
+//! ```
+//! use poplarpaddle::path::{Engine, MemberId, Settings};
+//! use poplarpaddle::time::Time;
+//!
+//! let engine = Engine::new(Settings { me: MemberId(1), seed: 7, ..Default::default() });
+//! assert_eq!(engine.deadline(), Time::NEVER);
+//! ```
+//!
+//! # Hops
+//!
+//! A packet from the fabric goes to the owner of its shard ([`Hop::Owner`]). A receiver that sees another owner passes
+//! it on once ([`Hop::Redirect`]), and the next one handles it in any case. A handler without an entry asks the former
+//! owners of the shard one after the other: [`Hop::Previous`] there, [`Hop::Unknown`] back. Each relay follows from the
+//! hop and the sender of the one before, so no state is kept, and a packet takes at most two relays plus two for each
+//! of the [`ownership::FORMER`](crate::ownership::FORMER) former owners. With equal views and one former owner that is
+//! three.
+//!
+//! # Trade-offs
+//!
+//! Nothing is copied to peers; a lost entry costs the flow one or a few round trips instead. Openings, payload that
+//! waits and packets under probe are held as copies within one bound, and beyond it the caller's retransmission takes
+//! their place.
+
+mod account;
+mod assign;
+mod caller;
+mod engine;
+mod hold;
+mod open;
+mod opening;
+mod probing;
+mod settings;
+mod sweep;
+mod target;
+
+pub use engine::Engine;
+pub use open::Open;
+pub use settings::{Bounds, Counters, Factory, Settings, Timings};
 
 use std::net::Ipv4Addr;
 
--- /dev/null
+++ b/crates/poplarpaddle/src/path/account.rs
@@ -0,0 +1,203 @@
+//! Accounts with the gates: work that runs and connections that are open.
+
+use std::collections::BTreeMap;
+use std::net::Ipv4Addr;
+
+use super::Engine;
+use crate::admission::{End, Gate, Host, TicketId};
+use crate::flow::{Entry, Flag, Slot};
+use crate::map::{self, Map};
+use crate::ownership::Place;
+use crate::packet::{Flow, View};
+use crate::placement;
+use crate::time::Time;
+use crate::view::{self, Config, HostState, ServiceIndex};
+
+/// A shard that this balancer handles.
+#[derive(Debug)]
+pub(super) struct Shard {
+    pub(super) gate: Box<dyn Gate>,
+    pub(super) tickets: Map<TicketId, Slot>,
+    /// Room was made in the gate since the queue was looked at.
+    freed: bool,
+}
+
+impl Shard {
+    pub(super) fn new(gate: Box<dyn Gate>) -> Self {
+        Self { gate, tickets: map::seeded(0), freed: false }
+    }
+
+    pub(super) fn finish(&mut self, now: Time, entry: &mut Entry, end: End) {
+        if entry.has(Flag::Working) {
+            entry.clear(Flag::Working);
+            self.gate.finish(now, entry.target, usize::from(entry.priority), end);
+            self.freed = true;
+        }
+    }
+
+    pub(super) fn connect(&mut self, entry: &mut Entry) {
+        if !entry.has(Flag::Connected) {
+            entry.set(Flag::Connected);
+            self.gate.connect(entry.target);
+        }
+    }
+
+    pub(super) fn disconnect(&mut self, entry: &mut Entry) {
+        if entry.has(Flag::Connected) {
+            entry.clear(Flag::Connected);
+            self.gate.disconnect(entry.target);
+        }
+    }
+
+    pub(super) fn adopt(&mut self, now: Time, entry: &mut Entry) {
+        if !entry.has(Flag::Working) {
+            entry.set(Flag::Working);
+            entry.started = now;
+            self.gate.adopt(now, entry.target);
+        }
+    }
+
+    pub(super) fn cancel(&mut self, ticket: TicketId) {
+        if self.tickets.remove(&ticket).is_some() {
+            self.gate.cancel(ticket);
+        }
+    }
+}
+
+/// Shards that this balancer handles, by key. The order of keys makes every pass over them repeatable.
+#[derive(Debug, Default)]
+pub(super) struct Shards(pub(super) BTreeMap<u64, Shard>);
+
+impl Shards {
+    pub(super) fn get_mut(&mut self, key: u64) -> Option<&mut Shard> {
+        self.0.get_mut(&key)
+    }
+
+    pub(super) fn deadline(&self) -> Time {
+        self.0.values().map(|shard| shard.gate.deadline()).min().unwrap_or(Time::NEVER)
+    }
+
+    pub(super) fn take_freed(&mut self, key: u64) -> bool {
+        self.0.get_mut(&key).is_some_and(|shard| std::mem::take(&mut shard.freed))
+    }
+}
+
+impl Engine {
+    /// Returns the shard, with a new gate when this balancer does not own it but has to handle it.
+    pub(super) fn shard(&mut self, now: Time, place: &Place) -> Option<&mut Shard> {
+        if !self.shards.0.contains_key(&place.key) {
+            let shard = self.make_shard(now, place.service, place.shard)?;
+            self.shards.0.insert(place.key, shard);
+        }
+        self.shards.get_mut(place.key)
+    }
+
+    pub(super) fn make_shard(&self, now: Time, service: ServiceIndex, index: u16) -> Option<Shard> {
+        let config = self.config.as_ref()?;
+        let name = &config.services.get(service.0 as usize)?.name;
+        let mut shard = Shard::new(self.gates.gate(name, index, &config.priorities));
+        shard.gate.set_hosts(now, &self.hosts_of(service, index));
+        Some(shard)
+    }
+
+    /// Returns what the gate of a shard has to know of its hosts.
+    pub(super) fn hosts_of(&self, service: ServiceIndex, index: u16) -> Vec<Host> {
+        let Some(config) = &self.config else { return Vec::new() };
+        let Some(service) = config.services.get(service.0 as usize) else { return Vec::new() };
+        let mut hosts: Vec<Host> = placement::dealt(service, index).map(|target| self.host(target)).collect();
+        if hosts.iter().all(|host| !matches!(host.state, HostState::Serving | HostState::Cold)) {
+            // New flows then go to the whole service, see `placement::usable`.
+            hosts = service.targets.iter().filter(|target| !target.released).map(|target| self.host(target)).collect();
+        }
+        hosts
+    }
+
+    fn host(&self, target: &view::Target) -> Host {
+        let known = self.hosts.get(&target.address).copied().unwrap_or_default();
+        let drains = target.draining && matches!(known.state, HostState::Serving | HostState::Cold);
+        Host {
+            address: target.address,
+            slots: target.slots,
+            connections: target.connections,
+            state: if drains { HostState::Draining } else { known.state },
+            busy: known.busy,
+        }
+    }
+
+    /// Ends running work of a flow, if any.
+    pub(super) fn finish(&mut self, now: Time, key: u64, slot: Slot, end: End) {
+        let Some(entry) = self.table.at_mut(slot) else { return };
+        match self.shards.get_mut(key) {
+            Some(shard) => shard.finish(now, entry, end),
+            None => entry.clear(Flag::Working),
+        }
+    }
+
+    /// Counts a flow as a connection of its host.
+    pub(super) fn connect(&mut self, key: u64, slot: Slot) {
+        if let (Some(shard), Some(entry)) = (self.shards.get_mut(key), self.table.at_mut(slot)) {
+            shard.connect(entry);
+        }
+    }
+
+    /// Ends all accounts of a flow and drops its held packets.
+    pub(super) fn release(&mut self, now: Time, key: u64, slot: Slot) {
+        self.finish(now, key, slot, End::Closed);
+        self.drop_hold(key, slot);
+        if let (Some(shard), Some(entry)) = (self.shards.get_mut(key), self.table.at_mut(slot)) {
+            shard.disconnect(entry);
+        }
+    }
+
+    /// Removes a flow with all its accounts.
+    pub(super) fn remove(&mut self, now: Time, key: u64, slot: Slot) {
+        self.release(now, key, slot);
+        self.table.remove(slot);
+    }
+
+    pub(super) fn drop_hold(&mut self, key: u64, slot: Slot) {
+        let Some(hold) = self.holds.remove(slot) else { return };
+        if let Some(entry) = self.table.at_mut(slot) {
+            entry.clear(Flag::Held);
+        }
+        if let (Some(ticket), Some(shard)) = (hold.ticket, self.shards.get_mut(key)) {
+            shard.cancel(ticket);
+        }
+    }
+
+    /// Returns the index of the priority of a packet's work.
+    pub(super) fn priority(&self, place: &Place, packet: &View<'_>) -> usize {
+        let Some(config) = &self.config else { return 0 };
+        let rank = packet.request.and_then(|request| request.rank);
+        rank.and_then(|rank| by_rank(config, rank)).unwrap_or_else(|| by_port(config, place, &packet.flow))
+    }
+
+    /// Returns the time by which work of a priority has to start.
+    pub(super) fn start_by(&self, now: Time, priority: usize, packet: &View<'_>) -> Time {
+        let wait = self.config.as_ref().and_then(|config| config.priorities.get(priority));
+        let wait = wait.map_or(std::time::Duration::ZERO, |priority| {
+            std::time::Duration::from_millis(u64::from(priority.queue_ms))
+        });
+        let deadline = packet.request.map_or(Time::NEVER, |request| request.deadline);
+        deadline.min(now + wait)
+    }
+
+    /// Returns the hosts for a new flow, without `failed` when there is another.
+    pub(super) fn candidates(&self, place: &Place, flow: &Flow, failed: Option<Ipv4Addr>) -> placement::Candidates {
+        let Some(config) = &self.config else { return placement::Candidates::new() };
+        let mut hosts = placement::usable(config, &self.hosts, place, flow.service.port());
+        if hosts.len() > 1 {
+            hosts.retain(|host| Some(*host) != failed);
+        }
+        hosts
+    }
+}
+
+fn by_rank(config: &Config, rank: u8) -> Option<usize> {
+    config.priorities.iter().position(|priority| priority.rank == rank)
+}
+
+fn by_port(config: &Config, place: &Place, flow: &Flow) -> usize {
+    let ports = &config.services[place.service.0 as usize].ports;
+    ports.iter().find(|port| port.port == flow.service.port()).map_or(0, |port| port.priority)
+}
--- /dev/null
+++ b/crates/poplarpaddle/src/path/assign.rs
@@ -0,0 +1,177 @@
+//! Changes of ownership and configuration.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use super::account::{Shard, Shards};
+use super::engine::record;
+use super::hold::{Held, Hold};
+use super::{Engine, Outlet, Source};
+use crate::admission::End;
+use crate::flow::{Flag, Slot, Stage};
+use crate::ownership::{Ownership, Place};
+use crate::time::Time;
+use crate::view::{Config, ServiceIndex};
+
+/// Shards before a change, as far as they are not the same after it.
+struct Before {
+    config: Option<Arc<Config>>,
+    ownership: Ownership,
+    keys: Vec<u64>,
+    shards: Shards,
+}
+
+impl Engine {
+    /// Follows a change of members, configuration or hosts.
+    pub(super) fn reassign(&mut self, now: Time, config: Option<&Arc<Config>>, outlet: &mut dyn Outlet) {
+        let mut before = Before {
+            config: self.config.clone(),
+            ownership: self.ownership.clone(),
+            keys: self.shards.0.keys().copied().collect(),
+            shards: std::mem::take(&mut self.shards),
+        };
+        self.take_config(config);
+        let members = self.owners_view();
+        self.ownership.set_members(&members);
+        self.take_shards(now, &mut before, outlet);
+        let is_same = before.shards.0.is_empty() && before.keys.len() == self.shards.0.len();
+        if !is_same {
+            let displaced = self.move_flows(now, &mut before);
+            self.report_lost(now, &before, outlet);
+            for held in displaced {
+                self.packet(now, Source::Fabric, &held.view(), outlet);
+            }
+        }
+    }
+
+    fn take_config(&mut self, config: Option<&Arc<Config>>) {
+        let Some(config) = config else { return };
+        if self.config.as_ref().is_some_and(|current| Arc::ptr_eq(current, config)) {
+            return;
+        }
+        self.ownership.set_config(config);
+        self.config = Some(Arc::clone(config));
+        self.heard.retain(|host, _| {
+            let targets = config.services.iter().flat_map(|service| &service.targets);
+            targets.into_iter().any(|target| target.address == *host)
+        });
+    }
+
+    /// Keeps the gates of shards that stay, and makes new ones for the others.
+    fn take_shards(&mut self, now: Time, before: &mut Before, outlet: &mut dyn Outlet) {
+        let Some(config) = self.config.clone() else { return };
+        let same_priorities = before.config.as_ref().is_some_and(|old| old.priorities == config.priorities);
+        let owned = self.ownership.owned_by(self.me);
+        let owned: Vec<(ServiceIndex, u16, u64)> =
+            owned.map(|(service, index, shard)| (service, index, shard.key)).collect();
+        let mut shards = BTreeMap::new();
+        for (service, index, key) in owned {
+            let kept = if same_priorities { before.shards.0.remove(&key) } else { None };
+            let is_new = kept.is_none() && !before.keys.contains(&key);
+            let Some(shard) = self.keep_or_make(now, kept, service, index) else { continue };
+            shards.insert(key, shard);
+            if is_new {
+                let name = format!("{}/{index}", config.services[service.0 as usize].name);
+                record(now, "shard.gained", name, String::new(), outlet);
+            }
+        }
+        self.shards = Shards(shards);
+    }
+
+    fn keep_or_make(&self, now: Time, kept: Option<Shard>, service: ServiceIndex, index: u16) -> Option<Shard> {
+        let Some(mut shard) = kept else { return self.make_shard(now, service, index) };
+        shard.gate.set_hosts(now, &self.hosts_of(service, index));
+        Some(shard)
+    }
+
+    fn report_lost(&self, now: Time, before: &Before, outlet: &mut dyn Outlet) {
+        let lost = before.shards.0.keys().filter(|key| !self.shards.0.contains_key(*key)).count();
+        if lost > 0 {
+            record(now, "shard.lost", self.me.to_string(), format!("{lost} shards"), outlet);
+        }
+    }
+
+    /// Moves every flow to the gate of its shard and returns the held packets that have to be handled anew.
+    fn move_flows(&mut self, now: Time, before: &mut Before) -> Vec<Held> {
+        let mut displaced = Vec::new();
+        for slot in (0..self.table.slots()).map(Slot) {
+            let Some(entry) = self.table.at(slot) else { continue };
+            let flow = entry.flow;
+            let old = before.config.as_ref().and_then(|config| before.ownership.locate(config, &flow));
+            let old = old.filter(|place| before.keys.contains(&place.key));
+            let new = self.locate(&flow).ok().filter(|place| self.shards.0.contains_key(&place.key));
+            match (old, new) {
+                (Some(old), Some(new)) if old.key == new.key && !before.shards.0.contains_key(&old.key) => {}
+                (Some(old), Some(new)) => self.move_flow(now, before, slot, old.key, &new, &mut displaced),
+                (Some(old), None) => self.lose_flow(now, before, slot, old.key, &mut displaced),
+                // Another owner may have replaced the entry in the meantime.
+                (None, Some(_)) => drop(self.table.remove(slot)),
+                (None, None) => {}
+            }
+        }
+        displaced
+    }
+
+    fn move_flow(
+        &mut self,
+        now: Time,
+        before: &mut Before,
+        slot: Slot,
+        old: u64,
+        new: &Place,
+        displaced: &mut Vec<Held>,
+    ) {
+        let Some(entry) = self.table.at(slot).copied() else { return };
+        self.leave_gate(now, before, slot, old);
+        if entry.stage != Stage::Pending && entry.stage != Stage::Probing {
+            displaced.extend(self.take_held(before, slot, old));
+        }
+        if entry.stage == Stage::Queued {
+            self.table.remove(slot);
+            return;
+        }
+        let (Some(shard), Some(current)) = (self.shards.get_mut(new.key), self.table.at_mut(slot)) else { return };
+        if entry.has(Flag::Connected) {
+            shard.connect(current);
+        }
+        if entry.has(Flag::Working) {
+            shard.adopt(now, current);
+        }
+    }
+
+    fn lose_flow(&mut self, now: Time, before: &mut Before, slot: Slot, old: u64, displaced: &mut Vec<Held>) {
+        let Some(stage) = self.table.at(slot).map(|entry| entry.stage) else { return };
+        self.leave_gate(now, before, slot, old);
+        let held = self.take_held(before, slot, old);
+        // A pending opening went out already; the new owner learns its target from the SYN-ACK.
+        if stage != Stage::Pending {
+            displaced.extend(held);
+        }
+        if !stage.is_bound() {
+            self.table.remove(slot);
+        } else if let Some(entry) = self.table.at_mut(slot) {
+            entry.set(Flag::Lost);
+        }
+    }
+
+    fn leave_gate(&mut self, now: Time, before: &mut Before, slot: Slot, old: u64) {
+        let Some(entry) = self.table.at_mut(slot) else { return };
+        let shard = before.shards.get_mut(old).or(self.shards.0.get_mut(&old));
+        if let Some(shard) = shard {
+            shard.finish(now, entry, End::Closed);
+            shard.disconnect(entry);
+        }
+    }
+
+    fn take_held(&mut self, before: &mut Before, slot: Slot, old: u64) -> Vec<Held> {
+        let Some(Hold { packets, ticket, .. }) = self.holds.remove(slot) else { return Vec::new() };
+        if let Some(entry) = self.table.at_mut(slot) {
+            entry.clear(Flag::Held);
+        }
+        let shard = before.shards.get_mut(old).or(self.shards.0.get_mut(&old));
+        if let (Some(shard), Some(ticket)) = (shard, ticket) {
+            shard.cancel(ticket);
+        }
+        packets.into()
+    }
+}
--- /dev/null
+++ b/crates/poplarpaddle/src/path/engine.rs
@@ -0,0 +1,217 @@
+//! The engine: where a packet is handled, and what drives it.
+
+use std::net::Ipv4Addr;
+use std::sync::Arc;
+
+use super::account::Shards;
+use super::hold::Holds;
+use super::settings::{Counters, Factory, Settings, Timings};
+use super::sweep::Sweep;
+use super::{Hop, MemberId, Outlet, Reason, Source};
+use crate::event::Event;
+use crate::flow::{Flag, Slot, Table};
+use crate::map::{self, Map};
+use crate::ownership::{Ownership, Place};
+use crate::packet::{Direction, Flow, Kind, View};
+use crate::placement;
+use crate::recovery;
+use crate::time::Time;
+use crate::view::{self, Config, Host, Presence};
+
+/// Decides about each packet of one balancer.
+#[derive(Debug)]
+pub struct Engine {
+    pub(super) timings: Timings,
+    pub(super) gates: Arc<dyn Factory>,
+    pub(super) me: MemberId,
+    pub(super) leaving: bool,
+    pub(super) config: Option<Arc<Config>>,
+    pub(super) members: Arc<[view::Member]>,
+    pub(super) hosts: Arc<Map<Ipv4Addr, Host>>,
+    pub(super) ownership: Ownership,
+    pub(super) table: Table,
+    pub(super) holds: Holds,
+    pub(super) shards: Shards,
+    /// When each host sent its last packet.
+    pub(super) heard: Map<Ipv4Addr, Time>,
+    pub(super) sweep: Sweep,
+    pub(super) counters: Counters,
+}
+
+impl Engine {
+    /// Returns an engine without configuration and flows.
+    #[must_use]
+    pub fn new(settings: Settings) -> Self {
+        let Settings { me, seed, bounds, timings, gates } = settings;
+        Self {
+            timings,
+            gates,
+            me,
+            leaving: false,
+            config: None,
+            members: Arc::new([]),
+            hosts: Arc::new(map::seeded(seed)),
+            ownership: Ownership::default(),
+            table: Table::new(seed, bounds.flows),
+            holds: Holds::new(seed, bounds.held_bytes, bounds.held_packets),
+            shards: Shards::default(),
+            heard: map::seeded(seed),
+            sweep: Sweep::default(),
+            counters: Counters::default(),
+        }
+    }
+
+    /// Handles or relays one packet.
+    pub fn packet(&mut self, now: Time, source: Source, packet: &View<'_>, outlet: &mut dyn Outlet) {
+        let place = match self.locate(&packet.flow) {
+            Ok(place) => place,
+            Err(reason) => return self.discard(packet, reason, outlet),
+        };
+        let hop = match source {
+            Source::Peer(sender, Hop::Previous) => return self.serve(now, sender, &place, packet, outlet),
+            Source::Fabric => Some(Hop::Owner),
+            Source::Peer(_, Hop::Owner) => Some(Hop::Redirect),
+            Source::Peer(_, Hop::Redirect | Hop::Unknown) => None,
+        };
+        match (hop, place.owner) {
+            (Some(_), None) => self.discard(packet, Reason::NoOwner, outlet),
+            (Some(hop), Some(owner)) if owner != self.me => self.relay(owner, hop, packet, outlet),
+            _ => self.handle(now, source, &place, packet, outlet),
+        }
+    }
+
+    /// Does what is due at `now`.
+    pub fn tick(&mut self, now: Time, outlet: &mut dyn Outlet) {
+        while let Some(slot) = self.holds.due(now) {
+            self.overdue(now, slot, outlet);
+        }
+        self.sweep(now);
+        self.start_all(now, outlet);
+    }
+
+    /// Returns the time at which [`Self::tick`] has to be called next.
+    #[must_use]
+    pub fn deadline(&self) -> Time {
+        let sweep = if self.table.is_empty() { Time::NEVER } else { self.sweep.deadline() };
+        self.holds.deadline().min(sweep).min(self.shards.deadline())
+    }
+
+    /// Takes over a new view of the fleet. Entries of flows stay; shards and their gates follow the view.
+    pub fn apply(&mut self, now: Time, view: &view::View, outlet: &mut dyn Outlet) {
+        self.me = view.me;
+        self.members = Arc::clone(&view.members);
+        self.hosts = Arc::clone(&view.hosts);
+        self.reassign(now, view.config.as_ref(), outlet);
+        self.start_all(now, outlet);
+    }
+
+    /// Gives up all shards and passes their held packets on to the new owners. Known flows are still served.
+    pub fn drain(&mut self, now: Time, outlet: &mut dyn Outlet) {
+        self.leaving = true;
+        let config = self.config.clone();
+        self.reassign(now, config.as_ref(), outlet);
+    }
+
+    /// Returns what the engine did and holds.
+    #[must_use]
+    pub fn counters(&self) -> Counters {
+        Counters {
+            flows: self.table.len(),
+            held: self.holds.packets(),
+            held_bytes: self.holds.bytes(),
+            table_bytes: self.table.bytes(),
+            ..self.counters
+        }
+    }
+
+    /// Returns the target of a flow that this engine knows to be bound.
+    #[must_use]
+    pub fn target(&self, flow: &Flow) -> Option<Ipv4Addr> {
+        let entry = self.table.at(self.table.find(flow)?)?;
+        entry.stage.is_bound().then_some(entry.target)
+    }
+
+    pub(super) fn locate(&self, flow: &Flow) -> Result<Place, Reason> {
+        let config = self.config.as_ref().ok_or(Reason::NoConfiguration)?;
+        self.ownership.locate(config, flow).ok_or(Reason::UnknownService)
+    }
+
+    pub(super) fn is_allowed(&self, place: &Place, target: Ipv4Addr, flow: &Flow) -> bool {
+        let Some(config) = &self.config else { return false };
+        placement::is_allowed(config, &self.hosts, place.service, target, flow.service.port())
+    }
+
+    /// Returns the members as ownership sees them: without this one among the alive once it leaves.
+    pub(super) fn owners_view(&self) -> Vec<view::Member> {
+        let mut members = self.members.to_vec();
+        for member in members.iter_mut().filter(|member| self.leaving && member.id == self.me) {
+            member.presence = Presence::Leaving;
+        }
+        members
+    }
+
+    fn handle(&mut self, now: Time, source: Source, place: &Place, packet: &View<'_>, outlet: &mut dyn Outlet) {
+        match packet.direction {
+            Direction::FromCaller => self.caller_packet(now, source, place, packet, outlet),
+            Direction::FromTarget(target) => self.target_packet(now, place, target, packet, outlet),
+        }
+        if self.shards.take_freed(place.key) {
+            self.start_waiting(now, place.key, outlet);
+        }
+    }
+
+    /// Forwards a packet of a flow whose shard moved away, or tells the new owner that the flow is unknown here too.
+    fn serve(&mut self, now: Time, sender: MemberId, place: &Place, packet: &View<'_>, outlet: &mut dyn Outlet) {
+        if packet.direction != Direction::FromCaller {
+            return self.discard(packet, Reason::HopLimit, outlet);
+        }
+        match self.known(place, packet) {
+            Some(slot) if packet.kind != Kind::Opening => self.forward(now, place, slot, packet, outlet),
+            _ => self.relay(sender, Hop::Unknown, packet, outlet),
+        }
+    }
+
+    /// Returns the slot of a bound flow that the packet belongs to and whose packets need not wait.
+    fn known(&self, place: &Place, packet: &View<'_>) -> Option<Slot> {
+        let slot = self.table.find(&packet.flow)?;
+        let entry = self.table.at(slot)?;
+        let is_bound = entry.stage.is_bound() && !entry.has(Flag::Held);
+        let is_same = recovery::confirms(entry, packet) && self.is_allowed(place, entry.target, &packet.flow);
+        (is_bound && is_same).then_some(slot)
+    }
+
+    pub(super) fn relay(&mut self, member: MemberId, hop: Hop, packet: &View<'_>, outlet: &mut dyn Outlet) {
+        self.counters.relayed += 1;
+        outlet.relay(member, hop, packet);
+    }
+
+    pub(super) fn discard(&mut self, packet: &View<'_>, reason: Reason, outlet: &mut dyn Outlet) {
+        self.counters.reasons[reason as usize] += 1;
+        outlet.discard(packet, reason);
+    }
+
+    pub(super) fn refuse(&mut self, packet: &View<'_>, reason: Reason, outlet: &mut dyn Outlet) {
+        self.counters.reasons[reason as usize] += 1;
+        outlet.refuse(packet, reason);
+    }
+
+    pub(super) fn reset_caller(&mut self, packet: &View<'_>, reason: Reason, outlet: &mut dyn Outlet) {
+        self.counters.reasons[reason as usize] += 1;
+        outlet.reset_caller(packet, reason);
+    }
+
+    pub(super) fn send_target(&mut self, target: Ipv4Addr, packet: &View<'_>, outlet: &mut dyn Outlet) {
+        self.counters.to_target += 1;
+        outlet.to_target(target, packet);
+    }
+
+    pub(super) fn send_caller(&mut self, packet: &View<'_>, outlet: &mut dyn Outlet) {
+        self.counters.to_caller += 1;
+        outlet.to_caller(packet);
+    }
+}
+
+/// Records an event of the data path.
+pub(super) fn record(now: Time, name: &str, subject: String, detail: String, outlet: &mut dyn Outlet) {
+    outlet.event(Event { time: now, name: name.to_owned(), subject, detail });
+}
--- /dev/null
+++ b/crates/poplarpaddle/src/path/hold.rs
@@ -0,0 +1,183 @@
+//! Packets that wait: openings until binding, payload until the gate starts it, packets under probe.
+
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, VecDeque};
+
+use crate::admission::TicketId;
+use crate::flow::Slot;
+use crate::map::{self, Map};
+use crate::packet::{Direction, Flow, Kind, Request, View};
+use crate::recovery::Probe;
+use crate::time::Time;
+
+/// Bytes counted for each held packet beside its own, so that many empty packets are bounded too.
+const OVERHEAD: usize = 256;
+
+/// A copy of a caller's packet.
+#[derive(Debug)]
+pub(super) struct Held {
+    flow: Flow,
+    kind: Kind,
+    payload: u32,
+    sequence: u32,
+    acknowledgement: u32,
+    end: bool,
+    request: Option<Request>,
+    bytes: Box<[u8]>,
+}
+
+impl Held {
+    pub(super) fn new(packet: &View<'_>) -> Self {
+        Self {
+            flow: packet.flow,
+            kind: packet.kind,
+            payload: packet.payload,
+            sequence: packet.sequence,
+            acknowledgement: packet.acknowledgement,
+            end: packet.end,
+            request: packet.request,
+            bytes: packet.bytes.into(),
+        }
+    }
+
+    pub(super) const fn view(&self) -> View<'_> {
+        View {
+            flow: self.flow,
+            direction: Direction::FromCaller,
+            kind: self.kind,
+            payload: self.payload,
+            sequence: self.sequence,
+            acknowledgement: self.acknowledgement,
+            end: self.end,
+            request: self.request,
+            bytes: &self.bytes,
+        }
+    }
+
+    const fn size(&self) -> usize {
+        self.bytes.len() + OVERHEAD
+    }
+}
+
+/// What held packets wait for.
+#[derive(Debug)]
+pub(super) enum Phase {
+    /// The opening, for the gate or for the answer of the target; no try starts after `until`.
+    Opening { until: Time },
+    /// Payload, for the gate.
+    Payload,
+    /// Packets under probe, for the answer of a candidate.
+    Probe(Probe),
+}
+
+/// The held packets of one flow.
+#[derive(Debug)]
+pub(super) struct Hold {
+    pub(super) packets: VecDeque<Held>,
+    pub(super) phase: Phase,
+    /// Ticket in the gate of the flow's shard, while the gate decides.
+    pub(super) ticket: Option<TicketId>,
+    /// When the answer of a target or candidate is due, `NEVER` while the gate decides.
+    pub(super) deadline: Time,
+}
+
+/// All held packets of an engine.
+#[derive(Debug)]
+pub(super) struct Holds {
+    flows: Map<Slot, Hold>,
+    timers: BinaryHeap<Reverse<(Time, Slot)>>,
+    packets: usize,
+    bytes: usize,
+    bound: usize,
+    packets_per_flow: usize,
+}
+
+impl Holds {
+    pub(super) fn new(seed: u64, bound: usize, packets_per_flow: usize) -> Self {
+        Self { flows: map::seeded(seed), timers: BinaryHeap::new(), packets: 0, bytes: 0, bound, packets_per_flow }
+    }
+
+    /// Returns true when the packet can be held.
+    pub(super) const fn has_room(&self, packet: &View<'_>) -> bool {
+        self.bytes + packet.bytes.len() + OVERHEAD <= self.bound
+    }
+
+    /// Holds the first packet of a flow; the caller checked [`Self::has_room`].
+    pub(super) fn open(&mut self, slot: Slot, packet: &View<'_>, phase: Phase, ticket: Option<TicketId>) {
+        let copy = Held::new(packet);
+        self.packets += 1;
+        self.bytes += copy.size();
+        let hold = Hold { packets: VecDeque::from([copy]), phase, ticket, deadline: Time::NEVER };
+        self.flows.insert(slot, hold);
+    }
+
+    /// Holds a further packet of a flow; false without room.
+    pub(super) fn push(&mut self, slot: Slot, packet: &View<'_>) -> bool {
+        if !self.has_room(packet) {
+            return false;
+        }
+        let Some(hold) = self.flows.get_mut(&slot) else { return false };
+        if hold.packets.len() >= self.packets_per_flow {
+            return false;
+        }
+        let copy = Held::new(packet);
+        self.packets += 1;
+        self.bytes += copy.size();
+        hold.packets.push_back(copy);
+        true
+    }
+
+    pub(super) fn get(&self, slot: Slot) -> Option<&Hold> {
+        self.flows.get(&slot)
+    }
+
+    pub(super) fn get_mut(&mut self, slot: Slot) -> Option<&mut Hold> {
+        self.flows.get_mut(&slot)
+    }
+
+    pub(super) fn remove(&mut self, slot: Slot) -> Option<Hold> {
+        let hold = self.flows.remove(&slot)?;
+        self.packets -= hold.packets.len();
+        self.bytes -= hold.packets.iter().map(Held::size).sum::<usize>();
+        Some(hold)
+    }
+
+    pub(super) fn set_deadline(&mut self, slot: Slot, deadline: Time) {
+        if let Some(hold) = self.flows.get_mut(&slot) {
+            hold.deadline = deadline;
+            if deadline != Time::NEVER {
+                self.timers.push(Reverse((deadline, slot)));
+            }
+        }
+    }
+
+    /// Returns a flow whose deadline passed, and clears the deadline.
+    pub(super) fn due(&mut self, now: Time) -> Option<Slot> {
+        while let Some(Reverse((time, slot))) = self.timers.peek().copied() {
+            if !now.reached(time) {
+                return None;
+            }
+            self.timers.pop();
+            if let Some(hold) = self.flows.get_mut(&slot)
+                && hold.deadline == time
+            {
+                hold.deadline = Time::NEVER;
+                return Some(slot);
+            }
+        }
+        None
+    }
+
+    /// Returns the next deadline; it may belong to a packet that waits no more.
+    pub(super) fn deadline(&self) -> Time {
+        self.timers.peek().map_or(Time::NEVER, |Reverse((time, _))| *time)
+    }
+
+    pub(super) const fn packets(&self) -> usize {
+        self.packets
+    }
+
+    pub(super) const fn bytes(&self) -> usize {
+        self.bytes
+    }
+}
--- /dev/null
+++ b/crates/poplarpaddle/src/path/sweep.rs
@@ -0,0 +1,108 @@
+//! Expiry of entries and of work, and room for new entries.
+
+use std::time::Duration;
+
+use super::Engine;
+use crate::admission::End;
+use crate::flow::{Entry, Flag, Slot, Stage};
+use crate::time::Time;
+
+/// Parts of the table; one is swept at a time, so that a pass does not delay packets.
+const PARTS: u32 = 16;
+
+/// Time between two parts. A pass takes a second, so deadlines of entries are that much late at most.
+const INTERVAL: Duration = Duration::from_micros(62_500);
+
+/// Entries looked at to find the one to evict. More would find an older one and cost more for each new flow.
+const SAMPLE: u32 = 32;
+
+/// Where the sweep is.
+#[derive(Debug, Default)]
+pub(super) struct Sweep {
+    deadline: Time,
+    part: u32,
+    hand: u32,
+}
+
+impl Sweep {
+    pub(super) const fn deadline(&self) -> Time {
+        self.deadline
+    }
+}
+
+impl Engine {
+    /// Sweeps the next part of the table when it is due.
+    pub(super) fn sweep(&mut self, now: Time) {
+        if self.table.is_empty() || !now.reached(self.sweep.deadline) {
+            return;
+        }
+        let size = self.table.slots().div_ceil(PARTS);
+        let first = self.sweep.part * size;
+        for slot in (first..first + size).map(Slot) {
+            self.expire_entry(now, slot);
+        }
+        self.sweep.part = (self.sweep.part + 1) % PARTS;
+        self.sweep.deadline = now + INTERVAL;
+    }
+
+    fn expire_entry(&mut self, now: Time, slot: Slot) {
+        let Some(entry) = self.table.at(slot) else { return };
+        if entry.has(Flag::Held) {
+            return;
+        }
+        let is_gone = now.reached(entry.active + self.keep(entry));
+        let end = if entry.stage == Stage::Pending { End::Unanswered } else { End::Closed };
+        let is_stale = entry.has(Flag::Working) && now.reached(self.work_deadline(entry));
+        if !is_gone && !is_stale {
+            return;
+        }
+        let key = self.locate(&entry.flow).map_or(0, |place| place.key);
+        self.finish(now, key, slot, end);
+        if is_gone {
+            self.remove(now, key, slot);
+        }
+    }
+
+    /// Returns how long an entry is kept without packets.
+    fn keep(&self, entry: &Entry) -> Duration {
+        match entry.stage {
+            _ if entry.is_finished() => self.timings.closing,
+            Stage::Queued | Stage::Pending | Stage::Probing => self.timings.opening,
+            Stage::Accepted | Stage::Learned => self.timings.learning,
+            Stage::Confirmed => self.timings.idle,
+        }
+    }
+
+    fn work_deadline(&self, entry: &Entry) -> Time {
+        let has_payload = !entry.has(Flag::Opened) || entry.next != entry.opening.wrapping_add(1);
+        let is_open = entry.stage.is_bound() && !has_payload;
+        entry.started + if is_open { self.timings.first_payload } else { self.timings.work }
+    }
+
+    /// Makes room for one entry; false when none of the sampled entries can go.
+    pub(super) fn make_room(&mut self, now: Time) -> bool {
+        if !self.table.is_full() {
+            return true;
+        }
+        let Some(slot) = self.victim() else { return false };
+        let flow = self.table.at(slot).map(|entry| entry.flow);
+        let key = flow.and_then(|flow| self.locate(&flow).ok()).map_or(0, |place| place.key);
+        self.counters.evicted += 1;
+        self.remove(now, key, slot);
+        true
+    }
+
+    /// Returns the entry to evict among the next few: finished ones first, then the longest idle.
+    fn victim(&mut self) -> Option<Slot> {
+        let slots = self.table.slots();
+        let mut best: Option<(bool, Time, Slot)> = None;
+        for _ in 0..SAMPLE.min(slots) {
+            let slot = Slot(self.sweep.hand % slots);
+            self.sweep.hand = slot.0 + 1;
+            let Some(entry) = self.table.at(slot).filter(|entry| !entry.has(Flag::Held)) else { continue };
+            let rank = (!entry.is_finished(), entry.active, slot);
+            best = Some(best.map_or(rank, |best| best.min(rank)));
+        }
+        best.map(|(_, _, slot)| slot)
+    }
+}
--- /dev/null
+++ b/crates/poplarpaddle/src/placement.rs
@@ -0,0 +1,141 @@
+//! Candidates of a flow in the order of preference.
+//!
+//! The order is by highest random weight of (flow, target), so every balancer that holds the same configuration finds
+//! the same order without talking to another one.
+//!
+//! ```
+//! use std::net::Ipv4Addr;
+//! use poplarpaddle::placement::{self, Load};
+//!
+//! let hosts: Vec<Ipv4Addr> = (1..=5).map(|last| Ipv4Addr::new(10, 0, 0, last)).collect();
+//! let load = |host: Ipv4Addr| Load { used: u64::from(host.octets()[3]), limit: 4 };
+//! assert_eq!(placement::choose(&hosts, load), Some(hosts[0]));
+//! ```
+//!
+//! A gate takes the least loaded of the first [`CHOICES`] candidates. Few choices keep the flows of a target near the
+//! front of their candidate orders, so that probing finds it early; the cost is a slightly less even load.
+
+use std::net::Ipv4Addr;
+
+use smallvec::SmallVec;
+
+use crate::map::{self, Map};
+use crate::ownership::Place;
+use crate::view::{Config, Host, HostState, Service, ServiceIndex, Target};
+
+/// Candidates among which the least loaded is taken before all are considered.
+pub const CHOICES: usize = 4;
+
+/// A list of hosts in the order of preference.
+pub type Candidates = SmallVec<[Ipv4Addr; 16]>;
+
+/// How much a host has to do, as far as a gate knows.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Load {
+    /// Work in flight.
+    pub used: u64,
+    /// Work in flight that the host is allowed.
+    pub limit: u64,
+}
+
+/// Returns the least loaded (used over limit) of the first candidates, or of all when these are at their limit; none
+/// when all are. Ties go to the earlier candidate.
+pub fn choose(candidates: &[Ipv4Addr], mut load: impl FnMut(Ipv4Addr) -> Load) -> Option<Ipv4Addr> {
+    let (first, rest) = candidates.split_at(candidates.len().min(CHOICES));
+    least(first, &mut load).or_else(|| least(rest, &mut load))
+}
+
+fn least(candidates: &[Ipv4Addr], load: &mut impl FnMut(Ipv4Addr) -> Load) -> Option<Ipv4Addr> {
+    let mut best: Option<(Ipv4Addr, Load)> = None;
+    for host in candidates {
+        let found = load(*host);
+        let has_room = found.used < found.limit;
+        if has_room && best.is_none_or(|(_, other)| is_less(found, other)) {
+            best = Some((*host, found));
+        }
+    }
+    best.map(|(host, _)| host)
+}
+
+fn is_less(one: Load, other: Load) -> bool {
+    u128::from(one.used) * u128::from(other.limit) < u128::from(other.used) * u128::from(one.limit)
+}
+
+/// Returns true when `target` belongs to the shard with this index.
+///
+/// Targets are dealt to the shards in the order of their names, so that shards differ by one target at most.
+#[must_use]
+pub fn is_dealt(service: &Service, number: usize, shard: u16) -> bool {
+    let configured = service.targets.iter().filter(|target| !target.released).count();
+    let shards = usize::from(service.shards.max(1));
+    let shard = usize::from(shard);
+    // With fewer targets than shards, some shards share a target.
+    number % shards == shard || (configured > 0 && shard >= configured && number == shard % configured)
+}
+
+/// Returns the targets of one shard.
+pub fn dealt(service: &Service, shard: u16) -> impl Iterator<Item = &Target> {
+    let configured = service.targets.iter().filter(|target| !target.released);
+    configured.enumerate().filter(move |(number, _)| is_dealt(service, *number, shard)).map(|(_, target)| target)
+}
+
+/// Returns true when packets of `service` may go to `address` at `port`.
+#[must_use]
+pub fn is_allowed(
+    config: &Config,
+    hosts: &Map<Ipv4Addr, Host>,
+    service: ServiceIndex,
+    address: Ipv4Addr,
+    port: u16,
+) -> bool {
+    let endpoint = std::net::SocketAddrV4::new(address, port);
+    let belongs = config.endpoints.get(&endpoint) == Some(&service);
+    belongs && hosts.get(&address).is_none_or(|host| host.state != HostState::Misplaced)
+}
+
+/// Returns true when new flows may go to `target`.
+#[must_use]
+pub fn is_usable(hosts: &Map<Ipv4Addr, Host>, target: &Target) -> bool {
+    let state = hosts.get(&target.address).copied().unwrap_or_default().state;
+    !target.released && !target.draining && matches!(state, HostState::Serving | HostState::Cold)
+}
+
+/// Returns the hosts for a new flow: the usable targets of its shard, or of the whole service when none is usable.
+#[must_use]
+pub fn usable(config: &Config, hosts: &Map<Ipv4Addr, Host>, place: &Place, port: u16) -> Candidates {
+    let service = &config.services[place.service.0 as usize];
+    let takes =
+        |target: &&Target| is_usable(hosts, target) && is_allowed(config, hosts, place.service, target.address, port);
+    let own = order(place, dealt(service, place.shard).filter(takes));
+    if own.is_empty() { order(place, service.targets.iter().filter(takes)) } else { own }
+}
+
+/// Returns the hosts that may know an established flow: the targets of its shard, then the others of the service.
+#[must_use]
+pub fn possible(config: &Config, hosts: &Map<Ipv4Addr, Host>, place: &Place, port: u16) -> Candidates {
+    let service = &config.services[place.service.0 as usize];
+    let takes = |target: &&Target| is_allowed(config, hosts, place.service, target.address, port);
+    let mut found = order(place, dealt(service, place.shard).filter(takes));
+    let all = order(place, service.targets.iter().filter(takes));
+    let own = found.len();
+    found.extend(all);
+    remove_repeated(&mut found, own);
+    found
+}
+
+fn remove_repeated(hosts: &mut Candidates, own: usize) {
+    let first: Candidates = hosts[..own].into();
+    let mut number = 0;
+    hosts.retain(|host| {
+        number += 1;
+        number <= own || !first.contains(host)
+    });
+}
+
+fn order<'a>(place: &Place, targets: impl Iterator<Item = &'a Target>) -> Candidates {
+    let weighed = targets.map(|target| (map::hash(place.hash, &target.address), target.address));
+    let mut weighed: SmallVec<[(u64, Ipv4Addr); 16]> = weighed.collect();
+    weighed.sort_unstable_by(|one, other| other.cmp(one));
+    weighed.dedup();
+    weighed.into_iter().map(|(_, address)| address).collect()
+}
--- /dev/null
+++ b/crates/poplarpaddle/src/recovery.rs
@@ -0,0 +1,100 @@
+//! Recovery of flows without an entry.
+//!
+//! A flow is learned from a packet of its target, or its candidates are probed one by one. Sequence numbers tell
+//! whether a caller and a target talk about the same connection.
+//!
+//! ```
+//! use poplarpaddle::recovery::Probe;
+//!
+//! let host = std::net::Ipv4Addr::new(10, 0, 0, 1);
+//! let mut probe = Probe::new([host].into_iter().collect());
+//! assert_eq!(probe.current(), Some(host));
+//! probe.advance(true);
+//! assert!(probe.is_unrecoverable());
+//! ```
+//!
+//! A probe costs one round trip for each candidate that does not know the flow. A candidate that does not answer costs
+//! the reply deadline, and keeps the probe from claiming that the flow is lost.
+
+use std::net::Ipv4Addr;
+
+use crate::flow::{Entry, Stage};
+use crate::packet::View;
+use crate::placement::Candidates;
+
+/// Bytes by which the first acknowledgement of a caller may be past the SYN-ACK when packets arrive out of order.
+const ACCEPT_WINDOW: u32 = 1 << 24;
+
+/// Bytes between a target's packet and the acknowledgement of the caller. Larger than the usual socket buffers; a
+/// packet of another connection falls into it by chance once in 32 times.
+const LEARN_WINDOW: u32 = 1 << 26;
+
+/// A search for the target of one flow.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Probe {
+    candidates: Candidates,
+    next: usize,
+    silent: bool,
+}
+
+impl Probe {
+    /// Returns a probe that starts with the first candidate.
+    #[must_use]
+    pub const fn new(candidates: Candidates) -> Self {
+        Self { candidates, next: 0, silent: false }
+    }
+
+    /// Returns the candidate under probe, none after the last.
+    #[must_use]
+    pub fn current(&self) -> Option<Ipv4Addr> {
+        self.candidates.get(self.next).copied()
+    }
+
+    /// Goes on to the next candidate. `denied` tells that the current one does not know the flow.
+    pub const fn advance(&mut self, denied: bool) {
+        self.silent |= !denied;
+        self.next += 1;
+    }
+
+    /// Returns true when every candidate denied the flow.
+    #[must_use]
+    pub fn is_unrecoverable(&self) -> bool {
+        self.current().is_none() && !self.silent
+    }
+}
+
+/// Returns true unless the acknowledgement of a caller's packet belongs to a connection with another target.
+///
+/// Two owners with different views may place one opening on two targets. The caller completes the handshake with one;
+/// the owner that placed it on the other notices here and searches for the real target.
+#[must_use]
+pub fn confirms(entry: &Entry, packet: &View<'_>) -> bool {
+    if packet.acknowledgement == 0 {
+        return true;
+    }
+    match entry.stage {
+        Stage::Accepted => {
+            let first = entry.accept.wrapping_add(1);
+            packet.acknowledgement.wrapping_sub(first) < ACCEPT_WINDOW
+        }
+        Stage::Learned => {
+            let low = entry.accept.wrapping_sub(LEARN_WINDOW);
+            packet.acknowledgement.wrapping_sub(low) < 2 * LEARN_WINDOW
+        }
+        _ => true,
+    }
+}
+
+/// Returns true when a target's packet answers the opening of the entry.
+#[must_use]
+pub const fn answers_opening(entry: &Entry, packet: &View<'_>) -> bool {
+    packet.acknowledgement == 0 || packet.acknowledgement == entry.opening.wrapping_add(1)
+}
+
+/// Returns true when the payload of a caller's packet was forwarded before.
+#[must_use]
+pub const fn is_repeated(entry: &Entry, packet: &View<'_>) -> bool {
+    let end = packet.sequence.wrapping_add(packet.payload);
+    // A carrier without acknowledgements does not number its bytes.
+    packet.acknowledgement != 0 && end.wrapping_sub(entry.next).cast_signed() <= 0
+}
--- /dev/null
+++ b/crates/poplarpaddle/tests/path/main.rs
@@ -0,0 +1,4 @@
+//! Tests of the data path.
+
+mod fleet;
+mod flows;
