Raise the backlog of a host limit from 1 to 2

In floods of openings the slots were not kept busy: an opening holds its place while the handshake runs, and with one place beyond the slots the host runs out of work.

The gate tests now fix their backlog so that they do not depend on the tuned value; what they assert is unchanged. A limit below 2 that fails again now pauses at once instead of after one more failure.

--- a/crates/poplarpaddle/src/limit.rs
+++ b/crates/poplarpaddle/src/limit.rs
@@ -5,7 +5,7 @@
 //! use poplarpaddle::time::Time;
 //!
 //! let mut limit = Limit::new(Settings::default(), 3);
-//! assert_eq!(limit.allowed(), 4);
+//! assert_eq!(limit.allowed(), 5);
 //! limit.cut(Time::from_millis(1));
 //! assert_eq!(limit.allowed(), 2);
 //! ```
@@ -27,7 +27,10 @@
 /// Settings of the limit of a host.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Settings {
-    /// Work beyond the slots that may wait at the host itself.
+    /// Work beyond the slots that may be on its way or wait at the host itself.
+    ///
+    /// With 1, slots were busy for only 0.89 to 0.91 of the time in a flood of openings, because an opening holds its
+    /// place during the handshake. With 3 the gain over 2 was below 0.02 and more work waits where it has no order.
     pub backlog: u16,
     /// Shortest time between two cuts. Openings of one burst that are shed together count as one signal.
     pub cut_interval: Duration,
@@ -42,7 +45,7 @@
 impl Default for Settings {
     fn default() -> Self {
         Self {
-            backlog: 1,
+            backlog: 2,
             cut_interval: Duration::from_millis(20),
             pause: Duration::from_millis(100),
             max_pause: Duration::from_secs(5),
@@ -124,7 +127,7 @@
             return;
         }
         self.next_cut = now + self.settings.cut_interval;
-        if self.thousandths == UNIT {
+        if self.allowed() == 1 {
             self.pause(now);
         }
         self.thousandths = (self.thousandths / 2).max(UNIT);
--- a/crates/poplarpaddle/tests/admission.rs
+++ b/crates/poplarpaddle/tests/admission.rs
@@ -9,6 +9,7 @@
 use poplarpaddle::view::HostState;
 
 const SLOTS: u16 = 3;
+const BACKLOG: u16 = 1;
 const ROOM: u32 = 4;
 
 fn address(index: u8) -> Ipv4Addr {
@@ -23,6 +24,11 @@
     Time::from_millis(millis)
 }
 
+/// Fixes the room of a host, so that the tests do not depend on the tuned backlog.
+fn settings() -> Settings {
+    Settings { limit: limit::Settings { backlog: BACKLOG, ..Default::default() }, ..Default::default() }
+}
+
 fn gate(hosts: u8, settings: Settings) -> Queue {
     let mut gate = Queue::new(settings);
     let hosts: Vec<Host> = (0..hosts).map(host).collect();
@@ -55,7 +61,7 @@
 #[test]
 fn shares_hold_in_an_urgent_flood() {
     let hosts = [address(0)];
-    let mut gate = gate(1, Settings::default());
+    let mut gate = gate(1, settings());
     fill(&mut gate, &hosts);
     let mut started = [0_usize; 3];
     let mut priorities = poplarpaddle::map::seeded::<TicketId, usize>(1);
@@ -82,7 +88,7 @@
 #[test]
 fn most_urgent_goes_first() {
     let hosts = [address(0)];
-    let mut gate = gate(1, Settings::default());
+    let mut gate = gate(1, settings());
     fill(&mut gate, &hosts);
     let idle = waiting(gate.offer(ms(0), &ticket(2, &hosts)));
     let urgent = waiting(gate.offer(ms(0), &ticket(0, &hosts)));
@@ -97,7 +103,7 @@
 #[test]
 fn expired_and_refused_work_never_starts() {
     let hosts = [address(0)];
-    let mut gate = gate(1, Settings::default());
+    let mut gate = gate(1, settings());
     fill(&mut gate, &hosts);
     let id = waiting(gate.offer(ms(0), &Ticket { deadline: ms(50), ..ticket(0, &hosts) }));
     assert_eq!(gate.deadline(), ms(50));
@@ -115,7 +121,7 @@
 #[test]
 fn hopeless_opening_is_refused_early() {
     let hosts = [address(0)];
-    let mut gate = gate(1, Settings::default());
+    let mut gate = gate(1, settings());
     fill(&mut gate, &hosts);
     // One answer teaches a service time of 100 ms, so that four places give a start every 25 ms.
     gate.finish(ms(100), hosts[0], 0, End::Answered(ms(0)));
@@ -136,7 +142,7 @@
     ];
     for (entries, bytes, openings, payloads) in cases {
         let hosts = [address(0)];
-        let mut gate = gate(1, Settings { entries, bytes, ..Default::default() });
+        let mut gate = gate(1, Settings { entries, bytes, ..settings() });
         fill(&mut gate, &hosts);
         let mut count = |opening| {
             let fits =
@@ -155,7 +161,7 @@
 #[test]
 fn retries_stay_within_the_budget_under_full_shedding() {
     let hosts: Vec<Ipv4Addr> = (0..4).map(address).collect();
-    let mut gate = gate(4, Settings::default());
+    let mut gate = gate(4, settings());
     let mut openings = 0;
     let mut retries = 0;
     for step in 0..20_000 {
@@ -185,7 +191,7 @@
 #[test]
 fn retry_goes_elsewhere_after_backoff() {
     let hosts = [address(0), address(1)];
-    let mut gate = gate(2, Settings::default());
+    let mut gate = gate(2, settings());
     let Decision::Start(first) = gate.offer(ms(0), &ticket(0, &hosts)) else { panic!("no start") };
     gate.finish(ms(1), first, 0, End::Shed);
     let id = waiting(gate.retry(ms(1), &ticket(0, &hosts), first));
@@ -204,7 +210,7 @@
 /// Guards against a limit that stays low for good, and against one that ignores failures.
 #[test]
 fn limit_is_cut_and_recovers() {
-    let settings = limit::Settings::default();
+    let settings = settings().limit;
     let mut limit = Limit::new(settings, SLOTS);
     assert_eq!(limit.allowed(), ROOM);
     limit.cut(ms(100));
@@ -227,7 +233,7 @@
 #[test]
 fn cold_hosts_warm_up() {
     let hosts = [address(0)];
-    let mut gate = Queue::new(Settings::default());
+    let mut gate = Queue::new(settings());
     gate.set_hosts(ms(0), &[Host { state: HostState::Cold, ..host(0) }]);
     let mut limits = Vec::new();
     for step in 0..8 {
@@ -260,7 +266,7 @@
     ];
     for (state, openings, payload) in cases {
         let hosts = [address(0)];
-        let mut gate = Queue::new(Settings::default());
+        let mut gate = Queue::new(settings());
         gate.set_hosts(ms(0), &[Host { state, ..host(0) }]);
         for (opening, expected) in [(false, payload), (true, openings)] {
             let decision = gate.offer(ms(0), &Ticket { opening, ..ticket(0, &hosts) });
@@ -277,7 +283,7 @@
 #[test]
 fn waiting_opening_leaves_a_draining_host() {
     let hosts = [address(0), address(1)];
-    let mut gate = gate(2, Settings::default());
+    let mut gate = gate(2, settings());
     fill(&mut gate, &hosts);
     waiting(gate.offer(ms(0), &ticket(0, &hosts)));
     gate.set_hosts(ms(1), &[Host { state: HostState::Draining, ..host(0) }, host(1)]);
@@ -291,7 +297,7 @@
 #[test]
 fn connection_limit_holds() {
     let hosts = [address(0)];
-    let mut gate = Queue::new(Settings::default());
+    let mut gate = Queue::new(settings());
     gate.set_hosts(ms(0), &[Host { connections: 2, ..host(0) }]);
     for _ in 0..2 {
         assert!(matches!(gate.offer(ms(0), &ticket(0, &hosts)), Decision::Start(_)));
@@ -307,7 +313,7 @@
 #[test]
 fn placement_prefers_four_and_widens() {
     let hosts: Vec<Ipv4Addr> = (0..6).map(address).collect();
-    let mut gate = gate(6, Settings::default());
+    let mut gate = gate(6, settings());
     let mut starts = || match gate.offer(ms(0), &ticket(0, &hosts)) {
         Decision::Start(host) => host,
         other => panic!("expected a start, got {other:?}"),
@@ -326,7 +332,7 @@
 #[test]
 fn unlisted_host_keeps_its_account() {
     let hosts = [address(0)];
-    let mut gate = gate(1, Settings::default());
+    let mut gate = gate(1, settings());
     fill(&mut gate, &hosts);
     gate.set_hosts(ms(1), &[]);
     assert_eq!(gate.in_flight(hosts[0]), ROOM);
