Start payload before openings of the same priority

In a flood, requests of established flows waited behind openings of their own priority until they expired. Payload now goes first within a priority.

--- a/crates/poplarpaddle-bench/src/driver.rs
+++ b/crates/poplarpaddle-bench/src/driver.rs
@@ -35,8 +35,10 @@
     InTime,
     /// Answered after its deadline.
     Late,
-    /// Its opening was refused.
+    /// Its opening was refused at once.
     Refused,
+    /// Its opening was refused after it had waited or failed elsewhere.
+    Expired,
     /// Given up by the caller, whose packets were dropped until the deadline.
     GivenUp,
     /// Its flow broke.
@@ -58,6 +60,7 @@
     pub tries: u32,
     flow: usize,
     service_time: Duration,
+    submitted: Time,
     deadline: Time,
 }
 
@@ -242,6 +245,7 @@
             tries: 0,
             flow: index,
             service_time: Duration::from_micros(record.service_us),
+            submitted: time,
             deadline: START + Duration::from_micros(record.deadline_us),
         });
         Ok(())
@@ -292,7 +296,10 @@
                 let event = if bound { Event::Payload(work, host) } else { Event::Opening(work, host) };
                 self.at(arrival, event);
             }
-            Output::Refuse(work) => self.finish(work, Outcome::Refused),
+            Output::Refuse(work) => {
+                let at_once = self.works[work].submitted == self.now;
+                self.finish(work, if at_once { Outcome::Refused } else { Outcome::Expired });
+            }
             Output::Drop(work) => {
                 let times = self.retransmissions.entry(work).or_insert(0);
                 let wait = RETRANSMIT * (1 << (*times).min(6));
@@ -362,6 +369,7 @@
     }
 
     fn submit(&mut self, work: usize) {
+        self.works[work].submitted = self.now;
         let Work { flow, deadline, .. } = self.works[work];
         let flow = &self.flows[flow];
         let request = Request {
--- a/crates/poplarpaddle-bench/src/report.rs
+++ b/crates/poplarpaddle-bench/src/report.rs
@@ -60,6 +60,8 @@
     pub slots_busy_useful: f64,
     /// Share of the openings sent to targets that did not lead to an answer in time.
     pub wasted_tries: f64,
+    /// Share of the refused openings that were refused only after a wait.
+    pub refused_late: f64,
     /// Requests that ran more than once.
     pub run_twice: u64,
     /// Requests that ran although their caller was told that they did not.
@@ -145,8 +147,9 @@
             flood_served: calm.map(|_| share(works, |work| work.flood, in_time)),
             slots_busy_useful: rounded(history.slots_busy_useful),
             wasted_tries: rounded(1.0 - ratio(useful_tries, tries)),
+            refused_late: share(works, refused, |work| work.outcome == Some(Outcome::Expired)),
             run_twice: count(works, |work| work.runs > 1),
-            refused_but_run: count(works, |work| work.outcome == Some(Outcome::Refused) && work.runs > 0),
+            refused_but_run: count(works, |work| refused(work) && work.runs > 0),
         }
     }
 }
@@ -155,6 +158,10 @@
     work.outcome == Some(Outcome::InTime)
 }
 
+fn refused(work: &Work) -> bool {
+    matches!(work.outcome, Some(Outcome::Refused | Outcome::Expired))
+}
+
 fn count(works: &[Work], wanted: impl Fn(&Work) -> bool) -> u64 {
     works.iter().map(|work| u64::from(wanted(work))).sum()
 }
--- a/crates/poplarpaddle/src/admission/queue.rs
+++ b/crates/poplarpaddle/src/admission/queue.rs
@@ -221,11 +221,10 @@
         }
     }
 
-    /// Returns the first ticket of `lane` that has a host with room.
+    /// Returns the first ticket of `lane` that has a host with room. Payload goes before openings: its flow was accepted
+    /// and cannot go elsewhere, and callers wait for an answer before they send more.
     fn startable(&self, now: Time, lane: usize) -> Option<Startable> {
-        let opening = self.startable_opening(now, lane);
-        let payload = self.startable_payload(lane);
-        opening.into_iter().chain(payload).min_by_key(|startable| startable.key)
+        self.startable_payload(lane).or_else(|| self.startable_opening(now, lane))
     }
 
     fn startable_opening(&self, now: Time, lane: usize) -> Option<Startable> {
--- a/crates/poplarpaddle/tests/admission.rs
+++ b/crates/poplarpaddle/tests/admission.rs
@@ -99,6 +99,20 @@
     }
 }
 
+/// Guards against requests of accepted flows that time out behind a flood of openings of their own priority.
+#[test]
+fn payload_goes_before_openings_of_its_priority() {
+    let hosts = [address(0)];
+    let mut gate = gate(1, settings());
+    fill(&mut gate, &hosts);
+    let opening = waiting(gate.offer(ms(0), &ticket(1, &hosts)));
+    let payload = waiting(gate.offer(ms(0), &Ticket { opening: false, ..ticket(1, &hosts) }));
+    for expected in [payload, opening] {
+        gate.finish(ms(1), hosts[0], 0, End::Closed);
+        assert_eq!(gate.next(ms(1)), Some(Departure::Start(expected, hosts[0])));
+    }
+}
+
 /// Guards against work that runs after its caller gave up, and against a refused ticket that still starts.
 #[test]
 fn expired_and_refused_work_never_starts() {
