Add publishing against the store

Cause: a new generation has to be checked as a whole and written once, whatever the store, the network and other operators do meanwhile. Change: publish::Publish, a state machine without I/O. It reads the manifest before the objects, checks the set with the released endpoints, writes missing parts and one conditional manifest, reads a lost answer back by publish id, and names what another publish changed. object::Reading keeps references to malformed objects from being reported too.

--- a/crates/poplarpaddle/src/check.rs
+++ b/crates/poplarpaddle/src/check.rs
@@ -21,7 +21,7 @@
 
 use self::address::Addresses;
 pub use self::release::released;
-use crate::object::{Fault, Priority, Service, Set, Target, Zone};
+use crate::object::{Fault, Kind, Priority, Reading, Service, Set, Target, Zone};
 
 /// Longest name in characters, as for a label of a host name.
 pub const MAX_NAME: usize = 63;
@@ -56,7 +56,14 @@
 /// and names.
 #[must_use]
 pub fn set(set: &Set) -> Vec<Fault> {
-    let mut checker = Checker { set, faults: Vec::new() };
+    reading(&Reading::from(set.clone()))
+}
+
+/// Returns the faults of reading, then those of the set that could be read.
+#[must_use]
+pub fn reading(reading: &Reading) -> Vec<Fault> {
+    let set = &reading.set;
+    let mut checker = Checker { reading, faults: reading.faults.clone() };
     checker.sizes();
     set.zones.iter().for_each(|(key, zone)| checker.zone(key, zone));
     checker.priorities();
@@ -68,7 +75,7 @@
 }
 
 struct Checker<'a> {
-    set: &'a Set,
+    reading: &'a Reading,
     faults: Vec<Fault>,
 }
 
@@ -91,9 +98,9 @@
 
     fn sizes(&mut self) {
         let sizes = [
-            ("number of zones", self.set.zones.len(), MAX_ZONES),
-            ("number of priorities", self.set.priorities.len(), MAX_PRIORITIES),
-            ("number of targets", self.set.targets.len(), MAX_TARGETS),
+            ("number of zones", self.reading.set.zones.len(), MAX_ZONES),
+            ("number of priorities", self.reading.set.priorities.len(), MAX_PRIORITIES),
+            ("number of targets", self.reading.set.targets.len(), MAX_TARGETS),
         ];
         for (field, count, max) in sizes {
             self.range("set", field, count as u64, 0, max as u64);
@@ -118,8 +125,8 @@
         }
     }
 
-    fn reference(&mut self, place: &str, field: impl Into<String>, name: &str, exists: bool, kind: &str) {
-        if !exists {
+    fn reference(&mut self, place: &str, field: impl Into<String>, kind: Kind, name: &str) {
+        if !self.reading.contains(kind, name) {
             self.fault(place, field, &format_args!("{name:?}"), format!("the name of an existing {kind}"));
         }
     }
@@ -133,7 +140,7 @@
     fn priorities(&mut self) {
         let mut ranks: BTreeMap<u8, &str> = BTreeMap::new();
         let mut total: u64 = 0;
-        for (key, priority) in &self.set.priorities {
+        for (key, priority) in &self.reading.set.priorities {
             self.priority(key, priority);
             total += u64::from(priority.share);
             if let Some(other) = ranks.get(&priority.rank) {
@@ -162,8 +169,7 @@
         for (index, port) in service.ports.iter().enumerate() {
             let field = format!("ports[{index}]");
             self.range(&place, format!("{field}.port"), port.port.into(), 1, u16::MAX.into());
-            let exists = self.set.priorities.contains_key(&port.priority);
-            self.reference(&place, format!("{field}.priority"), &port.priority, exists, "priority");
+            self.reference(&place, format!("{field}.priority"), Kind::Priority, &port.priority);
             if let Some(first) = service.ports[..index].iter().position(|other| other.port == port.port) {
                 let allowed = format!("a port other than ports[{first}].port");
                 self.fault(&place, format!("{field}.port"), &port.port, allowed);
@@ -174,9 +180,8 @@
     fn target(&mut self, key: &str, target: &Target) {
         let place = format!("target {key:?}");
         self.key(&place, key, &target.name);
-        let (service, zone) = (&target.service, &target.zone);
-        self.reference(&place, "service", service, self.set.services.contains_key(service), "service");
-        self.reference(&place, "zone", zone, self.set.zones.contains_key(zone), "zone");
+        self.reference(&place, "service", Kind::Service, &target.service);
+        self.reference(&place, "zone", Kind::Zone, &target.zone);
         self.range(&place, "slots", target.slots.into(), 1, MAX_SLOTS.into());
         self.range(&place, "connections", target.connections.into(), 1, MAX_CONNECTIONS.into());
     }
--- a/crates/poplarpaddle/src/lib.rs
+++ b/crates/poplarpaddle/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod packet;
 pub mod path;
 pub mod prelude;
+pub mod publish;
 pub mod retry;
 pub mod store;
 pub mod time;
--- a/crates/poplarpaddle/src/object.rs
+++ b/crates/poplarpaddle/src/object.rs
@@ -18,6 +18,7 @@
 mod fault;
 mod item;
 mod reader;
+mod reading;
 
 use std::collections::BTreeMap;
 use std::net::Ipv4Addr;
@@ -28,6 +29,7 @@
 pub use self::change::{Change, Difference};
 pub use self::fault::Fault;
 pub use self::item::Item;
+pub use self::reading::Reading;
 use crate::error::{Error, Kind as ErrorKind};
 
 /// An availability zone.
--- a/crates/poplarpaddle/src/object/item.rs
+++ b/crates/poplarpaddle/src/object/item.rs
@@ -5,7 +5,6 @@
 use super::reader::Reader;
 use super::{Fault, Kind, Port, Priority, Service, Set, Target, Zone};
 use crate::error::{Error, Kind as ErrorKind, Result};
-use crate::store;
 
 /// One object of any kind.
 #[derive(Debug, Clone, PartialEq, Eq, derive_more::From)]
@@ -111,17 +110,6 @@
         Ok(())
     }
 
-    /// Adds the store objects of a kind. Every fault is added to `faults`; a wrong object is left out.
-    pub fn insert_objects(&mut self, kind: Kind, objects: &[store::Object], faults: &mut Vec<Fault>) {
-        for object in objects {
-            let place = format!("{kind} {:?}", object.name);
-            match Item::from_value(&place, kind, &object.value) {
-                Ok(item) => faults.extend(self.insert(&place, &object.name, item).err()),
-                Err(found) => faults.extend(found),
-            }
-        }
-    }
-
     /// Returns an object.
     #[must_use]
     pub fn get(&self, kind: Kind, name: &str) -> Option<Item> {
--- /dev/null
+++ b/crates/poplarpaddle/src/object/reading.rs
@@ -0,0 +1,55 @@
+//! Objects as they are read from files or the store, the faults among them.
+
+use std::collections::BTreeSet;
+
+use super::{Fault, Item, Kind, Set};
+use crate::store;
+
+/// A set under construction with the faults found so far.
+///
+/// The names of malformed objects are kept, so that the check reports the object itself and not every reference to it.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Reading {
+    /// Objects that could be read.
+    pub set: Set,
+    /// Faults of those that could not.
+    pub faults: Vec<Fault>,
+    malformed: BTreeSet<(Kind, String)>,
+}
+
+impl Reading {
+    /// Adds an object that was read from `place` under `name`, or its faults.
+    pub fn add(&mut self, place: &str, kind: Kind, name: &str, item: Result<Item, Vec<Fault>>) {
+        let inserted = item.and_then(|item| self.set.insert(place, name, item).map_err(|fault| vec![fault]));
+        if let Err(faults) = inserted {
+            self.faults.extend(faults);
+            self.malformed.insert((kind, name.to_owned()));
+        }
+    }
+
+    /// Adds the store objects of a kind.
+    pub fn add_objects(&mut self, kind: Kind, objects: &[store::Object]) {
+        for object in objects {
+            let place = format!("{kind} {:?}", object.name);
+            self.add(&place, kind, &object.name, Item::from_value(&place, kind, &object.value));
+        }
+    }
+
+    /// Returns true when the object exists, whether it could be read or not.
+    #[must_use]
+    pub fn contains(&self, kind: Kind, name: &str) -> bool {
+        let read = match kind {
+            Kind::Zone => self.set.zones.contains_key(name),
+            Kind::Priority => self.set.priorities.contains_key(name),
+            Kind::Service => self.set.services.contains_key(name),
+            Kind::Target => self.set.targets.contains_key(name),
+        };
+        read || self.malformed.iter().any(|(of, malformed)| *of == kind && malformed == name)
+    }
+}
+
+impl From<Set> for Reading {
+    fn from(set: Set) -> Self {
+        Self { set, ..Self::default() }
+    }
+}
--- /dev/null
+++ b/crates/poplarpaddle/src/publish.rs
@@ -0,0 +1,384 @@
+//! Publishing: from the objects in the store to a new generation.
+//!
+//! ```
+//! use poplarpaddle::publish::{Publish, Settings, Step};
+//! use poplarpaddle::store::{Call, Outcome};
+//! use poplarpaddle::time::Time;
+//!
+//! let now = Time::from_millis(1);
+//! let mut publish = Publish::new(now, Settings { fleet: "kauri".to_owned(), seed: 7, ..Default::default() });
+//! let Step::Call { call, .. } = publish.next(now) else { panic!() };
+//! assert_eq!(call, Call::Get { kind: "manifest".to_owned(), name: "kauri".to_owned() });
+//! publish.answer(now, Outcome::Object(None));
+//! let Step::Call { call, .. } = publish.next(now) else { panic!() };
+//! assert_eq!(call, Call::List { kind: "zone".to_owned() });
+//! ```
+//!
+//! The manifest is read before the objects. Its version guards the final write, so a generation never holds objects
+//! older than the generation before it. Calls go out one at a time; parallel part writes would be faster for the first
+//! publish of a large fleet and gain nothing for a single change.
+
+mod draft;
+mod end;
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use rand::{RngExt as _, SeedableRng as _};
+use rand_pcg::Pcg64;
+
+use self::draft::{Base, Draft};
+pub use self::end::{Conflict, End, Published, Step};
+use crate::config::{Digest, Manifest, Part, PublishId, Seed, encode};
+use crate::error::{Error, Kind, Result};
+use crate::map::{Map, seeded};
+use crate::object::{self, Reading};
+use crate::retry;
+use crate::store::{Call, Object, Outcome};
+use crate::time::Time;
+
+const MANIFEST: &str = "manifest";
+const PART: &str = "part";
+
+/// Settings of one publish.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Settings {
+    /// Name of the fleet.
+    pub fleet: String,
+    /// Seeds the generator of ids, jitter and the fleet's seed. Callers take it from the operating system; two
+    /// publishers with one seed could not tell their writes apart.
+    pub seed: u64,
+    /// Time for the whole publish.
+    pub time: Duration,
+    /// Time for one call.
+    pub call: Duration,
+    /// How long a released endpoint stays with its service.
+    pub release: Duration,
+    /// Retries of reads and writes. Only the reserve counts, there are no deposits.
+    pub retry: retry::Settings,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        let backoff = Duration::from_millis(50);
+        let max_backoff = Duration::from_secs(2);
+        Self {
+            fleet: String::new(),
+            seed: 0,
+            time: Duration::from_secs(20),
+            call: Duration::from_secs(5),
+            release: Duration::from_mins(1),
+            retry: retry::Settings { percent: 0, reserve: 30, burst: 30, backoff, max_backoff },
+        }
+    }
+}
+
+/// What the next answer is for.
+#[derive(Debug)]
+enum Phase {
+    /// Reads the manifest in force.
+    Manifest,
+    /// Lists the objects of each kind; the index in [`object::Kind::ALL`].
+    Objects(usize),
+    /// Reads the parts that the new generation replaces, to find what they release.
+    Replaced(VecDeque<Digest>),
+    /// Writes the parts that the store does not have yet.
+    Parts(VecDeque<Digest>),
+    /// Writes the manifest.
+    Write,
+    /// Reads the manifest after a lost answer or a conflict.
+    Back,
+    /// Reads the parts in which another publish differs.
+    Theirs(Box<Manifest>, VecDeque<Digest>),
+    /// Nothing more to do.
+    Done(Box<End>),
+}
+
+/// What an outcome led to.
+enum Progress {
+    /// The phase or the call changed.
+    Step,
+    /// The call has to be repeated.
+    Again(Error),
+}
+
+impl Progress {
+    fn again(message: &'static str) -> Self {
+        Self::Again(Error::new(Kind::Unavailable, message))
+    }
+}
+
+/// The state of one publish.
+///
+/// The caller performs the [`Step`]s from [`Publish::next`] and hands each outcome to [`Publish::answer`].
+#[derive(Debug)]
+pub struct Publish {
+    settings: Settings,
+    random: Pcg64,
+    budget: retry::Budget,
+    deadline: Time,
+    /// No call goes out before this time.
+    resume: Time,
+    id: PublishId,
+    phase: Phase,
+    base: Option<Base>,
+    objects: Reading,
+    /// Parts read from the store.
+    fetched: Map<Digest, Part>,
+    draft: Option<Draft>,
+    /// True once the answer to a manifest write was lost.
+    unsure: bool,
+}
+
+impl Publish {
+    /// Starts a publish.
+    #[must_use]
+    pub fn new(now: Time, settings: Settings) -> Self {
+        let mut random = Pcg64::seed_from_u64(settings.seed);
+        let id = PublishId(random.random());
+        Self {
+            budget: retry::Budget::new(settings.retry),
+            deadline: now + settings.time,
+            resume: now,
+            settings,
+            random,
+            id,
+            phase: Phase::Manifest,
+            base: None,
+            objects: Reading::default(),
+            fetched: seeded(0),
+            draft: None,
+            unsure: false,
+        }
+    }
+
+    /// Returns the id of this publish.
+    #[must_use]
+    pub const fn id(&self) -> PublishId {
+        self.id
+    }
+
+    /// Returns what to do next. A call is returned again until its outcome was handed to [`Publish::answer`].
+    pub fn next(&mut self, now: Time) -> Step {
+        if !matches!(self.phase, Phase::Done(_)) && now.reached(self.deadline) {
+            let message = format!("publish {} did not end within {:?}", self.id, self.settings.time);
+            self.give_up(Error::new(Kind::Timeout, message));
+        }
+        if let Phase::Done(end) = &self.phase {
+            return Step::End(end.as_ref().clone());
+        }
+        if !now.reached(self.resume) {
+            return Step::Wait(self.resume.min(self.deadline));
+        }
+        match self.call() {
+            Some(call) => Step::Call { call, deadline: (now + self.settings.call).min(self.deadline) },
+            None => Step::End(End::Failed(Error::new(Kind::Internal, "publishing has no call and no end"))),
+        }
+    }
+
+    /// Takes the outcome of the call from [`Publish::next`].
+    pub fn answer(&mut self, now: Time, outcome: Outcome) {
+        match self.take(now, outcome) {
+            Ok(Progress::Step) => self.budget.succeed(),
+            Ok(Progress::Again(error)) => self.retry(now, error),
+            Err(error) => self.give_up(error),
+        }
+    }
+
+    fn call(&self) -> Option<Call> {
+        let part = |digest: &Digest| Call::Get { kind: PART.to_owned(), name: digest.object_name() };
+        match &self.phase {
+            Phase::Manifest | Phase::Back => {
+                Some(Call::Get { kind: MANIFEST.to_owned(), name: self.settings.fleet.clone() })
+            }
+            Phase::Objects(index) => Some(Call::List { kind: object::Kind::ALL.get(*index)?.to_string() }),
+            Phase::Replaced(digests) | Phase::Theirs(_, digests) => digests.front().map(part),
+            Phase::Parts(digests) => {
+                let digest = digests.front()?;
+                let value = self.draft.as_ref()?.parts.get(digest)?.clone();
+                Some(Call::Put { kind: PART.to_owned(), name: digest.object_name(), version: 0, value })
+            }
+            Phase::Write => {
+                let value = self.draft.as_ref()?.value.clone();
+                let version = self.base.as_ref().map_or(0, |base| base.version);
+                Some(Call::Put { kind: MANIFEST.to_owned(), name: self.settings.fleet.clone(), version, value })
+            }
+            Phase::Done(_) => None,
+        }
+    }
+
+    fn take(&mut self, now: Time, outcome: Outcome) -> Result<Progress> {
+        match (&mut self.phase, outcome) {
+            (_, Outcome::Failed(error)) if error.kind().answer().retry => return Ok(Progress::Again(error)),
+            (_, Outcome::Failed(error)) => return Err(error),
+            (Phase::Manifest, Outcome::Object(object)) => self.take_manifest(object)?,
+            (Phase::Objects(index), Outcome::Objects(objects)) => {
+                let index = *index;
+                self.take_objects(now, index, &objects)?;
+            }
+            (Phase::Replaced(_) | Phase::Theirs(..), Outcome::Object(object)) => self.take_part(now, object)?,
+            (Phase::Parts(digests), Outcome::Written(_) | Outcome::Conflict(1..)) => {
+                digests.pop_front();
+                if digests.is_empty() {
+                    self.phase = Phase::Write;
+                }
+            }
+            (Phase::Write, Outcome::Written(_)) => self.finish_published()?,
+            (Phase::Write, Outcome::Conflict(_)) => self.phase = Phase::Back,
+            (Phase::Write, Outcome::Unknown) => {
+                self.unsure = true;
+                self.phase = Phase::Back;
+            }
+            (Phase::Back, Outcome::Object(object)) => return self.take_back(object),
+            (_, Outcome::Unknown) => return Ok(Progress::again("the answer of the store was lost")),
+            (_, _) => return Ok(Progress::again("the store gave an outcome that does not fit the call")),
+        }
+        Ok(Progress::Step)
+    }
+
+    fn take_manifest(&mut self, object: Option<Object>) -> Result<()> {
+        self.base = object.map(|object| Base::read(&object, &self.settings.fleet)).transpose()?;
+        self.phase = Phase::Objects(0);
+        Ok(())
+    }
+
+    fn take_objects(&mut self, now: Time, index: usize, objects: &[Object]) -> Result<()> {
+        if let Some(kind) = object::Kind::ALL.get(index) {
+            self.objects.add_objects(*kind, objects);
+        }
+        self.phase = Phase::Objects(index + 1);
+        if index + 1 < object::Kind::ALL.len() {
+            return Ok(());
+        }
+        let seed = Seed(self.random.random());
+        let draft = Draft::new(&self.settings.fleet, self.id, seed, &self.objects.set, self.base.as_ref())?;
+        let replaced = draft.replaced(self.base.as_ref());
+        self.draft = Some(draft);
+        self.phase = Phase::Replaced(replaced);
+        self.check_replaced(now)
+    }
+
+    fn take_part(&mut self, now: Time, object: Option<Object>) -> Result<()> {
+        let (Phase::Replaced(digests) | Phase::Theirs(_, digests)) = &mut self.phase else {
+            return Ok(());
+        };
+        let Some(digest) = digests.front().copied() else {
+            return Ok(());
+        };
+        let Some(object) = object else {
+            return Err(Error::new(
+                Kind::Missing,
+                format!("part {digest:?} that a manifest lists is not in the store"),
+            ));
+        };
+        let bytes = encode(&object.value)?;
+        if Digest::of(&bytes) != digest {
+            let found = Digest::of(&bytes);
+            return Err(Error::new(Kind::Digest, format!("part {digest:?} in the store has the digest {found:?}")));
+        }
+        self.fetched.insert(digest, Part::decode(&bytes)?);
+        digests.pop_front();
+        self.check_theirs();
+        self.check_replaced(now)
+    }
+
+    /// Checks the whole set once every replaced part is there.
+    fn check_replaced(&mut self, now: Time) -> Result<()> {
+        let (Phase::Replaced(digests), Some(draft)) = (&self.phase, &mut self.draft) else {
+            return Ok(());
+        };
+        if !digests.is_empty() {
+            return Ok(());
+        }
+        let not_before = now + self.settings.release;
+        let replaced: Vec<&Part> =
+            draft.replaced(self.base.as_ref()).iter().filter_map(|digest| self.fetched.get(digest)).collect();
+        let faults = draft.check(&self.objects, self.base.as_ref(), &replaced, now, not_before);
+        if !faults.is_empty() {
+            self.finish(End::Rejected(faults));
+            return Ok(());
+        }
+        if let Some(base) = self.base.as_ref().filter(|base| draft.same(base)) {
+            let generation = base.manifest.generation;
+            self.finish(End::Unchanged { generation });
+            return Ok(());
+        }
+        draft.seal()?;
+        let digests: VecDeque<Digest> = draft.parts.keys().copied().collect();
+        self.phase = if digests.is_empty() { Phase::Write } else { Phase::Parts(digests) };
+        Ok(())
+    }
+
+    /// Decides about a write whose answer was lost or a conflict by the manifest in the store.
+    fn take_back(&mut self, object: Option<Object>) -> Result<Progress> {
+        let version = self.base.as_ref().map_or(0, |base| base.version);
+        if object.as_ref().map_or(0, |object| object.version) == version {
+            self.phase = Phase::Write;
+            return Ok(Progress::again("the manifest write did not take effect"));
+        }
+        let Some(object) = object else {
+            let message = format!("manifest {:?} was deleted while it was published", self.settings.fleet);
+            return Err(Error::new(Kind::Conflict, message));
+        };
+        let theirs = Base::read(&object, &self.settings.fleet)?.manifest;
+        if theirs.descends_from(self.id) {
+            self.finish_published()?;
+            return Ok(Progress::Step);
+        }
+        // The version moved on, so a write that is still under way cannot take effect any more.
+        self.unsure = false;
+        let digests = draft::differing(self.base.as_ref(), &theirs);
+        let missing = digests.into_iter().filter(|digest| !self.fetched.contains_key(digest)).collect();
+        self.phase = Phase::Theirs(Box::new(theirs), missing);
+        self.check_theirs();
+        Ok(Progress::Step)
+    }
+
+    fn check_theirs(&mut self) {
+        let Phase::Theirs(theirs, digests) = &self.phase else {
+            return;
+        };
+        if digests.is_empty() {
+            let (generation, publish) = (theirs.generation, theirs.publish);
+            let changes = draft::changes(self.base.as_ref(), theirs, &self.fetched);
+            self.finish(End::Conflict(Conflict { generation, publish, changes }));
+        }
+    }
+
+    fn finish_published(&mut self) -> Result<()> {
+        let draft =
+            self.draft.take().ok_or_else(|| Error::new(Kind::Internal, "a publish without draft was written"))?;
+        self.finish(End::Published(draft.report(self.base.as_ref(), &self.fetched)));
+        Ok(())
+    }
+
+    fn finish(&mut self, end: End) {
+        self.phase = Phase::Done(Box::new(end));
+    }
+
+    /// Waits before the call is repeated, for half the backoff to the whole of it.
+    fn retry(&mut self, now: Time, error: Error) {
+        if !self.budget.withdraw() {
+            self.give_up(error);
+            return;
+        }
+        self.budget.fail();
+        let backoff = self.budget.backoff();
+        self.resume = now + backoff / 2 + (backoff / 2).mul_f64(self.random.random());
+    }
+
+    fn give_up(&mut self, error: Error) {
+        let end = match &self.phase {
+            _ if self.unsure => End::Unconfirmed { publish: self.id, error },
+            Phase::Theirs(theirs, _) => {
+                let message = format!(
+                    "publish {} made generation {} first; what it changed cannot be read: {error}",
+                    theirs.publish, theirs.generation
+                );
+                End::Failed(Error::new(Kind::Conflict, message))
+            }
+            _ => End::Failed(error),
+        };
+        self.finish(end);
+    }
+}
--- /dev/null
+++ b/crates/poplarpaddle/tests/objects/fake.rs
@@ -0,0 +1,95 @@
+//! A store in memory. The command line's tests use this file too.
+
+use std::collections::BTreeMap;
+use std::sync::Mutex;
+
+use poplarpaddle::error::{Error, Kind};
+use poplarpaddle::store::{Call, Object, Outcome, Pending, Store};
+use poplarpaddle::time::Time;
+use serde_json::Value;
+
+/// What the store does with a call.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fate {
+    /// Performs and answers it.
+    Answer,
+    /// Performs it, and the answer is lost.
+    Lose,
+    /// Does not perform it, and the caller cannot tell.
+    Drop,
+    /// Refuses the connection.
+    Refuse,
+}
+
+#[derive(Debug, Default)]
+pub struct Fake {
+    objects: Mutex<BTreeMap<(String, String), Object>>,
+    /// Calls that were performed or refused.
+    pub log: Mutex<Vec<Call>>,
+}
+
+impl Fake {
+    pub fn perform(&self, call: &Call, fate: Fate) -> Outcome {
+        self.log.lock().unwrap().push(call.clone());
+        let write = matches!(call, Call::Put { .. } | Call::Delete { .. });
+        let refused = || Outcome::Failed(Error::new(Kind::Unavailable, "connection refused"));
+        match fate {
+            Fate::Answer => self.apply(call),
+            Fate::Refuse => refused(),
+            Fate::Lose | Fate::Drop if !write => refused(),
+            Fate::Drop => Outcome::Unknown,
+            Fate::Lose => {
+                self.apply(call);
+                Outcome::Unknown
+            }
+        }
+    }
+
+    pub fn put(&self, kind: &str, name: &str, value: Value) {
+        let version = self.get(kind, name).map_or(0, |object| object.version);
+        let call = Call::Put { kind: kind.to_owned(), name: name.to_owned(), version, value };
+        assert!(matches!(self.apply(&call), Outcome::Written(_)));
+    }
+
+    pub fn get(&self, kind: &str, name: &str) -> Option<Object> {
+        self.objects.lock().unwrap().get(&(kind.to_owned(), name.to_owned())).cloned()
+    }
+
+    fn apply(&self, call: &Call) -> Outcome {
+        let mut objects = self.objects.lock().unwrap();
+        let key = |kind: &String, name: &String| (kind.clone(), name.clone());
+        match call {
+            Call::List { kind } => {
+                Outcome::Objects(objects.values().filter(|object| object.kind == *kind).cloned().collect())
+            }
+            Call::Get { kind, name } | Call::Watch { kind, name, .. } => {
+                Outcome::Object(objects.get(&key(kind, name)).cloned())
+            }
+            Call::Put { kind, name, version, value } => {
+                let found = objects.get(&key(kind, name)).map_or(0, |object| object.version);
+                if found != *version {
+                    return Outcome::Conflict(found);
+                }
+                let (version, value) = (version + 1, value.clone());
+                let object = Object { kind: kind.clone(), name: name.clone(), version, value };
+                objects.insert(key(kind, name), object);
+                Outcome::Written(version)
+            }
+            Call::Delete { kind, name, version } => {
+                let found = objects.get(&key(kind, name)).map_or(0, |object| object.version);
+                if found != *version || found == 0 {
+                    return Outcome::Conflict(found);
+                }
+                objects.remove(&key(kind, name));
+                Outcome::Written(version + 1)
+            }
+            Call::Vms => Outcome::Vms(Vec::new()),
+        }
+    }
+}
+
+impl Store for Fake {
+    fn call<'a>(&'a self, call: &'a Call, _deadline: Time) -> Pending<'a> {
+        Box::pin(async move { self.perform(call, Fate::Answer) })
+    }
+}
--- a/crates/poplarpaddle/tests/objects/main.rs
+++ b/crates/poplarpaddle/tests/objects/main.rs
@@ -2,4 +2,9 @@
 
 mod check;
 mod config;
+mod fake;
+mod history;
+mod mutation;
+mod publish;
+mod size;
 mod support;
--- /dev/null
+++ b/crates/poplarpaddle/tests/objects/publish.rs
@@ -0,0 +1,225 @@
+//! Publishing against a store that conflicts, loses answers and goes down.
+
+use std::time::Duration;
+
+use poplarpaddle::config::PublishId;
+use poplarpaddle::error::Kind;
+use poplarpaddle::object::{Change, Set};
+use poplarpaddle::publish::{End, Published};
+use poplarpaddle::store::Call;
+use poplarpaddle::time::Time;
+use serde_json::json;
+
+use crate::fake::{Fake, Fate};
+use crate::support::{Operator, add_target, fill, manifest, set};
+
+const START: Time = Time::from_millis(1_000_000);
+
+fn filled(set: &Set) -> Fake {
+    let store = Fake::default();
+    fill(&store, set);
+    store
+}
+
+fn published(end: End) -> Published {
+    match end {
+        End::Published(published) => published,
+        other => panic!("{other:?}"),
+    }
+}
+
+fn names(changes: &[Change]) -> Vec<String> {
+    changes.iter().map(ToString::to_string).collect()
+}
+
+fn is_manifest_write(call: &Call) -> bool {
+    matches!(call, Call::Put { kind, .. } if kind == "manifest")
+}
+
+fn publish(store: &Fake, seed: u64, now: Time) -> End {
+    Operator::new(seed, now).run(store, |_call| Fate::Answer)
+}
+
+fn add(store: &Fake, index: u32) {
+    let mut extra = Set::default();
+    add_target(&mut extra, 0, index);
+    fill(store, &extra);
+}
+
+/// Guards against a publish that writes more than it has to, changes the seed or repeats a generation.
+#[test]
+fn a_change_rewrites_one_part() {
+    let store = filled(&set(6, 4));
+    let first = published(publish(&store, 1, START));
+    assert_eq!((first.generation, first.changes.len()), (1, 3 + 2 + 6 + 24));
+    let seed = manifest(&store).seed;
+    store.log.lock().unwrap().clear();
+    assert_eq!(publish(&store, 2, START), End::Unchanged { generation: 1 });
+    assert!(store.log.lock().unwrap().iter().all(|call| !matches!(call, Call::Put { .. })), "nothing is written");
+    add(&store, 900);
+    store.log.lock().unwrap().clear();
+    let second = published(publish(&store, 3, START));
+    assert_eq!((second.generation, second.parts), (2, 1));
+    assert_eq!(names(&second.changes), ["added target \"host-900\""]);
+    let writes = store.log.lock().unwrap().iter().filter(|call| matches!(call, Call::Put { .. })).count();
+    assert_eq!(writes, 2, "one part and the manifest");
+    assert_eq!(manifest(&store).seed, seed);
+}
+
+/// Guards against a publish that silently replaces what another operator published meanwhile.
+#[test]
+fn the_second_of_two_operators_gets_a_conflict_with_the_names() {
+    let store = filled(&set(6, 4));
+    publish(&store, 1, START);
+    add(&store, 900);
+    let mut slow = Operator::new(2, START);
+    while !slow.call().is_ok_and(|call| is_manifest_write(&call)) {
+        slow.step(&store, Fate::Answer);
+    }
+    add(&store, 901);
+    store.put("zone", "nz-south-a", json!({"name": "nz-south-a", "region": "nz-west"}));
+    let first = published(publish(&store, 3, START));
+    let before = manifest(&store);
+    let End::Conflict(conflict) = slow.run(&store, |_call| Fate::Answer) else { panic!("a conflict is due") };
+    assert_eq!((conflict.generation, conflict.publish), (first.generation, first.publish));
+    let expected = ["changed zone \"nz-south-a\"", "added target \"host-900\"", "added target \"host-901\""];
+    assert_eq!(names(&conflict.changes), expected);
+    assert_eq!(manifest(&store), before);
+    let error = End::Conflict(conflict).error().unwrap();
+    assert_eq!(error.kind(), Kind::Conflict);
+    assert!(error.message().contains("added target \"host-901\""), "{error}");
+}
+
+/// Guards against a lost answer that is taken for a success or a failure, or leads to a second generation.
+#[test]
+fn a_lost_answer_is_read_back() {
+    // Fates of the manifest writes in turn, then the number of writes that take effect and the generation.
+    let cases = [
+        (vec![Fate::Lose], 1),
+        (vec![Fate::Drop, Fate::Answer], 2),
+        (vec![Fate::Drop, Fate::Drop, Fate::Lose], 3),
+        (vec![Fate::Refuse, Fate::Lose], 2),
+    ];
+    for (fates, attempts) in cases {
+        let store = filled(&set(2, 2));
+        let mut left = fates.clone().into_iter();
+        let mut operator = Operator::new(5, START);
+        let end =
+            operator.run(&store, |call| if is_manifest_write(call) { left.next().unwrap() } else { Fate::Answer });
+        let result = published(end);
+        assert_eq!((result.generation, result.publish), (1, operator.publish.id()), "{fates:?}");
+        assert_eq!(manifest(&store).generation, 1);
+        assert_eq!(store.get("manifest", "kauri").unwrap().version, 1, "{fates:?}");
+        let writes = store.log.lock().unwrap().iter().filter(|call| is_manifest_write(call)).count();
+        assert_eq!(writes, attempts, "{fates:?}");
+    }
+}
+
+/// Guards against a lost success when another operator publishes before the manifest is read back.
+#[test]
+fn a_lost_answer_is_found_below_a_later_generation() {
+    for (fate, accepted) in [(Fate::Lose, true), (Fate::Drop, false)] {
+        let store = filled(&set(2, 2));
+        let mut first = Operator::new(6, START);
+        while !first.call().is_ok_and(|call| is_manifest_write(&call)) {
+            first.step(&store, Fate::Answer);
+        }
+        first.step(&store, fate);
+        add(&store, 900);
+        published(publish(&store, 7, START));
+        match first.run(&store, |_call| Fate::Answer) {
+            End::Published(result) => assert!(accepted && result.generation == 1),
+            End::Conflict(conflict) => assert!(!accepted && conflict.generation == 1),
+            other => panic!("{other:?}"),
+        }
+    }
+}
+
+/// Guards against an endless publish, a half-written generation, and a claim about a write that nobody confirmed.
+#[test]
+fn an_outage_ends_the_publish_with_a_clear_error() {
+    let total = {
+        let store = filled(&set(6, 2));
+        publish(&store, 8, START);
+        store.log.lock().unwrap().len()
+    };
+    for up in 0..total {
+        let store = filled(&set(6, 2));
+        let mut left = up;
+        let mut operator = Operator::new(9, START);
+        let end = operator.run(&store, |_call| {
+            let fate = if left > 0 { Fate::Answer } else { Fate::Refuse };
+            left = left.saturating_sub(1);
+            fate
+        });
+        let End::Failed(error) = end else { panic!("{end:?} after {up} calls") };
+        assert!(matches!(error.kind(), Kind::Unavailable | Kind::Timeout), "{error}");
+        assert!(store.get("manifest", "kauri").is_none(), "after {up} calls");
+        assert!(operator.now.since(START) <= Duration::from_secs(20), "after {up} calls");
+        let again = published(publish(&store, 10, START));
+        assert_eq!(again.generation, 1, "the parts that were written do no harm");
+    }
+    let store = filled(&set(2, 2));
+    let mut down = false;
+    let end = Operator::new(11, START).run(&store, |call| {
+        let fate = if down { Fate::Refuse } else { Fate::Answer };
+        down |= is_manifest_write(call);
+        if is_manifest_write(call) { Fate::Lose } else { fate }
+    });
+    assert!(matches!(end, End::Unconfirmed { .. }), "{end:?}");
+    assert_eq!(end.error().unwrap().kind(), Kind::Timeout);
+}
+
+/// Guards against answers of old flows that reach another service when an endpoint is moved.
+#[test]
+fn a_moved_endpoint_waits_for_its_time() {
+    let store = filled(&set(2, 3));
+    publish(&store, 1, START);
+    let moved = json!({"name": "host-0", "service": "service-1", "zone": "nz-south-a", "address": "127.16.0.1",
+        "slots": 3, "connections": 4400, "draining": false});
+    store.put("target", "host-0", moved.clone());
+    let End::Rejected(faults) = publish(&store, 2, START) else { panic!("moved in one step") };
+    assert!(faults[0].to_string().contains("127.16.0.1:80"), "{}", faults[0]);
+    let away = Call::Delete { kind: "target".to_owned(), name: "host-0".to_owned(), version: 2 };
+    store.perform(&away, Fate::Answer);
+    published(publish(&store, 3, START));
+    let released = manifest(&store).released;
+    assert_eq!((released.len(), released[0].not_before_ms), (1, 1_060_000));
+    // Other publishes in between carry the entry over.
+    add(&store, 900);
+    published(publish(&store, 4, START + Duration::from_secs(30)));
+    assert_eq!(manifest(&store).released, released);
+    store.put("target", "host-0", moved);
+    let early = publish(&store, 5, START + Duration::from_secs(59));
+    assert_eq!(early.error().unwrap().kind(), Kind::Object, "{early:?}");
+    published(publish(&store, 6, START + Duration::from_mins(1)));
+    assert_eq!(manifest(&store).released, []);
+}
+
+/// Guards against faults that are reported one publish after the other, and against writes of a faulty set.
+#[test]
+fn a_faulty_set_is_rejected_as_a_whole() {
+    let store = filled(&set(2, 2));
+    store.put("service", "service-0", json!({"name": "service-0", "address": "10.0.0.1", "ports": [], "shrads": 2}));
+    store.put(
+        "target",
+        "host-1",
+        json!({"name": "host-1", "service": "absent", "zone": "nowhere",
+        "address": "127.16.0.3", "slots": 0, "connections": 1}),
+    );
+    let End::Rejected(faults) = publish(&store, 1, START) else { panic!("the set has faults") };
+    insta::assert_snapshot!(poplarpaddle::object::Fault::error(&faults));
+    assert!(store.get("manifest", "kauri").is_none());
+    store.put("manifest", "kauri", json!({"generation": "none"}));
+    let error = publish(&store, 2, START).error().unwrap();
+    assert!(error.message().starts_with("manifest is malformed"), "{error}");
+}
+
+/// Guards against publish ids that repeat between operators.
+#[test]
+fn ids_follow_the_seed() {
+    let id = |seed: u64| Operator::new(seed, START).publish.id();
+    assert_eq!(id(1), id(1));
+    assert_ne!(id(1), id(2));
+    assert_eq!(id(1).to_string().parse::<PublishId>().unwrap(), id(1));
+}
--- a/crates/poplarpaddle/tests/objects/support.rs
+++ b/crates/poplarpaddle/tests/objects/support.rs
@@ -3,7 +3,12 @@
 use std::net::Ipv4Addr;
 
 use poplarpaddle::config::{Digest, FORMAT, Manifest, PublishId, Seed, divide};
-use poplarpaddle::object::{Port, Priority, Service, Set, Target, Zone};
+use poplarpaddle::object::{Kind, Port, Priority, Service, Set, Target, Zone};
+use poplarpaddle::publish::{End, Publish, Settings, Step};
+use poplarpaddle::store::Call;
+use poplarpaddle::time::Time;
+
+use crate::fake::{Fake, Fate};
 
 /// A set of `services` services on port 80 with `targets` targets each.
 pub fn set(services: u32, targets: u32) -> Set {
@@ -61,3 +66,60 @@
     };
     (manifest, parts)
 }
+
+/// Writes every object of `set` to the store.
+pub fn fill(store: &Fake, set: &Set) {
+    for kind in Kind::ALL {
+        for name in set.names(kind) {
+            store.put(&kind.to_string(), name, set.get(kind, name).unwrap().to_value().unwrap());
+        }
+    }
+}
+
+/// A publish with its own clock.
+pub struct Operator {
+    pub publish: Publish,
+    pub now: Time,
+}
+
+impl Operator {
+    pub fn new(seed: u64, now: Time) -> Self {
+        let settings = Settings { fleet: "kauri".to_owned(), seed, ..Default::default() };
+        Self { publish: Publish::new(now, settings), now }
+    }
+
+    /// Returns the next call, or how the publish ended.
+    pub fn call(&mut self) -> Result<Call, End> {
+        loop {
+            match self.publish.next(self.now) {
+                Step::Call { call, .. } => return Ok(call),
+                Step::Wait(until) => self.now = until,
+                Step::End(end) => return Err(end),
+            }
+        }
+    }
+
+    /// Performs one call.
+    pub fn step(&mut self, store: &Fake, fate: Fate) -> Option<End> {
+        match self.call() {
+            Ok(call) => self.publish.answer(self.now, store.perform(&call, fate)),
+            Err(end) => return Some(end),
+        }
+        None
+    }
+
+    pub fn run(&mut self, store: &Fake, mut fate: impl FnMut(&Call) -> Fate) -> End {
+        loop {
+            match self.call() {
+                Ok(call) => self.publish.answer(self.now, store.perform(&call, fate(&call))),
+                Err(end) => return end,
+            }
+        }
+    }
+}
+
+/// The manifest in the store.
+pub fn manifest(store: &Fake) -> Manifest {
+    let object = store.get("manifest", "kauri").unwrap();
+    Manifest::decode(&poplarpaddle::config::encode(&object.value).unwrap()).unwrap()
+}
