--- a/crates/poplarpaddle/src/lib.rs
+++ b/crates/poplarpaddle/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod path;
 pub mod placement;
 pub mod prelude;
+pub mod publish;
 pub mod recovery;
 pub mod retry;
 pub mod store;
