Add membership and the spread of configuration between peers

A balancer has to learn which peers are reachable and which configuration is in force without a special node.

membership implements SWIM with a shared shuffle, so that each member is pinged exactly once a period. control::Node carries generation and digest on every message and fetches a higher generation from peers. A report of a death that was not observed is verified first, so a healed partition does not make either side drop its own members.

The gossip message gains leaving hosts with a time to live, the outcome of an indirect ping and a page of the table; it has a bounded size.

--- /dev/null
+++ b/crates/poplarpaddle/src/control/spread.rs
@@ -0,0 +1,283 @@
+//! Fetching of newer configuration from peers.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use super::{Action, Digest, Node, Offer};
+use crate::error::{Error, Result};
+use crate::membership::millis;
+use crate::path::MemberId;
+use crate::time::Time;
+use crate::wire::{Record, State};
+
+/// Parts that are fetched at the same time.
+const PARALLEL: usize = 4;
+
+/// Most peers whose generation is remembered.
+const MAX_PEERS: usize = 4096;
+
+/// Highest exponent of the backoff.
+const MAX_DOUBLINGS: u32 = 6;
+
+/// Generation of a peer and how often fetches from it failed.
+#[derive(Debug)]
+pub(super) struct Peer {
+    pub(super) address: SocketAddr,
+    pub(super) generation: u64,
+    failures: u32,
+    retry: Time,
+}
+
+/// A fetch whose answer is outstanding.
+#[derive(Debug)]
+struct Fetch {
+    peer: SocketAddr,
+    until: Time,
+}
+
+/// Where the missing parts come from.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Source {
+    /// The object store.
+    #[default]
+    Store,
+    /// Peers that report at least this generation.
+    Peer(u64),
+}
+
+/// What has to be fetched.
+#[derive(Debug, Default)]
+pub(super) struct Spread {
+    pub(super) peers: BTreeMap<MemberId, Peer>,
+    manifest: Option<Fetch>,
+    /// Missing parts, each with its fetch.
+    parts: BTreeMap<Digest, Option<Fetch>>,
+    /// Who served the manifest whose parts are missing.
+    source: Source,
+    retry: Option<Time>,
+}
+
+impl Spread {
+    /// Takes the generation that a peer reports.
+    pub(super) fn heard(&mut self, sender: &Record, generation: u64) {
+        if self.peers.len() >= MAX_PEERS && !self.peers.contains_key(&sender.id) {
+            return;
+        }
+        let address = sender.peer;
+        let new = Peer { address, generation, failures: 0, retry: Time::default() };
+        let peer = self.peers.entry(sender.id).or_insert(new);
+        peer.address = address;
+        peer.generation = generation;
+    }
+
+    pub(super) fn deadline(&self) -> Time {
+        let parts = self.parts.values().flatten();
+        let fetches = parts.chain(&self.manifest).map(|fetch| fetch.until);
+        fetches.chain(self.retry).min().unwrap_or(Time::NEVER)
+    }
+
+    /// Returns the peer with the highest generation above `above` that may be asked now.
+    fn best(&self, now: Time, above: u64) -> Option<SocketAddr> {
+        let ready = self.peers.values().filter(|peer| peer.generation > above && now.reached(peer.retry));
+        ready.max_by_key(|peer| (peer.generation, std::cmp::Reverse(peer.failures))).map(|peer| peer.address)
+    }
+
+    fn next_retry(&self, above: u64) -> Option<Time> {
+        self.peers.values().filter(|peer| peer.generation > above).map(|peer| peer.retry).min()
+    }
+
+    /// Lets `peer` rest after a failure.
+    fn fail(&mut self, now: Time, address: SocketAddr, first: u64, most: u64) {
+        for peer in self.peers.values_mut().filter(|peer| peer.address == address) {
+            let pause = (first << peer.failures.min(MAX_DOUBLINGS)).min(most);
+            peer.failures += 1;
+            peer.retry = now + millis(pause);
+        }
+    }
+
+    fn succeed(&mut self, address: SocketAddr) {
+        for peer in self.peers.values_mut().filter(|peer| peer.address == address) {
+            peer.failures = 0;
+        }
+    }
+
+    fn clear(&mut self) {
+        self.manifest = None;
+        self.parts.clear();
+        self.source = Source::Store;
+    }
+
+    /// Returns the generation that is being fetched, `generation` for none.
+    fn wanted(&self, generation: u64) -> u64 {
+        match self.source {
+            Source::Peer(wanted) if !self.parts.is_empty() => wanted.max(generation),
+            Source::Peer(_) | Source::Store => generation,
+        }
+    }
+}
+
+impl Node {
+    /// Starts and repeats fetches.
+    pub(super) fn spread(&mut self, now: Time) {
+        self.forget_peers();
+        self.expire_fetches(now);
+        let generation = self.config.generation();
+        self.spread.retry = None;
+        self.fetch_parts(now);
+        if self.spread.manifest.is_none() {
+            let wanted = self.spread.wanted(generation);
+            match self.spread.best(now, wanted) {
+                Some(peer) => self.fetch_manifest(now, peer),
+                None => self.spread.retry = self.spread.next_retry(wanted),
+            }
+        }
+    }
+
+    fn fetch_manifest(&mut self, now: Time, peer: SocketAddr) {
+        let until = now + millis(self.settings.fetch_ms);
+        self.spread.manifest = Some(Fetch { peer, until });
+        self.actions.push(Action::FetchManifest { peer });
+    }
+
+    fn fetch_parts(&mut self, now: Time) {
+        let running = self.spread.parts.values().flatten().count();
+        let idle = self.spread.parts.iter().filter(|(_, fetch)| fetch.is_none()).map(|(digest, _)| *digest);
+        let due: Vec<_> = idle.take(PARALLEL.saturating_sub(running)).collect();
+        let Source::Peer(wanted) = self.spread.source else { return };
+        if due.is_empty() {
+            return;
+        }
+        let Some(peer) = self.spread.best(now, wanted.saturating_sub(1)) else {
+            // Nobody else has it, so the search starts again with the manifest of the next best peer.
+            self.spread.parts.clear();
+            return;
+        };
+        for digest in due {
+            let until = now + millis(self.settings.fetch_ms);
+            self.spread.parts.insert(digest, Some(Fetch { peer, until }));
+            self.actions.push(Action::FetchPart { peer, digest });
+        }
+    }
+
+    fn expire_fetches(&mut self, now: Time) {
+        let mut failed = Vec::new();
+        if let Some(fetch) = self.spread.manifest.take_if(|fetch| now.reached(fetch.until)) {
+            failed.push(fetch.peer);
+        }
+        for slot in self.spread.parts.values_mut() {
+            if let Some(fetch) = slot.take_if(|fetch| now.reached(fetch.until)) {
+                failed.push(fetch.peer);
+            }
+        }
+        failed.sort_unstable();
+        failed.dedup();
+        for peer in failed {
+            self.fetch_failed(now, peer);
+        }
+    }
+
+    fn fetch_failed(&mut self, now: Time, peer: SocketAddr) {
+        let (first, most) = (self.settings.backoff_ms, self.settings.backoff_most_ms);
+        self.spread.fail(now, peer, first, most);
+    }
+
+    fn forget_peers(&mut self) {
+        let membership = &self.membership;
+        let alive = |id: &MemberId| membership.record(*id).is_some_and(|record| record.state != State::Dead);
+        self.spread.peers.retain(|id, _| alive(id));
+    }
+
+    pub(super) fn manifest_answer(
+        &mut self,
+        now: Time,
+        peer: SocketAddr,
+        outcome: std::result::Result<&[u8], &Error>,
+    ) -> Result<()> {
+        if self.spread.manifest.take_if(|fetch| fetch.peer == peer).is_none() {
+            return Ok(());
+        }
+        let claimed = self.spread.peers.values().filter(|known| known.address == peer).map(|known| known.generation);
+        let claimed = claimed.max().unwrap_or(0);
+        let result = outcome.map_err(Clone::clone).and_then(|bytes| self.offer(now, bytes));
+        match result {
+            Ok(Offer::Missing(_)) => self.spread.source = Source::Peer(claimed),
+            Ok(Offer::Applied) => self.spread.succeed(peer),
+            // The peer reported a higher generation than it serves.
+            Ok(Offer::Stale | Offer::Current) | Err(_) => self.fetch_failed(now, peer),
+        }
+        result.map(|_| ())
+    }
+
+    pub(super) fn part_answer(
+        &mut self,
+        now: Time,
+        peer: SocketAddr,
+        digest: Digest,
+        outcome: std::result::Result<&[u8], &Error>,
+    ) -> Result<()> {
+        let Some(slot) = self.spread.parts.get_mut(&digest) else { return Ok(()) };
+        *slot = None;
+        let result = outcome.map_err(Clone::clone).and_then(|bytes| self.supply(now, digest, bytes));
+        match result {
+            Ok(_) => self.spread.succeed(peer),
+            Err(_) => self.fetch_failed(now, peer),
+        }
+        result.map(|_| ())
+    }
+
+    /// Offers a manifest and notes the parts that it needs.
+    pub(super) fn offer(&mut self, now: Time, bytes: &[u8]) -> Result<Offer> {
+        let before = self.config.generation();
+        let offer = self.config.offer(bytes)?;
+        self.offered(now, before, &offer);
+        Ok(offer)
+    }
+
+    /// Supplies the part `digest`.
+    pub(super) fn supply(&mut self, now: Time, digest: Digest, bytes: &[u8]) -> Result<Offer> {
+        let found = blake3::hash(bytes);
+        if found != blake3::Hash::from_bytes(digest) {
+            let text = format!("part {} has the digest {found}", blake3::Hash::from_bytes(digest));
+            return Err(Error::new(crate::error::Kind::Digest, text));
+        }
+        let before = self.config.generation();
+        let offer = match self.config.supply(bytes) {
+            Ok(offer) => offer,
+            Err(error) => {
+                // All parts are there and the set does not compile: only another manifest helps.
+                self.spread.parts.clear();
+                return Err(error);
+            }
+        };
+        self.spread.parts.remove(&digest);
+        self.offered(now, before, &offer);
+        Ok(offer)
+    }
+
+    fn offered(&mut self, now: Time, before: u64, offer: &Offer) {
+        match offer {
+            Offer::Missing(digests) => {
+                let parts = &mut self.spread.parts;
+                parts.retain(|digest, _| digests.contains(digest));
+                for digest in digests {
+                    parts.entry(*digest).or_insert(None);
+                }
+            }
+            Offer::Applied => self.applied(now, before),
+            Offer::Stale | Offer::Current => {}
+        }
+    }
+
+    /// Passes on that a new generation is in force.
+    fn applied(&mut self, now: Time, before: u64) {
+        let generation = self.config.generation();
+        self.spread.clear();
+        if generation <= before {
+            return;
+        }
+        self.dirty = true;
+        self.membership.push_to(self.settings.fanout);
+        let digest = blake3::Hash::from_bytes(self.config.digest());
+        self.event(now, "config.applied", generation.to_string(), digest.to_string());
+    }
+}
--- a/crates/poplarpaddle/src/lib.rs
+++ b/crates/poplarpaddle/src/lib.rs
@@ -21,9 +21,11 @@
 //! decisions, and in return every run can be replayed.
 
 pub mod admission;
+pub mod control;
 pub mod error;
 pub mod event;
 pub mod map;
+pub mod membership;
 pub mod object;
 pub mod packet;
 pub mod path;
--- /dev/null
+++ b/crates/poplarpaddle/src/membership/check.rs
@@ -0,0 +1,74 @@
+//! Checks of messages before any part of them takes effect.
+
+use crate::error::{Error, Kind, Result};
+use crate::wire::{Gossip, Record, State, VERSION};
+
+/// Most updates in one message. The byte limit of a sender allows about 20.
+pub const MAX_UPDATES: usize = 64;
+
+/// Most leaving hosts in one message.
+pub const MAX_LEAVING: usize = 64;
+
+/// Longest validity of a leaving host, in milliseconds.
+pub const MAX_TTL_MS: u32 = 60_000;
+
+/// Highest incarnation and generation; JSON numbers are exact up to here, and adding one never overflows.
+pub const MAX_COUNTER: u64 = 1 << 53;
+
+const MAX_NAME: usize = 64;
+
+/// Checks a message for the member `me`.
+///
+/// # Errors
+///
+/// [`Kind::Message`] with the place and the value of the first fault.
+pub fn check(me: &Record, gossip: &Gossip) -> Result<()> {
+    if gossip.version != VERSION {
+        return fault("version", &format!("{} is not {VERSION}", gossip.version));
+    }
+    check_record(me, &gossip.sender, "sender")?;
+    if gossip.sender.state == State::Dead {
+        return fault("sender.state", "a sender is not dead");
+    }
+    check_count("generation", gossip.generation, MAX_COUNTER)?;
+    check_count("updates", gossip.updates.len() as u64, MAX_UPDATES as u64)?;
+    check_count("leaving", gossip.leaving.len() as u64, MAX_LEAVING as u64)?;
+    for leaving in &gossip.leaving {
+        check_count("leaving.ttl_ms", leaving.ttl_ms.into(), MAX_TTL_MS.into())?;
+    }
+    gossip.updates.iter().try_for_each(|record| check_record(me, record, "updates"))
+}
+
+fn check_record(me: &Record, record: &Record, place: &str) -> Result<()> {
+    for (field, value) in [("name", &record.name), ("zone", &record.zone), ("region", &record.region)] {
+        if value.is_empty() || value.len() > MAX_NAME {
+            return fault(&format!("{place}.{field}"), &format!("{} bytes are not 1 to {MAX_NAME}", value.len()));
+        }
+    }
+    for (field, address) in [("peer", record.peer), ("relay", record.relay)] {
+        if address.port() == 0 || address.ip().is_unspecified() || address.ip().is_multicast() {
+            return fault(&format!("{place}.{field}"), &format!("{address} is no address of a member"));
+        }
+    }
+    check_count(&format!("{place}.incarnation"), record.incarnation, MAX_COUNTER)?;
+    if record.region != me.region {
+        let text = format!("{:?} is not the own region {:?}", record.region, me.region);
+        return fault(&format!("{place}.region"), &text);
+    }
+    if record.id == me.id && (&record.name, &record.zone, record.peer) != (&me.name, &me.zone, me.peer) {
+        let text = format!("own id {} with name {:?} at {}", record.id, record.name, record.peer);
+        return fault(&format!("{place}.id"), &text);
+    }
+    Ok(())
+}
+
+fn check_count(place: &str, value: u64, most: u64) -> Result<()> {
+    if value > most {
+        return fault(place, &format!("{value} is more than {most}"));
+    }
+    Ok(())
+}
+
+fn fault(place: &str, text: &str) -> Result<()> {
+    Err(Error::new(Kind::Message, format!("gossip {place}: {text}")))
+}
--- /dev/null
+++ b/crates/poplarpaddle/src/membership/table.rs
@@ -0,0 +1,203 @@
+//! Changes of member records.
+
+use std::time::Duration;
+
+use super::{Letter, Membership, millis};
+use crate::path::MemberId;
+use crate::time::Time;
+use crate::wire::{Record, State};
+
+/// What is known of another member.
+#[derive(Debug)]
+pub(super) struct Entry {
+    pub(super) record: Record,
+    /// When a suspect or silent member is declared dead, or a dead one forgotten; [`Time::NEVER`] otherwise.
+    pub(super) until: Time,
+    /// When the suspicion began.
+    since: Time,
+    /// True once the member announced its leaving.
+    left: bool,
+}
+
+impl Entry {
+    /// Gives a suspect or silent member a fresh deadline.
+    pub(super) fn postpone(&mut self, now: Time, time: Duration) {
+        if self.record.state != State::Dead && self.until != Time::NEVER {
+            self.until = now + time;
+            self.since = now;
+        }
+    }
+
+    /// Takes a sign of life. A suspicion stays until the member refutes it, but its deadline starts afresh.
+    pub(super) fn answers(&mut self, now: Time, suspect: Duration) {
+        match self.record.state {
+            State::Suspect => self.postpone(now, suspect),
+            State::Leaving => self.until = Time::NEVER,
+            State::Alive | State::Dead => {}
+        }
+    }
+
+    /// Returns true for a dead member that did not leave by itself.
+    pub(super) fn is_lost(&self) -> bool {
+        self.record.state == State::Dead && !self.left
+    }
+}
+
+impl Membership {
+    /// Takes a record. `direct` says that it came from the member itself.
+    pub(super) fn apply(&mut self, now: Time, record: &Record, direct: bool) {
+        if record.id == self.me.id {
+            self.refute(now, record);
+            return;
+        }
+        let Some(entry) = self.table.get(&record.id) else {
+            self.insert(now, record);
+            return;
+        };
+        let (known, state) = (entry.record.incarnation, entry.record.state);
+        if (record.incarnation, record.state) <= (known, state) {
+            return;
+        }
+        if record.state == State::Dead && matches!(state, State::Alive | State::Suspect) {
+            self.reported_dead(now, record);
+            return;
+        }
+        self.replace(now, record);
+        if direct && state == State::Dead {
+            self.sync(now, record);
+        }
+    }
+
+    /// Raises the own incarnation when others hold another state than the own one.
+    fn refute(&mut self, now: Time, record: &Record) {
+        if record.state == State::Dead && record.incarnation >= self.condemned_from {
+            // The report may be older than the own incarnation: the member refuted the suspicion too late.
+            self.condemned = true;
+            self.condemned_from = record.incarnation + 1;
+        }
+        if record.incarnation < self.me.incarnation || record.state == self.me.state {
+            return;
+        }
+        self.me.incarnation = record.incarnation + 1;
+        self.changed(now, "member.refuted", self.me.id, false);
+    }
+
+    fn insert(&mut self, now: Time, record: &Record) {
+        if record.state == State::Dead || !self.make_room() {
+            return;
+        }
+        let until = if record.state == State::Suspect { now + millis(self.settings.suspect_ms) } else { Time::NEVER };
+        let left = record.state == State::Leaving;
+        self.table.insert(record.id, Entry { record: record.clone(), until, since: now, left });
+        self.changed(now, "member.joined", record.id, true);
+    }
+
+    /// Returns true when the table has room, after forgetting the dead member that would be forgotten first.
+    fn make_room(&mut self) -> bool {
+        if self.table.len() + 1 < self.settings.limit {
+            return true;
+        }
+        let dead = self.table.iter().filter(|(_, entry)| entry.record.state == State::Dead);
+        let Some(id) = dead.min_by_key(|(_, entry)| entry.until).map(|(id, _)| *id) else { return false };
+        self.table.remove(&id);
+        self.queue.remove(&id);
+        true
+    }
+
+    fn replace(&mut self, now: Time, record: &Record) {
+        let Some(entry) = self.table.get_mut(&record.id) else { return };
+        let before = entry.record.state;
+        let moved = entry.record.relay != record.relay;
+        entry.record = record.clone();
+        entry.since = now;
+        entry.left |= record.state == State::Leaving;
+        entry.until = match record.state {
+            State::Alive | State::Leaving => Time::NEVER,
+            State::Suspect => now + millis(self.settings.suspect_ms),
+            State::Dead if entry.left => now + millis(self.settings.forget_left_ms),
+            State::Dead => now + millis(self.settings.forget_ms),
+        };
+        let name = match record.state {
+            State::Alive => "member.alive",
+            State::Suspect => "member.suspect",
+            State::Leaving => "member.leaving",
+            State::Dead => "member.dead",
+        };
+        let reach = moved || presence(before) != presence(record.state);
+        if record.state == State::Dead {
+            self.probes.remove(&record.id);
+        }
+        self.changed(now, name, record.id, reach);
+    }
+
+    /// Takes the report of a death that this member did not observe. After a partition each side reports the other
+    /// side's members dead, so the report counts at once only if the suspicion is old.
+    fn reported_dead(&mut self, now: Time, record: &Record) {
+        let verify = now + millis(self.settings.verify_ms);
+        let half = millis(self.settings.suspect_ms / 2);
+        let Some(entry) = self.table.get_mut(&record.id) else { return };
+        if entry.record.state == State::Suspect && now.reached(entry.since + half) {
+            self.replace(now, record);
+            return;
+        }
+        let known = (entry.record.incarnation, entry.record.state);
+        if known != (record.incarnation, State::Suspect) {
+            self.replace(now, &Record { state: State::Suspect, ..record.clone() });
+            self.probe(now, record.id, None);
+        }
+        if let Some(entry) = self.table.get_mut(&record.id) {
+            entry.until = entry.until.min(verify);
+        }
+    }
+
+    /// Takes the failure of a ping.
+    pub(super) fn suspect(&mut self, now: Time, id: MemberId) {
+        let deadline = now + millis(self.settings.suspect_ms);
+        let Some(entry) = self.table.get_mut(&id) else { return };
+        match entry.record.state {
+            State::Alive => {
+                let record = Record { state: State::Suspect, ..entry.record.clone() };
+                self.replace(now, &record);
+            }
+            State::Leaving => entry.until = entry.until.min(deadline),
+            State::Suspect | State::Dead => {}
+        }
+    }
+
+    pub(super) fn declare_dead(&mut self, now: Time, id: MemberId) {
+        let Some(entry) = self.table.get(&id) else { return };
+        let record = Record { state: State::Dead, ..entry.record.clone() };
+        self.replace(now, &record);
+    }
+
+    /// Declares silent members dead and forgets long-dead ones.
+    pub(super) fn expire(&mut self, now: Time) {
+        let due: Vec<_> = self.table.iter().filter(|(_, entry)| now.reached(entry.until)).map(|(id, _)| *id).collect();
+        for id in due {
+            if self.table.get(&id).is_some_and(|entry| entry.record.state != State::Dead) {
+                self.declare_dead(now, id);
+                continue;
+            }
+            self.table.remove(&id);
+            self.queue.remove(&id);
+        }
+    }
+
+    /// Starts to read the whole table of `peer`, which saw other members than this one.
+    fn sync(&mut self, now: Time, peer: &Record) {
+        if !now.reached(self.next_sync) {
+            return;
+        }
+        self.next_sync = now + millis(self.settings.page_ms);
+        self.syncing = true;
+        self.letters.push(Letter { page: Some(MemberId(0)), ..Letter::to(peer) });
+    }
+}
+
+const fn presence(state: State) -> u8 {
+    match state {
+        State::Alive | State::Suspect => 0,
+        State::Leaving => 1,
+        State::Dead => 2,
+    }
+}
--- a/crates/poplarpaddle/src/wire.rs
+++ b/crates/poplarpaddle/src/wire.rs
@@ -2,12 +2,16 @@
 //!
 //! Peer messages are encoded by `rmp-serde`. Gossip goes over HTTP; relayed packets go over UDP, one [`Relay`] a datagram.
 
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
 
 use serde::{Deserialize, Serialize};
 
+use crate::error::{Error, Kind, Result};
 use crate::path::{Hop, MemberId};
 
+/// Longest encoded gossip message, in bytes. A full message takes about 2 kB.
+pub const MAX_GOSSIP: usize = 16 * 1024;
+
 /// Version of the peer protocol; a message of another version is refused.
 pub const VERSION: u8 = 1;
 
@@ -45,6 +49,15 @@
     pub state: State,
 }
 
+/// A target host that the platform's VM list says is leaving.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Leaving {
+    /// Address of the host.
+    pub host: Ipv4Addr,
+    /// How long the entry stays valid, in milliseconds. A relative time needs no common clock.
+    pub ttl_ms: u32,
+}
+
 /// One gossip message; the answer has the same form.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Gossip {
@@ -55,13 +68,43 @@
     /// Configuration generation in force at the sender, 0 for none.
     pub generation: u64,
     /// Digest of the manifest of that generation.
+    #[serde(with = "serde_bytes")]
     pub digest: [u8; 32],
     /// Latest changes of member records.
     pub updates: Vec<Record>,
-    /// VMs that the platform's list says are leaving, by host address or name.
-    pub leaving: Vec<String>,
+    /// Target hosts that are leaving.
+    pub leaving: Vec<Leaving>,
     /// Asks the receiver to ping this member on behalf of the sender.
     pub ping: Option<MemberId>,
+    /// Reports that this member answered a ping that the receiver asked for.
+    pub pong: Option<MemberId>,
+    /// In a message, asks for the records of members whose ids are not below this one. In an answer, the id at which
+    /// the next page starts.
+    pub page: Option<MemberId>,
+}
+
+impl Gossip {
+    /// Returns the encoded message.
+    ///
+    /// # Errors
+    ///
+    /// [`Kind::Internal`] when the encoder fails, which no value of this type causes.
+    pub fn encode(&self) -> Result<Vec<u8>> {
+        rmp_serde::to_vec(self).map_err(|e| Error::new(Kind::Internal, format!("encoding of gossip: {e}")))
+    }
+
+    /// Returns the message in `bytes`.
+    ///
+    /// # Errors
+    ///
+    /// [`Kind::Message`] when `bytes` is longer than [`MAX_GOSSIP`] or no gossip message.
+    pub fn decode(bytes: &[u8]) -> Result<Self> {
+        if bytes.len() > MAX_GOSSIP {
+            let text = format!("gossip of {} bytes is longer than {MAX_GOSSIP}", bytes.len());
+            return Err(Error::new(Kind::Message, text));
+        }
+        rmp_serde::from_slice(bytes).map_err(|e| Error::new(Kind::Message, format!("gossip: {e}")))
+    }
 }
 
 /// A packet relayed between balancers.
--- /dev/null
+++ b/crates/poplarpaddle/tests/control/store.rs
@@ -0,0 +1,71 @@
+//! Stand-in of the object API, with outages and lost answers.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use poplarpaddle::error::Kind;
+use poplarpaddle::prelude::*;
+use poplarpaddle::store::{Call, Object, Outcome, Vm};
+
+#[derive(Default)]
+pub struct FakeStore {
+    pub objects: BTreeMap<(String, String), Object>,
+    pub vms: Vec<Vm>,
+    pub down: bool,
+    /// Writes to this kind take effect while their answers are lost, this many times.
+    pub lose: Option<(String, u32)>,
+    pub writes: BTreeMap<String, u32>,
+    version: u64,
+}
+
+impl FakeStore {
+    pub fn put(&mut self, kind: &str, name: &str, value: serde_json::Value) -> u64 {
+        self.version += 1;
+        let key = (kind.to_owned(), name.to_owned());
+        let object = Object { kind: key.0.clone(), name: key.1.clone(), version: self.version, value };
+        self.objects.insert(key, object);
+        self.version
+    }
+
+    pub fn get(&self, kind: &str, name: &str) -> Option<&Object> {
+        self.objects.get(&(kind.to_owned(), name.to_owned()))
+    }
+
+    /// Returns the outcome of `call` and how long it takes.
+    pub fn call(&mut self, now: Time, call: &Call, deadline: Time, reachable: bool) -> (Duration, Outcome) {
+        let quick = Duration::from_millis(4);
+        if self.down || !reachable {
+            let failed = Outcome::Failed(Error::new(Kind::Unavailable, "store"));
+            return (deadline.since(now).min(Duration::from_millis(500)), failed);
+        }
+        match call {
+            Call::Put { kind, name, version, value } => {
+                let current = self.get(kind, name).map_or(0, |object| object.version);
+                if current != *version {
+                    return (quick, Outcome::Conflict(current));
+                }
+                *self.writes.entry(kind.clone()).or_default() += 1;
+                let written = self.put(kind, name, value.clone());
+                if let Some((lost, left)) = &mut self.lose
+                    && lost == kind
+                    && *left > 0
+                {
+                    *left -= 1;
+                    return (Duration::from_millis(800), Outcome::Unknown);
+                }
+                (quick, Outcome::Written(written))
+            }
+            Call::Get { kind, name } => (quick, Outcome::Object(self.get(kind, name).cloned())),
+            // The stand-in answers a watch at once or after 100 ms, which the product sees as an early deadline.
+            Call::Watch { kind, name, after, .. } => {
+                let object = self.get(kind, name).cloned();
+                let changed = object.as_ref().is_some_and(|object| object.version != *after);
+                (if changed { quick } else { Duration::from_millis(100) }, Outcome::Object(object))
+            }
+            Call::Vms => (quick, Outcome::Vms(self.vms.clone())),
+            Call::List { .. } | Call::Delete { .. } => {
+                (quick, Outcome::Failed(Error::new(Kind::Internal, "not used by a node")))
+            }
+        }
+    }
+}
