Add polling of load reports

The owner of a shard needs to know which of its hosts are draining, cold, down or run another service than the configuration says.

health decides when each host is polled and what its reports mean. A host is down after three failed polls in a row, a malformed report does not count as one, and a foreign service outweighs silence. Three tests cover bad reports, the states and lost answers.

--- /dev/null
+++ b/crates/poplarpaddle/src/health.rs
@@ -0,0 +1,216 @@
+//! Load reports of targets.
+//!
+//! [`Health`] decides when each host is polled and what its reports say. A report is only a hint: it can keep new work
+//! away from a host, but limits follow what the host does.
+//!
+//! ```
+//! use poplarpaddle::health::Report;
+//!
+//! let body = br#"{"service": "bookings", "slots": 3, "busy": 1, "connections": 4400, "state": "serving"}"#;
+//! assert_eq!(Report::parse(body).unwrap().busy, 1);
+//! assert_eq!(
+//!     Report::parse(b"{}").unwrap_err().to_string(),
+//!     "message error: load report: missing field `service` at line 1 column 2"
+//! );
+//! ```
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::Ipv4Addr;
+
+use serde::{Deserialize, Serialize};
+
+use crate::error::{Error, Kind, Result};
+use crate::map;
+use crate::membership::millis;
+use crate::time::Time;
+use crate::view::{Config, Host, HostState};
+
+/// Longest load report, in bytes.
+pub const MAX_REPORT: usize = 4096;
+
+/// Settings of [`Health`]. Times are in milliseconds.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// Period of polls of a host.
+    pub poll_ms: u64,
+    /// Time for the answer to a poll.
+    pub answer_ms: u64,
+    /// Polls that fail in a row before a host is down.
+    pub failures: u32,
+    /// Most hosts that are polled.
+    pub limit: usize,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        // 73,000 hosts at 10,000 balancers are about 8 hosts each; a small fleet may give all hosts to one balancer.
+        Self { poll_ms: 1000, answer_ms: 800, failures: 3, limit: 4096 }
+    }
+}
+
+/// State in a load report.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum State {
+    /// Takes new work.
+    Serving,
+    /// Started a short time ago.
+    Cold,
+    /// Takes no new work.
+    Draining,
+}
+
+/// Body of `GET /load`. Fields that are not listed are ignored, so that targets can add some.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Report {
+    /// Service that the host runs.
+    pub service: String,
+    /// Requests that run at the same time.
+    pub slots: u16,
+    /// Slots in use.
+    pub busy: u16,
+    /// Open connections.
+    pub connections: u32,
+    /// State.
+    pub state: State,
+}
+
+impl Report {
+    /// Parses the body of a report.
+    ///
+    /// # Errors
+    ///
+    /// [`Kind::Message`] with the fault and its place.
+    pub fn parse(body: &[u8]) -> Result<Self> {
+        if body.len() > MAX_REPORT {
+            return Err(Error::new(
+                Kind::Message,
+                format!("load report of {} bytes, at most {MAX_REPORT}", body.len()),
+            ));
+        }
+        serde_json::from_slice(body).map_err(|e| Error::new(Kind::Message, format!("load report: {e}")))
+    }
+}
+
+/// A host that is polled.
+#[derive(Debug)]
+struct Polled {
+    next: Time,
+    /// When the poll under way counts as failed, [`Time::NEVER`] for none.
+    answer: Time,
+    failures: u32,
+    report: Option<Report>,
+}
+
+/// Load reports of the hosts whose shards this node owns.
+#[derive(Debug)]
+pub struct Health {
+    settings: Settings,
+    hosts: BTreeMap<Ipv4Addr, Polled>,
+    /// Services that the configuration places on each host.
+    placed: BTreeMap<Ipv4Addr, BTreeSet<String>>,
+}
+
+impl Health {
+    /// Returns a health check of no host.
+    #[must_use]
+    pub const fn new(settings: Settings) -> Self {
+        Self { settings, hosts: BTreeMap::new(), placed: BTreeMap::new() }
+    }
+
+    /// Sets the hosts to poll. What is known of a host that stays is kept.
+    pub fn watch(&mut self, now: Time, hosts: &[Ipv4Addr]) {
+        let wanted: BTreeSet<_> = hosts.iter().copied().take(self.settings.limit).collect();
+        self.hosts.retain(|host, _| wanted.contains(host));
+        let poll = self.settings.poll_ms.max(1);
+        for host in wanted {
+            // Polls are spread over the period, so that many hosts do not answer at once.
+            let offset = map::hash(0, &host) % poll;
+            let polled = Polled { next: now + millis(offset), answer: Time::NEVER, failures: 0, report: None };
+            self.hosts.entry(host).or_insert(polled);
+        }
+    }
+
+    /// Takes the configuration in force.
+    pub fn configure(&mut self, config: &Config) {
+        self.placed.clear();
+        for service in &config.services {
+            for target in &service.targets {
+                self.placed.entry(target.address).or_default().insert(service.name.clone());
+            }
+        }
+    }
+
+    /// Returns the hosts to poll now.
+    pub fn tick(&mut self, now: Time) -> Vec<Ipv4Addr> {
+        let period = millis(self.settings.poll_ms);
+        let answer = millis(self.settings.answer_ms);
+        let mut due = Vec::new();
+        for (host, polled) in &mut self.hosts {
+            if now.reached(polled.answer) {
+                polled.answer = Time::NEVER;
+                polled.failures = polled.failures.saturating_add(1);
+            }
+            if now.reached(polled.next) && polled.answer == Time::NEVER {
+                polled.next = now + period;
+                polled.answer = now + answer;
+                due.push(*host);
+            }
+        }
+        due
+    }
+
+    /// Takes the answer to a poll.
+    ///
+    /// # Errors
+    ///
+    /// [`Kind::Message`] for a body that is no report. The host answered, so this does not count as a failed poll.
+    pub fn answer(&mut self, host: Ipv4Addr, outcome: std::result::Result<&[u8], &Error>) -> Result<()> {
+        let Some(polled) = self.hosts.get_mut(&host) else { return Ok(()) };
+        if polled.answer == Time::NEVER {
+            return Ok(());
+        }
+        polled.answer = Time::NEVER;
+        let Ok(body) = outcome else {
+            polled.failures = polled.failures.saturating_add(1);
+            return Ok(());
+        };
+        polled.failures = 0;
+        polled.report = None;
+        polled.report =
+            Some(Report::parse(body).map_err(|e| Error::new(e.kind(), format!("host {host}: {}", e.message())))?);
+        Ok(())
+    }
+
+    /// Returns what is known of the hosts that are polled.
+    pub fn hosts(&self) -> impl Iterator<Item = (Ipv4Addr, Host)> {
+        self.hosts.iter().map(|(host, polled)| (*host, self.host(*host, polled)))
+    }
+
+    /// Returns the time of the next tick.
+    #[must_use]
+    pub fn deadline(&self) -> Time {
+        let times =
+            self.hosts.values().map(|polled| if polled.answer == Time::NEVER { polled.next } else { polled.answer });
+        times.min().unwrap_or(Time::NEVER)
+    }
+
+    fn host(&self, host: Ipv4Addr, polled: &Polled) -> Host {
+        let Some(report) = &polled.report else {
+            return Host { state: self.silent(polled, HostState::Serving), ..Host::default() };
+        };
+        let foreign = self.placed.get(&host).is_some_and(|services| !services.contains(&report.service));
+        let state = match report.state {
+            // A wrong service outweighs silence: packets would reach the wrong service once the host answers again.
+            _ if foreign => HostState::Misplaced,
+            State::Serving => self.silent(polled, HostState::Serving),
+            State::Cold => self.silent(polled, HostState::Cold),
+            State::Draining => self.silent(polled, HostState::Draining),
+        };
+        Host { state, busy: Some(report.busy), connections: Some(report.connections) }
+    }
+
+    const fn silent(&self, polled: &Polled, otherwise: HostState) -> HostState {
+        if polled.failures >= self.settings.failures { HostState::Down } else { otherwise }
+    }
+}
--- a/crates/poplarpaddle/src/lib.rs
+++ b/crates/poplarpaddle/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod control;
 pub mod error;
 pub mod event;
+pub mod health;
 pub mod lease;
 pub mod map;
 pub mod membership;
--- /dev/null
+++ b/crates/poplarpaddle/tests/health.rs
@@ -0,0 +1,108 @@
+//! Load reports of targets.
+#![allow(missing_docs, clippy::pedantic, reason = "tests are named by their failure")]
+
+use std::net::Ipv4Addr;
+
+use poplarpaddle::error::{Error, Kind};
+use poplarpaddle::health::{Health, Report, Settings};
+use poplarpaddle::map;
+use poplarpaddle::time::Time;
+use poplarpaddle::view::{Config, HostState, Service, Target};
+
+const HOST: Ipv4Addr = Ipv4Addr::new(10, 1, 0, 1);
+
+fn config() -> Config {
+    let target = Target {
+        name: "t".into(),
+        zone: "z".into(),
+        address: HOST,
+        slots: 3,
+        connections: 4400,
+        draining: false,
+        released: false,
+    };
+    let service = |name: &str, targets| Service {
+        name: name.into(),
+        address: Ipv4Addr::new(10, 0, 0, 1),
+        ports: Vec::new(),
+        shards: 1,
+        targets,
+    };
+    Config {
+        generation: 1,
+        seed: 0,
+        services: vec![service("bookings", vec![target]), service("crewdocs", Vec::new())],
+        priorities: Vec::new(),
+        addresses: map::seeded(0),
+        endpoints: map::seeded(0),
+    }
+}
+
+/// Guards against reports that panic, are taken although they are wrong, or give an error without place and value.
+#[test]
+fn bad_reports_are_named() {
+    let long = vec![b' '; 5000];
+    let cases: [(&[u8], &str); 6] = [
+        (b"", "EOF while parsing a value at line 1 column 0"),
+        (b"[]", "invalid length 0, expected struct Report"),
+        (br#"{"service":"s"}"#, "missing field `slots`"),
+        (br#"{"service":"s","slots":70000}"#, "invalid value: integer `70000`, expected u16"),
+        (br#"{"service":"s","slots":1,"busy":0,"connections":0,"state":"happy"}"#, "unknown variant `happy`"),
+        (&long, "load report of 5000 bytes, at most 4096"),
+    ];
+    for (body, expected) in cases {
+        let error = Report::parse(body).unwrap_err();
+        assert_eq!(error.kind(), Kind::Message);
+        assert!(error.message().contains(expected), "{}", error.message());
+    }
+}
+
+/// Guards against a state that does not follow from the polls: down too early or for good, misplaced unnoticed.
+#[test]
+fn state_follows_the_polls() {
+    let report = |service: &str, state: &str| {
+        format!(r#"{{"service":"{service}","slots":3,"busy":2,"connections":7,"state":"{state}","new_field":1}}"#)
+    };
+    let steps = [
+        (Some(report("bookings", "cold")), HostState::Cold),
+        (Some(report("bookings", "serving")), HostState::Serving),
+        (None, HostState::Serving),
+        (None, HostState::Serving),
+        (Some(report("bookings", "serving")), HostState::Serving),
+        (None, HostState::Serving),
+        (None, HostState::Serving),
+        (None, HostState::Down),
+        (Some("no report".to_owned()), HostState::Serving),
+        (Some(report("crewdocs", "serving")), HostState::Misplaced),
+        (Some(report("bookings", "draining")), HostState::Draining),
+    ];
+    let mut health = Health::new(Settings::default());
+    health.configure(&config());
+    health.watch(Time::from_millis(0), &[HOST]);
+    for (n, (body, expected)) in steps.iter().enumerate() {
+        let now = health.deadline();
+        assert_eq!(health.tick(now), [HOST], "step {n}");
+        match body {
+            Some(text) => drop(health.answer(HOST, Ok(text.as_bytes()))),
+            None => health.answer(HOST, Err(&Error::new(Kind::Timeout, "none"))).unwrap(),
+        }
+        let (_, host) = health.hosts().next().unwrap();
+        assert_eq!(host.state, *expected, "step {n}");
+    }
+}
+
+/// Guards against a host that is never polled again after an answer was lost, and against late answers that count.
+#[test]
+fn lost_answers_count_as_failures() {
+    let mut health = Health::new(Settings::default());
+    health.watch(Time::from_millis(0), &[HOST]);
+    for _ in 0..8 {
+        let now = health.deadline();
+        health.tick(now);
+    }
+    assert_eq!(health.hosts().next().unwrap().1.state, HostState::Down);
+    health.answer(HOST, Ok(b"late")).unwrap();
+    assert_eq!(health.hosts().next().unwrap().1.state, HostState::Down);
+    health.watch(Time::from_millis(9_000), &[]);
+    assert_eq!((health.hosts().count(), health.deadline()), (0, Time::NEVER));
+}
