Connect leases, store duties and load reports to the node

A node reached configuration only through peers that already had it, and it knew nothing of leaving VMs and of the state of hosts.

The three members of a zone with the highest weight contend for its two leases. A holder watches the manifest, reads missing parts, lists the VMs every second, spreads leaving hosts with a time to live, and writes the status of the zone on the condition of the version that it read. Each node polls the hosts that it is given, and hands out a view only when configuration, reachable members or host states change. Node::status describes the node.

--- a/crates/poplarpaddle/src/control.rs
+++ b/crates/poplarpaddle/src/control.rs
@@ -12,17 +12,27 @@
 
 use crate::error::{Error, Result};
 use crate::event::Event;
+use crate::health::Health;
 use crate::map::{self, Map};
 use crate::membership::{self, Letter, Membership};
 use crate::path::MemberId;
-use crate::store;
 use crate::time::Time;
 use crate::view;
-use crate::wire::{self, Gossip, Record};
+use crate::wire::{self, Gossip, Leaving, Record};
 
+mod action;
+mod departure;
+mod relay;
+mod settings;
 mod spread;
+mod status;
 
+pub use action::{Action, Answer, CallId};
+use departure::Departures;
+use relay::Relay;
+pub use settings::Settings;
 use spread::Spread;
+pub use status::{Lease, Member, Status, Target};
 
 /// blake3 digest of a manifest or a part.
 pub type Digest = [u8; 32];
@@ -72,157 +82,20 @@
     fn current(&self) -> Option<&Arc<view::Config>>;
 }
 
-/// Settings of [`Node`]. Times are in milliseconds.
-#[derive(Debug, Clone)]
-pub struct Settings {
-    /// Identifies this process; random for each start.
-    pub id: MemberId,
-    /// Name of the node.
-    pub name: String,
-    /// Zone of the node.
-    pub zone: String,
-    /// Region of the node.
-    pub region: String,
-    /// Fleet, which names the manifest in the store.
-    pub fleet: String,
-    /// HTTP address for peers.
-    pub peer: SocketAddr,
-    /// UDP address for relayed packets.
-    pub relay: SocketAddr,
-    /// Seed of random choices.
-    pub seed: u64,
-    /// Members that get a push of a new generation.
-    pub fanout: usize,
-    /// Time for a fetch from a peer or the store.
-    pub fetch_ms: u64,
-    /// First pause before a peer that failed is asked again; doubles with each failure.
-    pub backoff_ms: u64,
-    /// Longest such pause.
-    pub backoff_most_ms: u64,
-    /// Settings of the membership.
-    pub membership: membership::Settings,
-}
-
-impl Default for Settings {
-    fn default() -> Self {
-        let unset = SocketAddr::from(([127, 0, 0, 1], 1));
-        Self {
-            id: MemberId(0),
-            name: "balancer".to_owned(),
-            zone: "zone".to_owned(),
-            region: "region".to_owned(),
-            fleet: "fleet".to_owned(),
-            peer: unset,
-            relay: unset,
-            seed: 0,
-            fanout: 3,
-            // Several tries fit into the 7 s in which a configuration has to be in force.
-            fetch_ms: 700,
-            backoff_ms: 100,
-            backoff_most_ms: 5000,
-            membership: membership::Settings::default(),
-        }
-    }
-}
-
-/// Identifies a store call of one node.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub struct CallId(pub u64);
-
-/// What the caller of a [`Node`] has to do.
-#[derive(Debug, Clone)]
-pub enum Action {
-    /// Sends a message; the outcome comes back as [`Answer::Gossip`].
-    SendGossip {
-        /// Peer address of the receiver.
-        to: SocketAddr,
-        /// The message.
-        message: Box<Gossip>,
-    },
-    /// Calls the store; the outcome comes back as [`Answer::Store`].
-    Store {
-        /// Identifies the call in its answer.
-        id: CallId,
-        /// The call.
-        call: store::Call,
-        /// When the outcome is of no use any more.
-        deadline: Time,
-    },
-    /// Fetches the manifest of a peer; the outcome comes back as [`Answer::Manifest`].
-    FetchManifest {
-        /// Peer address.
-        peer: SocketAddr,
-    },
-    /// Fetches a part from a peer; the outcome comes back as [`Answer::Part`].
-    FetchPart {
-        /// Peer address.
-        peer: SocketAddr,
-        /// Digest of the part.
-        digest: Digest,
-    },
-    /// Polls the load report of a host; the outcome comes back as [`Answer::Load`].
-    Poll {
-        /// Address of the host.
-        host: Ipv4Addr,
-    },
-    /// Hands a new view to the data path.
-    Apply(view::View),
-    /// Records an event.
-    Event(Event),
-}
-
-/// Outcome of an action.
-#[derive(Debug)]
-pub enum Answer<'a> {
-    /// Of [`Action::SendGossip`].
-    Gossip {
-        /// Peer address of the receiver.
-        to: SocketAddr,
-        /// The answer of the peer.
-        outcome: std::result::Result<&'a Gossip, &'a Error>,
-    },
-    /// Of [`Action::Store`].
-    Store {
-        /// Id of the call.
-        id: CallId,
-        /// Outcome.
-        outcome: &'a store::Outcome,
-    },
-    /// Of [`Action::FetchManifest`].
-    Manifest {
-        /// Peer address.
-        peer: SocketAddr,
-        /// Bytes of the manifest.
-        outcome: std::result::Result<&'a [u8], &'a Error>,
-    },
-    /// Of [`Action::FetchPart`].
-    Part {
-        /// Peer address.
-        peer: SocketAddr,
-        /// Digest of the part.
-        digest: Digest,
-        /// Bytes of the part.
-        outcome: std::result::Result<&'a [u8], &'a Error>,
-    },
-    /// Of [`Action::Poll`].
-    Load {
-        /// Address of the host.
-        host: Ipv4Addr,
-        /// Body of the report.
-        outcome: std::result::Result<&'a [u8], &'a Error>,
-    },
-}
-
 /// The control side of one balancer.
 pub struct Node {
     settings: Settings,
     config: Box<dyn Configuration>,
     membership: Membership,
     spread: Spread,
+    relay: Relay,
+    health: Health,
+    departures: Departures,
     actions: Vec<Action>,
     hosts: Map<Ipv4Addr, view::Host>,
     members: Arc<[view::Member]>,
     revision: u64,
+    hosts_changed: bool,
     dirty: bool,
 }
 
@@ -246,14 +119,22 @@
             incarnation: 0,
             state: wire::State::Alive,
         };
+        let mut health = Health::new(settings.health.clone());
+        if let Some(current) = config.current() {
+            health.configure(current);
+        }
         let members = membership::Settings { seed: settings.seed, ..settings.membership.clone() };
         Self {
             membership: Membership::new(now, members, me),
             spread: Spread::default(),
+            relay: Relay::new(now, &settings),
+            health,
+            departures: Departures::default(),
             actions: Vec::new(),
             hosts: map::seeded(settings.seed),
             members: Arc::new([]),
             revision: 0,
+            hosts_changed: false,
             dirty: true,
             config,
             settings,
@@ -268,7 +149,7 @@
     pub fn message(&mut self, now: Time, message: &Gossip) -> Result<Gossip> {
         membership::check(self.membership.me(), message)?;
         self.gossip(now, message);
-        let answer = self.compose(&Letter::to(&message.sender), message.page);
+        let answer = self.compose(now, &Letter::to(&message.sender), message.page);
         self.settle(now);
         Ok(answer)
     }
@@ -283,7 +164,14 @@
             Answer::Gossip { to, outcome } => self.gossip_answer(now, *to, *outcome),
             Answer::Manifest { peer, outcome } => self.manifest_answer(now, *peer, *outcome),
             Answer::Part { peer, digest, outcome } => self.part_answer(now, *peer, *digest, *outcome),
-            Answer::Store { .. } | Answer::Load { .. } => Ok(()),
+            Answer::Store { id, outcome } => {
+                self.store_answer(now, *id, outcome);
+                Ok(())
+            }
+            Answer::Load { host, outcome } => {
+                self.hosts_changed = true;
+                self.health.answer(*host, *outcome)
+            }
         };
         self.settle(now);
         result
@@ -292,13 +180,25 @@
     /// Performs what is due.
     pub fn tick(&mut self, now: Time) {
         self.membership.tick(now);
+        for host in self.health.tick(now) {
+            self.actions.push(Action::Poll { host });
+        }
+        self.hosts_changed = true;
+        self.settle(now);
+    }
+
+    /// Sets the hosts whose load reports this node polls: those of the shards that it owns.
+    pub fn poll(&mut self, now: Time, hosts: &[Ipv4Addr]) {
+        self.health.watch(now, hosts);
+        self.hosts_changed = true;
         self.settle(now);
     }
 
     /// Returns the time of the next tick.
     #[must_use]
     pub fn deadline(&self) -> Time {
-        self.membership.deadline().min(self.spread.deadline())
+        let inner = self.membership.deadline().min(self.spread.deadline());
+        inner.min(self.relay.deadline()).min(self.health.deadline())
     }
 
     /// Takes the actions that are due.
@@ -327,6 +227,18 @@
     fn gossip(&mut self, now: Time, gossip: &Gossip) {
         self.membership.receive(now, gossip);
         self.spread.heard(&gossip.sender, gossip.generation);
+        for leaving in &gossip.leaving {
+            self.depart(now, *leaving);
+        }
+    }
+
+    /// Takes the entry of a host that is leaving.
+    fn depart(&mut self, now: Time, leaving: Leaving) {
+        if self.departures.note(now, leaving) {
+            self.hosts_changed = true;
+            self.membership.urge();
+            self.event(now, "host.leaving", leaving.host.to_string(), String::new());
+        }
     }
 
     fn gossip_answer(
@@ -347,7 +259,7 @@
     }
 
     /// Returns the message of `letter`; `page` is a page of the table that it has to carry.
-    fn compose(&mut self, letter: &Letter, page: Option<MemberId>) -> Gossip {
+    fn compose(&mut self, now: Time, letter: &Letter, page: Option<MemberId>) -> Gossip {
         let (updates, next) = self.membership.updates(letter.member, page);
         Gossip {
             version: wire::VERSION,
@@ -355,7 +267,7 @@
             generation: self.config.generation(),
             digest: self.config.digest(),
             updates,
-            leaving: Vec::new(),
+            leaving: self.departures.share(now, self.membership.retransmissions()),
             ping: letter.ping,
             pong: letter.pong,
             page: letter.page.or(next),
@@ -364,23 +276,24 @@
 
     /// Turns the state after an input into actions.
     fn settle(&mut self, now: Time) {
+        self.relay(now);
         self.spread(now);
-        self.apply();
+        self.apply(now);
         for event in self.membership.events() {
             self.actions.push(Action::Event(event));
         }
         for letter in self.membership.letters() {
-            self.send(&letter);
+            self.send(now, &letter);
         }
     }
 
-    fn send(&mut self, letter: &Letter) {
-        let message = self.compose(letter, None);
+    fn send(&mut self, now: Time, letter: &Letter) {
+        let message = self.compose(now, letter, None);
         self.actions.push(Action::SendGossip { to: letter.to, message: Box::new(message) });
     }
 
     /// Hands a view to the data path if something in it changed.
-    fn apply(&mut self) {
+    fn apply(&mut self, now: Time) {
         if self.membership.condemned() {
             self.apply_condemned();
         }
@@ -390,12 +303,33 @@
             self.dirty |= self.members[..] != members[..];
             self.members = members.into();
         }
+        self.hosts_changed |= self.departures.expire(now);
+        if std::mem::take(&mut self.hosts_changed) {
+            self.update_hosts();
+        }
         if std::mem::take(&mut self.dirty) {
             let members = Arc::clone(&self.members);
             self.push_view(members);
         }
     }
 
+    /// Brings the states of hosts up to date. Load figures alone are no reason for a new view.
+    fn update_hosts(&mut self) {
+        let mut hosts = map::seeded(self.settings.seed);
+        hosts.extend(self.health.hosts());
+        for address in self.departures.hosts() {
+            let host: &mut view::Host = hosts.entry(address).or_default();
+            if matches!(host.state, view::HostState::Serving | view::HostState::Cold) {
+                host.state = view::HostState::Draining;
+            }
+        }
+        let state =
+            |map: &Map<Ipv4Addr, view::Host>, address: &Ipv4Addr| map.get(address).copied().unwrap_or_default().state;
+        let differs = |address: &Ipv4Addr| state(&hosts, address) != state(&self.hosts, address);
+        self.dirty |= hosts.keys().chain(self.hosts.keys()).any(differs);
+        self.hosts = hosts;
+    }
+
     /// Hands out a view in which this node owns nothing. Others owned its shards while they held it dead, so the data
     /// path has to see that it lost and regained them.
     fn apply_condemned(&mut self) {
--- a/crates/poplarpaddle/src/control/spread.rs
+++ b/crates/poplarpaddle/src/control/spread.rs
@@ -31,7 +31,8 @@
 /// A fetch whose answer is outstanding.
 #[derive(Debug)]
 struct Fetch {
-    peer: SocketAddr,
+    /// None for the store.
+    peer: Option<SocketAddr>,
     until: Time,
 }
 
@@ -53,7 +54,7 @@
     /// Missing parts, each with its fetch.
     parts: BTreeMap<Digest, Option<Fetch>>,
     /// Who served the manifest whose parts are missing.
-    source: Source,
+    pub(super) source: Source,
     retry: Option<Time>,
 }
 
@@ -101,6 +102,27 @@
         }
     }
 
+    /// Returns missing parts that are not being fetched, as many as may be fetched now.
+    fn idle(&self) -> Vec<Digest> {
+        let running = self.parts.values().flatten().count();
+        let idle = self.parts.iter().filter(|(_, fetch)| fetch.is_none()).map(|(digest, _)| *digest);
+        idle.take(PARALLEL.saturating_sub(running)).collect()
+    }
+
+    /// Marks parts as being fetched and returns them.
+    pub(super) fn start_parts(&mut self, peer: Option<SocketAddr>, until: Time) -> Vec<Digest> {
+        let due = self.idle();
+        for digest in &due {
+            self.parts.insert(*digest, Some(Fetch { peer, until }));
+        }
+        due
+    }
+
+    /// Ends the fetch of a part; returns false when the part is not missing any more.
+    pub(super) fn end_part(&mut self, digest: &Digest) -> bool {
+        self.parts.get_mut(digest).map(Option::take).is_some()
+    }
+
     fn clear(&mut self) {
         self.manifest = None;
         self.parts.clear();
@@ -135,16 +157,13 @@
 
     fn fetch_manifest(&mut self, now: Time, peer: SocketAddr) {
         let until = now + millis(self.settings.fetch_ms);
-        self.spread.manifest = Some(Fetch { peer, until });
+        self.spread.manifest = Some(Fetch { peer: Some(peer), until });
         self.actions.push(Action::FetchManifest { peer });
     }
 
     fn fetch_parts(&mut self, now: Time) {
-        let running = self.spread.parts.values().flatten().count();
-        let idle = self.spread.parts.iter().filter(|(_, fetch)| fetch.is_none()).map(|(digest, _)| *digest);
-        let due: Vec<_> = idle.take(PARALLEL.saturating_sub(running)).collect();
         let Source::Peer(wanted) = self.spread.source else { return };
-        if due.is_empty() {
+        if self.spread.idle().is_empty() {
             return;
         }
         let Some(peer) = self.spread.best(now, wanted.saturating_sub(1)) else {
@@ -152,9 +171,7 @@
             self.spread.parts.clear();
             return;
         };
-        for digest in due {
-            let until = now + millis(self.settings.fetch_ms);
-            self.spread.parts.insert(digest, Some(Fetch { peer, until }));
+        for digest in self.spread.start_parts(Some(peer), now + millis(self.settings.fetch_ms)) {
             self.actions.push(Action::FetchPart { peer, digest });
         }
     }
@@ -162,11 +179,11 @@
     fn expire_fetches(&mut self, now: Time) {
         let mut failed = Vec::new();
         if let Some(fetch) = self.spread.manifest.take_if(|fetch| now.reached(fetch.until)) {
-            failed.push(fetch.peer);
+            failed.extend(fetch.peer);
         }
         for slot in self.spread.parts.values_mut() {
             if let Some(fetch) = slot.take_if(|fetch| now.reached(fetch.until)) {
-                failed.push(fetch.peer);
+                failed.extend(fetch.peer);
             }
         }
         failed.sort_unstable();
@@ -193,7 +210,7 @@
         peer: SocketAddr,
         outcome: std::result::Result<&[u8], &Error>,
     ) -> Result<()> {
-        if self.spread.manifest.take_if(|fetch| fetch.peer == peer).is_none() {
+        if self.spread.manifest.take_if(|fetch| fetch.peer == Some(peer)).is_none() {
             return Ok(());
         }
         let claimed = self.spread.peers.values().filter(|known| known.address == peer).map(|known| known.generation);
@@ -215,8 +232,9 @@
         digest: Digest,
         outcome: std::result::Result<&[u8], &Error>,
     ) -> Result<()> {
-        let Some(slot) = self.spread.parts.get_mut(&digest) else { return Ok(()) };
-        *slot = None;
+        if !self.spread.end_part(&digest) {
+            return Ok(());
+        }
         let result = outcome.map_err(Clone::clone).and_then(|bytes| self.supply(now, digest, bytes));
         match result {
             Ok(_) => self.spread.succeed(peer),
@@ -276,6 +294,10 @@
             return;
         }
         self.dirty = true;
+        if let Some(config) = self.config.current() {
+            self.health.configure(config);
+        }
+        self.hosts_changed = true;
         self.membership.push_to(self.settings.fanout);
         let digest = blake3::Hash::from_bytes(self.config.digest());
         self.event(now, "config.applied", generation.to_string(), digest.to_string());
--- a/crates/poplarpaddle/src/membership/spread.rs
+++ b/crates/poplarpaddle/src/membership/spread.rs
@@ -51,8 +51,19 @@
         (out.records, next)
     }
 
+    /// Returns how many messages carry an update.
+    #[must_use]
+    pub fn retransmissions(&self) -> u32 {
+        self.settings.retransmit * (self.ring.ids().len() + 1).ilog2().max(1)
+    }
+
+    /// Asks for a push of news that messages carry beside the updates.
+    pub const fn urge(&mut self) {
+        self.urgent = true;
+    }
+
     fn add_changes(&mut self, out: &mut Page, to: Option<MemberId>) {
-        let limit = self.settings.retransmit * (self.ring.ids().len() + 1).ilog2().max(1);
+        let limit = self.retransmissions();
         let mut order: Vec<_> = self.queue.iter().map(|(id, sent)| (*sent, *id)).collect();
         order.sort_unstable();
         for (sent, id) in order {
--- a/crates/poplarpaddle/tests/control.rs
+++ b/crates/poplarpaddle/tests/control.rs
@@ -1,7 +1,8 @@
 //! Nodes of the control side on virtual time.
 #![allow(missing_docs, clippy::pedantic, reason = "tests are named by their failure and use small casts")]
 
-use poplarpaddle::view::Presence;
+use poplarpaddle::store::{Vm, VmState};
+use poplarpaddle::view::{HostState, Presence};
 
 #[path = "control/net.rs"]
 mod net;
@@ -136,3 +137,142 @@
         net.assert_never_back();
     }
 }
+
+/// Guards against an accepted configuration that is not in force everywhere within 7 s, or that reverts.
+#[test]
+fn published_configuration_is_in_force_within_7_s() {
+    let mut slowest = 0;
+    for seed in 1..=6 {
+        let mut net = Net::fleet(seed, 16, 15_000);
+        net.loss = 0.1;
+        for generation in 1..=5 {
+            net.store.publish(generation, &["a", "b", &format!("c{generation}")]);
+            let took = net.until(7_000, |net| net.generations() == [generation].into());
+            assert!(took.is_some(), "seed {seed}: generation {generation} is not in force everywhere after 7 s");
+            slowest = slowest.max(took.unwrap());
+        }
+        net.assert_never_back();
+    }
+    println!("published configuration in force after at most {slowest} ms with 10 % loss");
+}
+
+/// Guards against a node that stays without configuration when it starts during an outage of the store.
+#[test]
+fn node_starts_during_store_outage() {
+    let mut net = Net::fleet(3, 16, 15_000);
+    net.store.publish(4, &["a", "b"]);
+    net.run(5_000);
+    net.store.down = true;
+    net.run(30_000);
+    net.start(40, &[address(2)]);
+    let at = net.now;
+    let before = net.host(40).node.status(at);
+    assert_eq!((before.ready, before.reason), (false, Some("no configuration is in force yet")));
+    net.run(2_000);
+    let at = net.now;
+    let status = net.host(40).node.status(at);
+    assert!(status.ready && status.generation == 4, "{status:?}");
+}
+
+/// Guards against a zone that loses its configuration or its members when it is cut off, or reverts after healing.
+#[test]
+fn zone_cut_off_keeps_and_then_catches_up() {
+    for store_reachable in [true, false] {
+        let mut net = Net::fleet(9, 16, 15_000);
+        net.store.publish(1, &["a"]);
+        net.run(7_000);
+        net.cut.insert("zone-1".into(), store_reachable);
+        net.run(20_000);
+        net.store.publish(2, &["b"]);
+        net.run(7_000);
+        let generation = net.host(1).view.as_ref().unwrap().config.as_ref().unwrap().generation;
+        assert_eq!(generation, if store_reachable { 2 } else { 1 }, "the cut zone uses what it can reach");
+        net.cut.clear();
+        let took = net.until(7_000, |net| net.agree() && net.generations() == [2].into());
+        assert!(took.is_some(), "store reachable {store_reachable}: not caught up 7 s after healing");
+        net.assert_never_back();
+    }
+}
+
+/// Guards against more or fewer than two holders in a zone, and against contenders beyond the three of highest weight.
+#[test]
+fn each_zone_has_two_holders() {
+    let mut net = Net::fleet(5, 18, 20_000);
+    for zone in ["zone-0", "zone-1", "zone-2"] {
+        assert_eq!(net.holders(zone).len(), 2, "{zone}");
+    }
+    let calls = net.store.callers.clone();
+    assert!(calls.len() <= 9, "{} of 18 nodes call the store, at most 3 of each zone may", calls.len());
+    let now = net.now;
+    let holder = net.holders("zone-0")[0];
+    net.hosts.get_mut(&holder).unwrap().node.leave(now);
+    let took = net.until(5_000, |net| net.holders("zone-0").iter().filter(|at| **at != holder).count() == 2);
+    assert!(took.is_some(), "the lease of a leaving holder is not taken over within 5 s");
+}
+
+/// Guards against a paused holder that still acts, and against a write of its old epoch that counts.
+#[test]
+fn paused_holder_is_fenced() {
+    let mut net = Net::fleet(5, 18, 20_000);
+    let holder = net.holders("zone-0")[0];
+    let (now, before) = (net.now, net.epochs("zone-0"));
+    net.hosts.get_mut(&holder).unwrap().pause_until(now + std::time::Duration::from_secs(40));
+    net.run(39_000);
+    let after = net.epochs("zone-0");
+    assert!(after.iter().sum::<u64>() > before.iter().sum(), "no one took over: {before:?} {after:?}");
+    net.run(30_000);
+    assert_eq!(net.holders("zone-0").len(), 2);
+    let status = net.store.get("status", "zone-0").unwrap().value["epochs"].clone();
+    for (n, epoch) in net.epochs("zone-0").iter().enumerate() {
+        let written = status[n.to_string()].as_u64();
+        assert!(written.is_none_or(|written| written <= *epoch), "lease {n}: status has {written:?}, lease {epoch}");
+    }
+    assert!(net.store.status_epochs_sorted(), "a status with a lower epoch was written after one with a higher epoch");
+}
+
+/// Guards against leaving targets that get new work because only relays know of them, and against load states that do
+/// not reach the data path.
+#[test]
+fn hosts_reach_the_data_path() {
+    let mut net = Net::fleet(7, 16, 20_000);
+    let vm = |address: &str, state| {
+        let (name, role, zone) = (format!("vm-{address}"), "target".into(), "zone-0".into());
+        Vm { name, role, zone, address: address.into(), state }
+    };
+    let leaving = "10.1.0.1".parse().unwrap();
+    net.store.vms = vec![vm("10.1.0.1", VmState::Leaving), vm("10.1.0.2", VmState::Live)];
+    let state =
+        |net: &Net, n: u16, host| net.hosts[&address(n)].view.as_ref().unwrap().hosts.get(&host).map(|h| h.state);
+    let all = |net: &Net| (0..16).all(|n| state(net, n, leaving) == Some(HostState::Draining));
+    let took = net.until(5_000, all);
+    assert!(took.is_some(), "a leaving target is not known everywhere after 5 s");
+    println!("leaving target known everywhere after {took:?} ms");
+
+    let polled = "10.1.0.9".parse().unwrap();
+    let now = net.now;
+    net.host(0).node.poll(now, &[polled]);
+    let report = |state: &str| format!(r#"{{"service":"s","slots":3,"busy":1,"connections":9,"state":"{state}"}}"#);
+    let cases = [
+        (Some(report("cold")), HostState::Cold),
+        (Some(report("serving")), HostState::Serving),
+        (Some(report("draining")), HostState::Draining),
+        (None, HostState::Down),
+        (Some(report("serving")), HostState::Serving),
+    ];
+    for (body, expected) in cases {
+        match &body {
+            Some(text) => net.loads.insert(polled, text.clone()),
+            None => net.loads.remove(&polled),
+        };
+        net.run(if body.is_none() { 1_500 } else { 0 });
+        if body.is_none() {
+            assert_ne!(state(&net, 0, polled), Some(HostState::Down), "one or two failed polls are no failure");
+        }
+        net.run(2_200);
+        assert_eq!(state(&net, 0, polled), Some(expected), "{body:?}");
+    }
+    let views = net.host(0).views.len();
+    net.loads.insert(polled, report("serving").replace("9", "10"));
+    net.run(5_000);
+    assert_eq!(net.host(0).views.len(), views, "load figures alone are no reason for a view");
+}
--- a/crates/poplarpaddle/tests/control/net.rs
+++ b/crates/poplarpaddle/tests/control/net.rs
@@ -158,6 +158,12 @@
     SocketAddr::from(([10, 0, (n >> 8) as u8, n as u8], 7000))
 }
 
+impl Host {
+    pub fn pause_until(&mut self, until: Time) {
+        self.paused = until;
+    }
+}
+
 impl Net {
     pub fn new(seed: u64) -> Self {
         Self {
@@ -223,7 +229,7 @@
     /// Freezes a node; what arrives waits until it resumes.
     pub fn pause(&mut self, n: u16, ms: u64) {
         let until = self.now + Duration::from_millis(ms);
-        self.host(n).paused = until;
+        self.host(n).pause_until(until);
     }
 
     pub fn host(&mut self, n: u16) -> &mut Host {
@@ -249,6 +255,19 @@
         self.hosts.values().map(generation).collect()
     }
 
+    /// Returns the nodes of `zone` that hold a lease by their own clocks.
+    pub fn holders(&self, zone: &str) -> Vec<SocketAddr> {
+        let holds = |host: &Host| host.node.status(self.now).leases.iter().any(|lease| lease.epoch.is_some());
+        let nodes = self.hosts.iter().filter(|(_, host)| host.zone == zone && holds(host));
+        nodes.map(|(at, _)| *at).collect()
+    }
+
+    /// Returns the epochs of the leases of `zone` in the store.
+    pub fn epochs(&self, zone: &str) -> Vec<u64> {
+        let epoch = |n| self.store.get("lease", &format!("{zone}-{n}")).and_then(|lease| lease.value["epoch"].as_u64());
+        (0..2).filter_map(epoch).collect()
+    }
+
     /// Checks that no node ever applied a lower generation after a higher one.
     pub fn assert_never_back(&self) {
         for (at, host) in &self.hosts {
@@ -419,6 +438,9 @@
             Action::Store { id, call, deadline } => {
                 let reachable = self.cut.get(&host.zone).copied().unwrap_or(true);
                 let write = matches!(call, Call::Put { .. } | Call::Delete { .. });
+                if now.since(Time::from_millis(1_000_000)) > Duration::from_secs(5) {
+                    self.store.callers.insert(from);
+                }
                 let (after, outcome) = self.store.call(now, &call, deadline, reachable);
                 debug_assert!(write || outcome != Outcome::Unknown, "only a write has an unknown outcome");
                 self.post(from, after, Parcel::Store(id, outcome));
--- a/crates/poplarpaddle/tests/control/store.rs
+++ b/crates/poplarpaddle/tests/control/store.rs
@@ -1,6 +1,7 @@
 //! Stand-in of the object API, with outages and lost answers.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use poplarpaddle::error::Kind;
@@ -14,7 +15,10 @@
     pub down: bool,
     /// Writes to this kind take effect while their answers are lost, this many times.
     pub lose: Option<(String, u32)>,
-    pub writes: BTreeMap<String, u32>,
+    /// Nodes that called after the start of the fleet.
+    pub callers: BTreeSet<SocketAddr>,
+    /// Epochs of the leases in each status that was written, by zone.
+    statuses: Vec<(String, serde_json::Value)>,
     version: u64,
 }
 
@@ -31,6 +35,28 @@
         self.objects.get(&(kind.to_owned(), name.to_owned()))
     }
 
+    /// Returns true when the epoch of no lease went down in any status.
+    pub fn status_epochs_sorted(&self) -> bool {
+        let mut last = BTreeMap::new();
+        let mut sorted = !self.statuses.is_empty();
+        for (zone, epochs) in &self.statuses {
+            for (lease, epoch) in epochs.as_object().unwrap() {
+                let before = last.insert((zone, lease), epoch.as_u64());
+                sorted &= before.is_none_or(|before| before <= epoch.as_u64());
+            }
+        }
+        sorted
+    }
+
+    /// Writes a manifest with its parts.
+    pub fn publish(&mut self, generation: u64, parts: &[&str]) {
+        for part in parts {
+            let digest = blake3::hash(&crate::net::part_bytes(part)).to_hex().to_string();
+            self.put("part", &digest, serde_json::json!(part));
+        }
+        self.put("manifest", "fleet", crate::net::manifest(generation, parts));
+    }
+
     /// Returns the outcome of `call` and how long it takes.
     pub fn call(&mut self, now: Time, call: &Call, deadline: Time, reachable: bool) -> (Duration, Outcome) {
         let quick = Duration::from_millis(4);
@@ -44,7 +70,9 @@
                 if current != *version {
                     return (quick, Outcome::Conflict(current));
                 }
-                *self.writes.entry(kind.clone()).or_default() += 1;
+                if kind == "status" {
+                    self.statuses.push((name.clone(), value["epochs"].clone()));
+                }
                 let written = self.put(kind, name, value.clone());
                 if let Some((lost, left)) = &mut self.lose
                     && lost == kind
