--- /dev/null
+++ b/crates/poplarpaddle/src/control.rs
@@ -0,0 +1,359 @@
+//! The control side of a balancer: members, configuration, leases and health in one state machine.
+//!
+//! [`Node`] takes the time, peer messages and the outcomes of its actions, and gives [`Action`]s. It performs no I/O.
+//!
+//! # Trade-offs
+//!
+//! Actions are plain data that the caller performs in any order. A lost action costs only time: each has a deadline
+//! after which the node tries again, at another peer where there is one.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+
+use crate::error::{Error, Result};
+use crate::event::Event;
+use crate::health::Health;
+use crate::map::{self, Map};
+use crate::membership::{self, Letter, Membership};
+use crate::path::MemberId;
+use crate::time::Time;
+use crate::view;
+use crate::wire::{self, Gossip, Leaving, Record};
+
+mod action;
+mod departure;
+mod relay;
+mod settings;
+mod spread;
+mod status;
+
+pub use action::{Action, Answer, CallId};
+use departure::Departures;
+use relay::Relay;
+pub use settings::Settings;
+use spread::Spread;
+pub use status::{Lease, Member, Status, Target};
+
+/// blake3 digest of a manifest or a part.
+pub type Digest = [u8; 32];
+
+/// What became of offered or supplied bytes.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Offer {
+    /// The generation is lower than the one in force.
+    Stale,
+    /// The generation is in force already.
+    Current,
+    /// These parts are needed first.
+    Missing(Vec<Digest>),
+    /// The generation is in force from now on.
+    Applied,
+}
+
+/// Configuration of a node. It verifies what peers and the store offer.
+pub trait Configuration: Send {
+    /// Offers the bytes of a manifest.
+    ///
+    /// # Errors
+    ///
+    /// The fault of the manifest.
+    fn offer(&mut self, manifest: &[u8]) -> Result<Offer>;
+
+    /// Supplies the bytes of a part.
+    ///
+    /// # Errors
+    ///
+    /// The fault of the part or of the set that it completes.
+    fn supply(&mut self, part: &[u8]) -> Result<Offer>;
+
+    /// Returns the generation in force, 0 for none.
+    fn generation(&self) -> u64;
+
+    /// Returns the digest of the manifest in force.
+    fn digest(&self) -> Digest;
+
+    /// Returns the manifest in force as it is served to peers.
+    fn manifest(&self) -> Option<&[u8]>;
+
+    /// Returns a part of the generation in force as it is served to peers.
+    fn part(&self, digest: &Digest) -> Option<&[u8]>;
+
+    /// Returns the compiled configuration in force.
+    fn current(&self) -> Option<&Arc<view::Config>>;
+}
+
+/// The control side of one balancer.
+pub struct Node {
+    settings: Settings,
+    config: Box<dyn Configuration>,
+    membership: Membership,
+    spread: Spread,
+    relay: Relay,
+    health: Health,
+    departures: Departures,
+    actions: Vec<Action>,
+    hosts: Map<Ipv4Addr, view::Host>,
+    members: Arc<[view::Member]>,
+    revision: u64,
+    hosts_changed: bool,
+    dirty: bool,
+}
+
+impl std::fmt::Debug for Node {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Node").field("id", &self.settings.id).finish_non_exhaustive()
+    }
+}
+
+impl Node {
+    /// Returns a node that knows only itself and its seeds.
+    #[must_use]
+    pub fn new(now: Time, settings: Settings, config: Box<dyn Configuration>) -> Self {
+        let me = Record {
+            id: settings.id,
+            name: settings.name.clone(),
+            zone: settings.zone.clone(),
+            region: settings.region.clone(),
+            peer: settings.peer,
+            relay: settings.relay,
+            incarnation: 0,
+            state: wire::State::Alive,
+        };
+        let mut health = Health::new(settings.health.clone());
+        if let Some(current) = config.current() {
+            health.configure(current);
+        }
+        let members = membership::Settings { seed: settings.seed, ..settings.membership.clone() };
+        Self {
+            membership: Membership::new(now, members, me),
+            spread: Spread::default(),
+            relay: Relay::new(now, &settings),
+            health,
+            departures: Departures::default(),
+            actions: Vec::new(),
+            hosts: map::seeded(settings.seed),
+            members: Arc::new([]),
+            revision: 0,
+            hosts_changed: false,
+            dirty: true,
+            config,
+            settings,
+        }
+    }
+
+    /// Takes a message of a peer and returns the answer.
+    ///
+    /// # Errors
+    ///
+    /// [`Kind::Message`](crate::error::Kind::Message) for a message that is not valid; it has no effect.
+    pub fn message(&mut self, now: Time, message: &Gossip) -> Result<Gossip> {
+        membership::check(self.membership.me(), message)?;
+        self.gossip(now, message);
+        let answer = self.compose(now, &Letter::to(&message.sender), message.page);
+        self.settle(now);
+        Ok(answer)
+    }
+
+    /// Takes the outcome of an action.
+    ///
+    /// # Errors
+    ///
+    /// The fault of an answer that is not valid; it counts as a failure of the action.
+    pub fn answer(&mut self, now: Time, answer: &Answer<'_>) -> Result<()> {
+        let result = match answer {
+            Answer::Gossip { to, outcome } => self.gossip_answer(now, *to, *outcome),
+            Answer::Manifest { peer, outcome } => self.manifest_answer(now, *peer, *outcome),
+            Answer::Part { peer, digest, outcome } => self.part_answer(now, *peer, *digest, *outcome),
+            Answer::Store { id, outcome } => {
+                self.store_answer(now, *id, outcome);
+                Ok(())
+            }
+            Answer::Load { host, outcome } => {
+                self.hosts_changed = true;
+                self.health.answer(*host, *outcome)
+            }
+        };
+        self.settle(now);
+        result
+    }
+
+    /// Performs what is due.
+    pub fn tick(&mut self, now: Time) {
+        self.membership.tick(now);
+        for host in self.health.tick(now) {
+            self.actions.push(Action::Poll { host });
+        }
+        self.hosts_changed = true;
+        self.settle(now);
+    }
+
+    /// Sets the hosts whose load reports this node polls: those of the shards that it owns.
+    pub fn poll(&mut self, now: Time, hosts: &[Ipv4Addr]) {
+        self.health.watch(now, hosts);
+        self.hosts_changed = true;
+        self.settle(now);
+    }
+
+    /// Returns the time of the next tick.
+    #[must_use]
+    pub fn deadline(&self) -> Time {
+        let inner = self.membership.deadline().min(self.spread.deadline());
+        inner.min(self.relay.deadline()).min(self.health.deadline())
+    }
+
+    /// Takes the actions that are due.
+    pub fn actions(&mut self) -> Vec<Action> {
+        std::mem::take(&mut self.actions)
+    }
+
+    /// Announces to several peers at once that this node leaves.
+    pub fn leave(&mut self, now: Time) {
+        self.membership.leave(now);
+        self.settle(now);
+    }
+
+    /// Returns the manifest in force as it is served to peers.
+    #[must_use]
+    pub fn manifest(&self) -> Option<&[u8]> {
+        self.config.manifest()
+    }
+
+    /// Returns a part in force as it is served to peers.
+    #[must_use]
+    pub fn part(&self, digest: &Digest) -> Option<&[u8]> {
+        self.config.part(digest)
+    }
+
+    fn gossip(&mut self, now: Time, gossip: &Gossip) {
+        self.membership.receive(now, gossip);
+        self.spread.heard(&gossip.sender, gossip.generation);
+        for leaving in &gossip.leaving {
+            self.depart(now, *leaving);
+        }
+    }
+
+    /// Takes the entry of a host that is leaving.
+    fn depart(&mut self, now: Time, leaving: Leaving) {
+        if self.departures.note(now, leaving) {
+            self.hosts_changed = true;
+            self.membership.urge();
+            self.event(now, "host.leaving", leaving.host.to_string(), String::new());
+        }
+    }
+
+    fn gossip_answer(
+        &mut self,
+        now: Time,
+        to: SocketAddr,
+        outcome: std::result::Result<&Gossip, &Error>,
+    ) -> Result<()> {
+        let Ok(gossip) = outcome else {
+            self.membership.failed(now, to);
+            return Ok(());
+        };
+        membership::check(self.membership.me(), gossip)?;
+        self.membership.answered(now, to, gossip.sender.id);
+        self.gossip(now, gossip);
+        self.membership.paged(gossip);
+        Ok(())
+    }
+
+    /// Returns the message of `letter`; `page` is a page of the table that it has to carry.
+    fn compose(&mut self, now: Time, letter: &Letter, page: Option<MemberId>) -> Gossip {
+        let (updates, next) = self.membership.updates(letter.member, page);
+        Gossip {
+            version: wire::VERSION,
+            sender: self.membership.me().clone(),
+            generation: self.config.generation(),
+            digest: self.config.digest(),
+            updates,
+            leaving: self.departures.share(now, self.membership.retransmissions()),
+            ping: letter.ping,
+            pong: letter.pong,
+            page: letter.page.or(next),
+        }
+    }
+
+    /// Turns the state after an input into actions.
+    fn settle(&mut self, now: Time) {
+        self.relay(now);
+        self.spread(now);
+        self.apply(now);
+        for event in self.membership.events() {
+            self.actions.push(Action::Event(event));
+        }
+        for letter in self.membership.letters() {
+            self.send(now, &letter);
+        }
+    }
+
+    fn send(&mut self, now: Time, letter: &Letter) {
+        let message = self.compose(now, letter, None);
+        self.actions.push(Action::SendGossip { to: letter.to, message: Box::new(message) });
+    }
+
+    /// Hands a view to the data path if something in it changed.
+    fn apply(&mut self, now: Time) {
+        if self.membership.condemned() {
+            self.apply_condemned();
+        }
+        if self.revision != self.membership.revision() {
+            self.revision = self.membership.revision();
+            let members = self.membership.reachable();
+            self.dirty |= self.members[..] != members[..];
+            self.members = members.into();
+        }
+        self.hosts_changed |= self.departures.expire(now);
+        if std::mem::take(&mut self.hosts_changed) {
+            self.update_hosts();
+        }
+        if std::mem::take(&mut self.dirty) {
+            let members = Arc::clone(&self.members);
+            self.push_view(members);
+        }
+    }
+
+    /// Brings the states of hosts up to date. Load figures alone are no reason for a new view.
+    fn update_hosts(&mut self) {
+        let mut hosts = map::seeded(self.settings.seed);
+        hosts.extend(self.health.hosts());
+        for address in self.departures.hosts() {
+            let host: &mut view::Host = hosts.entry(address).or_default();
+            if matches!(host.state, view::HostState::Serving | view::HostState::Cold) {
+                host.state = view::HostState::Draining;
+            }
+        }
+        let state =
+            |map: &Map<Ipv4Addr, view::Host>, address: &Ipv4Addr| map.get(address).copied().unwrap_or_default().state;
+        let differs = |address: &Ipv4Addr| state(&hosts, address) != state(&self.hosts, address);
+        self.dirty |= hosts.keys().chain(self.hosts.keys()).any(differs);
+        self.hosts = hosts;
+    }
+
+    /// Hands out a view in which this node owns nothing. Others owned its shards while they held it dead, so the data
+    /// path has to see that it lost and regained them.
+    fn apply_condemned(&mut self) {
+        let mut members = self.membership.reachable();
+        for member in &mut members {
+            if member.id == self.settings.id {
+                member.presence = view::Presence::Leaving;
+            }
+        }
+        self.push_view(members.into());
+        self.dirty = true;
+    }
+
+    fn push_view(&mut self, members: Arc<[view::Member]>) {
+        let view = view::View {
+            me: self.settings.id,
+            config: self.config.current().cloned(),
+            members,
+            hosts: Arc::new(self.hosts.clone()),
+        };
+        self.actions.push(Action::Apply(view));
+    }
+
+    fn event(&mut self, now: Time, name: &str, subject: String, detail: String) {
+        self.actions.push(Action::Event(Event { time: now, name: name.to_owned(), subject, detail }));
+    }
+}
--- a/crates/poplarpaddle/src/lib.rs
+++ b/crates/poplarpaddle/src/lib.rs
@@ -23,12 +23,16 @@
 pub mod admission;
 pub mod check;
 pub mod config;
+pub mod control;
 pub mod error;
 pub mod event;
 pub mod flow;
+pub mod health;
 pub mod ip;
+pub mod lease;
 pub mod limit;
 pub mod map;
+pub mod membership;
 pub mod object;
 pub mod ownership;
 pub mod packet;
--- /dev/null
+++ b/crates/poplarpaddle/tests/control.rs
@@ -0,0 +1,278 @@
+//! Nodes of the control side on virtual time.
+#![allow(missing_docs, clippy::pedantic, reason = "tests are named by their failure and use small casts")]
+
+use poplarpaddle::store::{Vm, VmState};
+use poplarpaddle::view::{HostState, Presence};
+
+#[path = "control/net.rs"]
+mod net;
+#[path = "control/store.rs"]
+mod store;
+
+use net::{FakeConfig, Net, address};
+
+/// Guards against a killed balancer that keeps its shards for more than 3 s at any other member.
+#[test]
+fn killed_member_is_dead_everywhere_within_3_s() {
+    for (seed, loss) in [(1, 0.0), (2, 0.0), (3, 0.0), (4, 0.0), (5, 0.05), (6, 0.05)] {
+        let mut net = Net::fleet(seed, 16, 5_000);
+        assert!(net.agree(), "seed {seed}: all know all after the start");
+        net.loss = loss;
+        net.run(seed * 137);
+        net.kill(3 + seed as u16);
+        let took = net.until(3_000, Net::agree);
+        assert!(took.is_some(), "seed {seed}: a killed member is still reachable after 3 s");
+        println!("seed {seed} loss {loss}: dead after {took:?} ms");
+    }
+}
+
+/// Guards against false deaths that a resumed process derives from timers that ran while it was frozen.
+#[test]
+fn resumed_observer_declares_nobody_dead() {
+    for (seed, pause) in [(1, 900), (2, 2_000), (3, 5_000), (4, 60_000)] {
+        let mut net = Net::fleet(seed, 16, 5_000);
+        net.host(5).views.clear();
+        net.pause(5, pause);
+        net.run(pause + 5_000);
+        assert!(net.agree(), "seed {seed}: all know all after a pause of {pause} ms");
+        let lost = net.host(5).views.iter().filter(|(_, view)| view.members.len() < 16).count();
+        assert_eq!(lost, 0, "seed {seed}: the resumed node dropped peers after a pause of {pause} ms");
+    }
+}
+
+/// Guards against an owner that keeps entries of shards that others owned while it was frozen.
+#[test]
+fn condemned_member_sees_that_it_lost_its_shards() {
+    let mut net = Net::fleet(8, 16, 5_000);
+    net.pause(5, 6_000);
+    net.host(5).views.clear();
+    net.run(10_000);
+    let me = net.host(5).view.as_ref().unwrap().me;
+    let own = |view: &poplarpaddle::view::View| view.members.iter().find(|m| m.id == me).map(|m| m.presence);
+    let seen: Vec<_> = net.host(5).views.iter().filter_map(|(_, view)| own(view)).collect();
+    assert!(seen.windows(2).any(|pair| pair == [Presence::Leaving, Presence::Alive]), "{seen:?}");
+}
+
+/// Guards against a partition that stays split after the network healed.
+#[test]
+fn healed_partition_merges() {
+    for (seed, cut) in [(1, 4_000), (2, 10_000), (3, 120_000)] {
+        let mut net = Net::fleet(seed, 16, 5_000);
+        net.cut.insert("zone-0".into(), false);
+        net.run(cut);
+        // 4 s are too short for either side to have found all of the other; the cut then heals amid the detection.
+        if cut > 4_000 {
+            assert_eq!(net.members(0, Presence::Alive).len(), 6, "seed {seed}: the cut zone sees itself");
+            assert_eq!(net.members(1, Presence::Alive).len(), 10, "seed {seed}: the other zones see themselves");
+        }
+        net.cut.clear();
+        let healed = net.now;
+        for host in net.hosts.values_mut() {
+            host.views.clear();
+        }
+        let took = net.until(6_000, Net::agree);
+        assert!(took.is_some(), "seed {seed}: not merged 6 s after a cut of {cut} ms");
+        println!("seed {seed}: merged {took:?} ms after a cut of {cut} ms");
+        for (at, host) in &net.hosts {
+            let side = if host.zone == "zone-0" { 6 } else { 10 };
+            let fewest = host.views.iter().filter(|(time, _)| *time > healed).map(|(_, v)| v.members.len()).min();
+            assert!(fewest.is_none_or(|fewest| fewest >= side), "seed {seed}: {at} dropped members of its own side");
+        }
+    }
+}
+
+/// Guards against a leaving member that still gets new shards at some peer, or whose end counts as a failure.
+#[test]
+fn leaving_is_known_at_once() {
+    let mut net = Net::fleet(4, 16, 5_000);
+    let now = net.now;
+    net.host(7).node.leave(now);
+    let id = net.host(7).view.as_ref().unwrap().me;
+    let knows = |net: &Net| {
+        let leaving =
+            |v: &poplarpaddle::view::View| v.members.iter().any(|m| m.id == id && m.presence == Presence::Leaving);
+        net.hosts.values().all(|host| leaving(host.view.as_ref().unwrap()))
+    };
+    let took = net.until(1_000, knows);
+    assert!(took.is_some(), "some peer does not know of the leaving after 1 s");
+    println!("leaving known after {took:?} ms");
+}
+
+/// Guards against joins and deaths that pile up when every balancer is replaced.
+#[test]
+fn mass_replacement_settles_within_seconds() {
+    let mut net = Net::fleet(6, 16, 5_000);
+    for n in 0..16 {
+        net.start(100 + n, &[address(n), address((n + 1) % 16)]);
+    }
+    let joined = net.until(5_000, Net::agree);
+    assert!(joined.is_some(), "the new members are not known after 5 s");
+    let now = net.now;
+    for n in 0..16 {
+        net.host(n).node.leave(now);
+    }
+    net.run(1_000);
+    for n in 0..16 {
+        net.kill(n);
+    }
+    assert_eq!(net.members(100, Presence::Alive).len(), 16, "the old members own shards");
+    let gone = net.until(10_000, Net::agree);
+    assert!(gone.is_some(), "the old members are reachable 10 s after their end");
+    println!("joined after {joined:?} ms, gone after {gone:?} ms");
+}
+
+/// Guards against a configuration that is not in force everywhere within 7 s, or that goes back.
+#[test]
+fn configuration_spreads_from_one_node() {
+    for (seed, loss) in [(1, 0.0), (2, 0.1), (3, 0.1), (4, 0.1)] {
+        let mut net = Net::fleet(seed, 16, 5_000);
+        net.loss = loss;
+        for generation in 1..=5 {
+            let parts = ["a", "b", &format!("c{generation}")];
+            net.start_with(20 + generation as u16, &[address(3)], FakeConfig::with(generation, &parts));
+            let took = net.until(7_000, |net| net.generations() == [generation].into());
+            assert!(took.is_some(), "seed {seed}: generation {generation} is not in force everywhere after 7 s");
+            println!("seed {seed} loss {loss}: generation {generation} after {took:?} ms");
+        }
+        net.assert_never_back();
+    }
+}
+
+/// Guards against an accepted configuration that is not in force everywhere within 7 s, or that reverts.
+#[test]
+fn published_configuration_is_in_force_within_7_s() {
+    let mut slowest = 0;
+    for seed in 1..=6 {
+        let mut net = Net::fleet(seed, 16, 15_000);
+        net.loss = 0.1;
+        for generation in 1..=5 {
+            net.store.publish(generation, &["a", "b", &format!("c{generation}")]);
+            let took = net.until(7_000, |net| net.generations() == [generation].into());
+            assert!(took.is_some(), "seed {seed}: generation {generation} is not in force everywhere after 7 s");
+            slowest = slowest.max(took.unwrap());
+        }
+        net.assert_never_back();
+    }
+    println!("published configuration in force after at most {slowest} ms with 10 % loss");
+}
+
+/// Guards against a node that stays without configuration when it starts during an outage of the store.
+#[test]
+fn node_starts_during_store_outage() {
+    let mut net = Net::fleet(3, 16, 15_000);
+    net.store.publish(4, &["a", "b"]);
+    net.run(5_000);
+    net.store.down = true;
+    net.run(30_000);
+    net.start(40, &[address(2)]);
+    let at = net.now;
+    let before = net.host(40).node.status(at);
+    assert_eq!((before.ready, before.reason), (false, Some("no configuration is in force yet")));
+    net.run(2_000);
+    let at = net.now;
+    let status = net.host(40).node.status(at);
+    assert!(status.ready && status.generation == 4, "{status:?}");
+}
+
+/// Guards against a zone that loses its configuration or its members when it is cut off, or reverts after healing.
+#[test]
+fn zone_cut_off_keeps_and_then_catches_up() {
+    for store_reachable in [true, false] {
+        let mut net = Net::fleet(9, 16, 15_000);
+        net.store.publish(1, &["a"]);
+        net.run(7_000);
+        net.cut.insert("zone-1".into(), store_reachable);
+        net.run(20_000);
+        net.store.publish(2, &["b"]);
+        net.run(7_000);
+        let generation = net.host(1).view.as_ref().unwrap().config.as_ref().unwrap().generation;
+        assert_eq!(generation, if store_reachable { 2 } else { 1 }, "the cut zone uses what it can reach");
+        net.cut.clear();
+        let took = net.until(7_000, |net| net.agree() && net.generations() == [2].into());
+        assert!(took.is_some(), "store reachable {store_reachable}: not caught up 7 s after healing");
+        net.assert_never_back();
+    }
+}
+
+/// Guards against more or fewer than two holders in a zone, and against contenders beyond the three of highest weight.
+#[test]
+fn each_zone_has_two_holders() {
+    let mut net = Net::fleet(5, 18, 20_000);
+    for zone in ["zone-0", "zone-1", "zone-2"] {
+        assert_eq!(net.holders(zone).len(), 2, "{zone}");
+    }
+    let calls = net.store.callers.clone();
+    assert!(calls.len() <= 9, "{} of 18 nodes call the store, at most 3 of each zone may", calls.len());
+    let now = net.now;
+    let holder = net.holders("zone-0")[0];
+    net.hosts.get_mut(&holder).unwrap().node.leave(now);
+    let took = net.until(5_000, |net| net.holders("zone-0").iter().filter(|at| **at != holder).count() == 2);
+    assert!(took.is_some(), "the lease of a leaving holder is not taken over within 5 s");
+}
+
+/// Guards against a paused holder that still acts, and against a write of its old epoch that counts.
+#[test]
+fn paused_holder_is_fenced() {
+    let mut net = Net::fleet(5, 18, 20_000);
+    let holder = net.holders("zone-0")[0];
+    let (now, before) = (net.now, net.epochs("zone-0"));
+    net.hosts.get_mut(&holder).unwrap().pause_until(now + std::time::Duration::from_secs(40));
+    net.run(39_000);
+    let after = net.epochs("zone-0");
+    assert!(after.iter().sum::<u64>() > before.iter().sum(), "no one took over: {before:?} {after:?}");
+    net.run(30_000);
+    assert_eq!(net.holders("zone-0").len(), 2);
+    let status = net.store.get("status", "zone-0").unwrap().value["epochs"].clone();
+    for (n, epoch) in net.epochs("zone-0").iter().enumerate() {
+        let written = status[n.to_string()].as_u64();
+        assert!(written.is_none_or(|written| written <= *epoch), "lease {n}: status has {written:?}, lease {epoch}");
+    }
+    assert!(net.store.status_epochs_sorted(), "a status with a lower epoch was written after one with a higher epoch");
+}
+
+/// Guards against leaving targets that get new work because only relays know of them, and against load states that do
+/// not reach the data path.
+#[test]
+fn hosts_reach_the_data_path() {
+    let mut net = Net::fleet(7, 16, 20_000);
+    let vm = |address: &str, state| {
+        let (name, role, zone) = (format!("vm-{address}"), "target".into(), "zone-0".into());
+        Vm { name, role, zone, address: address.into(), state }
+    };
+    let leaving = "10.1.0.1".parse().unwrap();
+    net.store.vms = vec![vm("10.1.0.1", VmState::Leaving), vm("10.1.0.2", VmState::Live)];
+    let state =
+        |net: &Net, n: u16, host| net.hosts[&address(n)].view.as_ref().unwrap().hosts.get(&host).map(|h| h.state);
+    let all = |net: &Net| (0..16).all(|n| state(net, n, leaving) == Some(HostState::Draining));
+    let took = net.until(5_000, all);
+    assert!(took.is_some(), "a leaving target is not known everywhere after 5 s");
+    println!("leaving target known everywhere after {took:?} ms");
+
+    let polled = "10.1.0.9".parse().unwrap();
+    let now = net.now;
+    net.host(0).node.poll(now, &[polled]);
+    let report = |state: &str| format!(r#"{{"service":"s","slots":3,"busy":1,"connections":9,"state":"{state}"}}"#);
+    let cases = [
+        (Some(report("cold")), HostState::Cold),
+        (Some(report("serving")), HostState::Serving),
+        (Some(report("draining")), HostState::Draining),
+        (None, HostState::Down),
+        (Some(report("serving")), HostState::Serving),
+    ];
+    for (body, expected) in cases {
+        match &body {
+            Some(text) => net.loads.insert(polled, text.clone()),
+            None => net.loads.remove(&polled),
+        };
+        net.run(if body.is_none() { 1_500 } else { 0 });
+        if body.is_none() {
+            assert_ne!(state(&net, 0, polled), Some(HostState::Down), "one or two failed polls are no failure");
+        }
+        net.run(2_200);
+        assert_eq!(state(&net, 0, polled), Some(expected), "{body:?}");
+    }
+    let views = net.host(0).views.len();
+    net.loads.insert(polled, report("serving").replace("9", "10"));
+    net.run(5_000);
+    assert_eq!(net.host(0).views.len(), views, "load figures alone are no reason for a view");
+}
