Add stand-ins for fabric, targets and callers

The balancer needs real TCP flows to be tested, with failures that can be switched on. Targets and callers run smoltcp over UDP datagrams, the fabric routes raw IP packets by address. Connections are divided among 64 interfaces, because smoltcp looks through every socket for each packet.

--- /dev/null
+++ b/crates/poplarpaddle-standins/src/bin/standin-caller.rs
@@ -0,0 +1,100 @@
+//! Callers of one address prefix.
+
+use eyre::{Result, bail};
+use poplarpaddle_standins::args::{Flag, Options, Pair, flag};
+use poplarpaddle_standins::caller::{self, Service, Settings};
+use poplarpaddle_standins::net::{self, Prefix, Stop};
+use poplarpaddle_standins::record::Recorder;
+use poplarpaddle_standins::{clock, http, protocol};
+
+const FLAGS: &[Flag] = &[
+    flag("listen", "IP:PORT: UDP address for packets from the fabric"),
+    flag("fabric", "IP:PORT: UDP address of the fabric"),
+    flag("prefix", "CIDR: addresses of the callers (127.20.0.0/16)"),
+    flag("addresses", "N: addresses used (16)"),
+    flag("service", "NAME=IP:PORT: service to call; may be repeated"),
+    flag("rate", "N: short flows a second (50)"),
+    flag("long", "N: long flows (100)"),
+    flag("ramp-ms", "MS: time over which the long flows are opened (2000)"),
+    flag("pause-ms", "MS: mean pause between requests of a long flow (500)"),
+    flag("pipeline", "N: requests that a long flow sends at once (1)"),
+    flag("answer-min", "BYTES: shortest answer (32)"),
+    flag("answer-max", "BYTES: longest answer (4096)"),
+    flag("idempotent", "SHARE: share of idempotent requests, 0 to 1 (0.5)"),
+    flag("timeout-ms", "MS: time for an opening and for an answer (15000)"),
+    flag("deadline-ms", "MS: time after which a request shall not start, 0 for none (0)"),
+    flag("retries", "N: further openings after a refusal (0)"),
+    flag("duration-ms", "MS: length of the run (20000)"),
+    flag("seed", "N: seed (1)"),
+];
+
+#[tokio::main(flavor = "current_thread")]
+async fn main() -> Result<()> {
+    let Some(options) = Options::from_env("standin-caller", FLAGS)? else { return Ok(()) };
+    let settings = settings(&options)?;
+    let socket = net::bind(options.required("listen")?)?;
+    let stop = Stop::default();
+    let mut callers = tokio::task::spawn_blocking({
+        let stop = stop.clone();
+        move || caller::run(settings, socket, &Recorder::stdout(), &stop)
+    });
+    tokio::select! {
+        result = &mut callers => drop(result?),
+        result = http::terminated() => {
+            stop.set();
+            result?;
+            drop(callers.await?);
+        }
+    }
+    Ok(())
+}
+
+fn settings(options: &Options) -> Result<Settings> {
+    let milliseconds = |name, default: u64| options.value(name, default).map(|value: u64| value * clock::MILLISECOND);
+    let services = options.all::<Pair<String, std::net::SocketAddrV4>>("service")?;
+    let settings = Settings {
+        prefix: options.value("prefix", "127.20.0.0/16".parse::<Prefix>()?)?,
+        addresses: options.value("addresses", 16)?,
+        fabric: options.required("fabric")?,
+        services: services.into_iter().map(|pair| Service { name: pair.key, address: pair.value }).collect(),
+        rate: options.value("rate", 50.0)?,
+        long: options.value("long", 100)?,
+        ramp: milliseconds("ramp-ms", 2000)?,
+        pause: milliseconds("pause-ms", 500)?,
+        pipeline: options.value("pipeline", 1)?,
+        answer_min: options.value("answer-min", 32)?,
+        answer_max: options.value("answer-max", 4096)?,
+        idempotent: options.value("idempotent", 0.5)?,
+        timeout: milliseconds("timeout-ms", 15_000)?,
+        deadline: milliseconds("deadline-ms", 0)?,
+        retries: options.value("retries", 0)?,
+        duration: milliseconds("duration-ms", 20_000)?,
+        seed: options.value("seed", 1)?,
+    };
+    check(&settings)?;
+    Ok(settings)
+}
+
+fn check(settings: &Settings) -> Result<()> {
+    if settings.services.is_empty() {
+        bail!("flag --service is missing");
+    }
+    if settings.addresses == 0 || settings.addresses >= settings.prefix.size() {
+        bail!("--addresses {} does not fit into --prefix {}", settings.addresses, settings.prefix);
+    }
+    if !(0.0..=1.0).contains(&settings.idempotent) {
+        bail!("--idempotent {} is not in 0..=1", settings.idempotent);
+    }
+    // The upper bound keeps the gap between two arrivals at a microsecond or more.
+    if !(0.0..=1e6).contains(&settings.rate) {
+        bail!("--rate {} is not in 0..=1000000", settings.rate);
+    }
+    if settings.answer_min == 0
+        || settings.answer_min > settings.answer_max
+        || settings.answer_max > protocol::MAX_ANSWER
+    {
+        let (min, max) = (settings.answer_min, settings.answer_max);
+        bail!("--answer-min {min} and --answer-max {max} are not a range within 1..={}", protocol::MAX_ANSWER);
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/poplarpaddle-standins/src/caller.rs
@@ -0,0 +1,333 @@
+//! Callers: many flows from one process.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, HashMap};
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4, UdpSocket};
+use std::sync::Arc;
+
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64;
+
+use crate::clock;
+use crate::net::{self, Prefix, Stop};
+use crate::protocol::Request;
+use crate::record::{self, Outcome, Record, Recorder, Summary};
+use crate::stack::{self, App, Carrier, Handle, Side, Stack};
+
+pub mod flow;
+
+use flow::{Flow, Kind, Next, Phase, Sent};
+
+/// First port of a caller address.
+const FIRST_PORT: u64 = 1024;
+/// Ports used of a caller address.
+const PORTS: u64 = 64_000;
+/// Bits of a request id that count the requests of a process; the bits above tell the processes apart.
+const COUNTER_BITS: u32 = 32;
+/// Bits of the address that go into a request id. Ids stay below 2^53, which every JSON reader keeps exact.
+const PROCESS_MASK: u64 = 0xF_FFFF;
+/// Time after the last deadline at which the process ends in any case.
+const GRACE: u64 = 10 * clock::SECOND;
+
+/// A service as callers see it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Service {
+    /// Name, sent in each request.
+    pub name: String,
+    /// Address and port.
+    pub address: SocketAddrV4,
+}
+
+/// Settings of the callers. Times are in microseconds.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// Prefix of the callers' addresses; the first address is not used.
+    pub prefix: Prefix,
+    /// Number of addresses.
+    pub addresses: u64,
+    /// UDP address of the fabric.
+    pub fabric: SocketAddr,
+    /// Services, called in turn.
+    pub services: Vec<Service>,
+    /// Short flows a second.
+    pub rate: f64,
+    /// Long flows.
+    pub long: u64,
+    /// Time over which the long flows are opened.
+    pub ramp: u64,
+    /// Mean pause between requests of a long flow.
+    pub pause: u64,
+    /// Requests that a long flow sends at once.
+    pub pipeline: usize,
+    /// Shortest answer in bytes.
+    pub answer_min: u32,
+    /// Longest answer in bytes.
+    pub answer_max: u32,
+    /// Share of idempotent requests, 0 to 1.
+    pub idempotent: f64,
+    /// Time within which an opening and an answer has to arrive.
+    pub timeout: u64,
+    /// Time after which a request shall not start, 0 for none.
+    pub deadline: u64,
+    /// Further openings after a refusal.
+    pub retries: u32,
+    /// Length of the run.
+    pub duration: u64,
+    /// Seed.
+    pub seed: u64,
+}
+
+/// The callers of one process.
+pub struct Caller {
+    settings: Settings,
+    recorder: Recorder,
+    random: Pcg64,
+    flows: HashMap<Handle, Flow>,
+    timers: BinaryHeap<Reverse<(u64, Handle)>>,
+    start: u64,
+    next_short: u64,
+    next_long: u64,
+    opened: u64,
+    opened_long: u64,
+    requests: u64,
+    counts: BTreeMap<String, u64>,
+    done: bool,
+}
+
+impl std::fmt::Debug for Caller {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Caller").field("settings", &self.settings).finish_non_exhaustive()
+    }
+}
+
+/// Runs the callers over `socket` until they end or `stop` is set; returns the summary that was also written.
+#[must_use]
+pub fn run(settings: Settings, socket: Arc<UdpSocket>, recorder: &Recorder, stop: &Stop) -> Summary {
+    let carrier = Carrier { socket, fabric: settings.fabric };
+    let inbox = net::inbox(Arc::clone(&carrier.socket), stop.clone());
+    let address = settings.prefix.address();
+    let stack_settings = stack::Settings { side: Side::Caller, address, seed: settings.seed, ..Default::default() };
+    let mut stack = Stack::new(stack_settings, &carrier);
+    let mut caller = Caller::new(settings, recorder.clone(), clock::now());
+    stack::drive(&mut caller, &mut stack, &inbox, stop);
+    let summary = caller.summary();
+    recorder.write(&Record::Summary(summary.clone()));
+    stop.set();
+    summary
+}
+
+impl Caller {
+    /// Returns callers that start at `now`.
+    #[must_use]
+    pub fn new(settings: Settings, recorder: Recorder, now: u64) -> Self {
+        Self {
+            random: Pcg64::seed_from_u64(settings.seed ^ u64::from(u32::from(settings.prefix.address()))),
+            settings,
+            recorder,
+            flows: HashMap::new(),
+            timers: BinaryHeap::new(),
+            start: now,
+            next_short: now,
+            next_long: now,
+            opened: 0,
+            opened_long: 0,
+            requests: 0,
+            counts: BTreeMap::new(),
+            done: false,
+        }
+    }
+
+    fn summary(&self) -> Summary {
+        let mut counts = self.counts.clone();
+        let open = self.flows.values().filter(|flow| flow.phase != Phase::Ending).count();
+        counts.insert("requests".to_owned(), self.requests);
+        counts.insert("flows".to_owned(), self.opened);
+        counts.insert("long_flows".to_owned(), self.opened_long);
+        counts.insert("unfinished_flows".to_owned(), open as u64);
+        Summary { process: format!("caller {}", self.settings.prefix), counts }
+    }
+
+    const fn end(&self) -> u64 {
+        self.start + self.settings.duration
+    }
+
+    fn count(&mut self, name: &str) {
+        *self.counts.entry(name.to_owned()).or_default() += 1;
+    }
+
+    fn open_due(&mut self, now: u64, stack: &mut Stack) {
+        while self.opened_long < self.settings.long && self.next_long <= now && now < self.end() {
+            self.opened_long += 1;
+            self.next_long += self.settings.ramp / self.settings.long;
+            self.open(now, Kind::Long, stack);
+        }
+        while self.settings.rate > 0.0 && self.next_short <= now && now < self.end() {
+            // Arrivals of independent callers have exponentially distributed gaps.
+            let gap = -(1.0 - self.random.random::<f64>()).ln() / self.settings.rate;
+            self.next_short += u64::try_from(std::time::Duration::from_secs_f64(gap).as_micros()).unwrap_or(u64::MAX);
+            self.open(now, Kind::Short, stack);
+        }
+    }
+
+    fn open(&mut self, now: u64, kind: Kind, stack: &mut Stack) {
+        let service = usize::try_from(self.opened).unwrap_or(0) % self.settings.services.len();
+        let request = self.request(now, service);
+        let flow = Flow::new(now, kind, service, Sent { request, start: now });
+        self.connect(now, flow, stack);
+    }
+
+    /// Opens a flow from an endpoint that was not used for the longest time.
+    fn connect(&mut self, now: u64, mut flow: Flow, stack: &mut Stack) {
+        let number = self.opened;
+        self.opened += 1;
+        let offset = 1 + number % self.settings.addresses;
+        let address = u32::from(self.settings.prefix.address()) + u32::try_from(offset).unwrap_or(1);
+        let port = FIRST_PORT + (number / self.settings.addresses) % PORTS;
+        let local = SocketAddrV4::new(Ipv4Addr::from(address), u16::try_from(port).unwrap_or(u16::MAX));
+        flow.connect(now, local, self.settings.timeout);
+        match stack.connect(local, self.settings.services[flow.service].address) {
+            Ok(handle) => {
+                self.timers.push(Reverse((flow.due, handle)));
+                self.flows.insert(handle, flow);
+            }
+            Err(error) => eprintln!("flow not opened: {error}"),
+        }
+    }
+
+    fn request(&mut self, now: u64, service: usize) -> Request {
+        let process = (u64::from(u32::from(self.settings.prefix.address())) >> 8) & PROCESS_MASK;
+        self.requests += 1;
+        let deadline = if self.settings.deadline == 0 { 0 } else { now + self.settings.deadline };
+        Request {
+            id: (process << COUNTER_BITS) | self.requests,
+            service: self.settings.services[service].name.clone(),
+            idempotent: self.random.random_bool(self.settings.idempotent),
+            answer_size: self.random.random_range(self.settings.answer_min..=self.settings.answer_max),
+            deadline,
+        }
+    }
+
+    fn step(&mut self, now: u64, handle: Handle, stack: &mut Stack) {
+        let Some(mut flow) = self.flows.remove(&handle) else { return };
+        let ending = now >= self.end();
+        let next = flow.step(now, ending, self.settings.timeout, stack.socket(handle));
+        for (sent, outcome) in flow.outcomes() {
+            self.record_request(now, &flow, sent, outcome);
+        }
+        match next {
+            Next::Keep => {}
+            Next::Send => self.send(now, &mut flow),
+            Next::Refused => return self.refused(now, flow, handle, stack),
+            Next::Ended => self.record_flow(now, &flow),
+            Next::Remove => return stack.remove(handle),
+        }
+        flow.pump(stack.socket(handle));
+        self.timers.push(Reverse((flow.due.max(now + 1), handle)));
+        self.flows.insert(handle, flow);
+    }
+
+    fn send(&mut self, now: u64, flow: &mut Flow) {
+        let pause = self.settings.pause;
+        let pause = self.random.random_range(pause / 2..=pause + pause / 2);
+        for _ in 0..self.settings.pipeline.max(1) {
+            let request = self.request(now, flow.service);
+            flow.send(Sent { request, start: now });
+        }
+        flow.pause = pause;
+        flow.due = now + self.settings.timeout;
+    }
+
+    fn refused(&mut self, now: u64, mut flow: Flow, handle: Handle, stack: &mut Stack) {
+        stack.remove(handle);
+        if flow.tries <= self.settings.retries && now < self.end() {
+            self.count("retries");
+            return self.connect(now, flow, stack);
+        }
+        flow.fail(Outcome::Refused);
+        for (sent, outcome) in flow.outcomes() {
+            self.record_request(now, &flow, sent, outcome);
+        }
+        self.record_flow(now, &flow);
+    }
+
+    fn record_request(&mut self, now: u64, flow: &Flow, sent: Sent, outcome: Outcome) {
+        self.count(name(outcome));
+        self.recorder.write(&Record::Request(record::Request {
+            id: sent.request.id,
+            service: sent.request.service,
+            idempotent: sent.request.idempotent,
+            outcome,
+            start_us: sent.start,
+            end_us: now,
+            flow: flow.local.to_string(),
+            tries: flow.tries,
+        }));
+    }
+
+    fn record_flow(&mut self, now: u64, flow: &Flow) {
+        let service = &self.settings.services[flow.service];
+        let (name, address) = (service.name.clone(), service.address);
+        if flow.established {
+            self.count("established_flows");
+        }
+        if flow.broken.is_some() {
+            self.count("broken_flows");
+        }
+        self.recorder.write(&Record::Flow(record::Flow {
+            flow: format!("{}>{address}", flow.local),
+            service: name,
+            long: flow.kind == Kind::Long,
+            established: flow.established,
+            broken: flow.broken,
+            answered: flow.answered,
+            start_us: flow.opened,
+            end_us: now,
+        }));
+    }
+
+    fn passed(&mut self, now: u64) -> Vec<Handle> {
+        let mut handles = Vec::new();
+        while let Some(&Reverse((due, handle))) = self.timers.peek()
+            && due <= now
+        {
+            self.timers.pop();
+            handles.push(handle);
+        }
+        handles
+    }
+}
+
+impl App for Caller {
+    fn advance(&mut self, now: u64, stack: &mut Stack, touched: &[Handle]) {
+        self.open_due(now, stack);
+        let passed = self.passed(now);
+        for &handle in touched.iter().chain(&passed) {
+            self.step(now, handle, stack);
+        }
+        let last = self.end() + self.settings.timeout + GRACE;
+        let drained = self.flows.values().all(|flow| flow.phase == Phase::Ending && flow.settled(now));
+        self.done = now >= last || (now >= self.end() && drained);
+    }
+
+    fn due(&self) -> u64 {
+        let timer = self.timers.peek().map_or(u64::MAX, |&Reverse((due, _))| due);
+        let short = if self.settings.rate > 0.0 { self.next_short } else { u64::MAX };
+        let long = if self.opened_long < self.settings.long { self.next_long } else { u64::MAX };
+        timer.min(short).min(long).min(self.end())
+    }
+
+    fn done(&self) -> bool {
+        self.done
+    }
+}
+
+const fn name(outcome: Outcome) -> &'static str {
+    match outcome {
+        Outcome::Answered => "answered",
+        Outcome::Refused => "refused",
+        Outcome::Expired => "expired",
+        Outcome::Reset => "reset",
+        Outcome::Timeout => "timeout",
+        Outcome::WrongAnswer => "wrong_answer",
+    }
+}
--- /dev/null
+++ b/crates/poplarpaddle-standins/src/fabric/flows.rs
@@ -0,0 +1,93 @@
+//! Open flows, as a middlebox that keeps state sees them.
+
+use std::collections::HashMap;
+use std::net::SocketAddrV4;
+use std::str::FromStr;
+
+use eyre::{Result, eyre};
+
+use crate::stack::Header;
+
+/// Flows that are tracked at most; further ones cannot be silenced.
+const MAX_FLOWS: usize = 1_000_000;
+
+/// Identifies a flow before and after the rewriting of its service address, which keeps the port.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct Key {
+    /// Caller's endpoint.
+    pub caller: SocketAddrV4,
+    /// Port of the service.
+    pub port: u16,
+}
+
+impl FromStr for Key {
+    type Err = eyre::Report;
+
+    /// Parses `IP:port>IP:port`, as in the records of flows.
+    fn from_str(text: &str) -> Result<Self> {
+        let (caller, service) = text.split_once('>').ok_or_else(|| eyre!("flow {text:?} has no '>'"))?;
+        let parse = |end: &str| end.parse::<SocketAddrV4>().map_err(|error| eyre!("endpoint {end:?}: {error}"));
+        Ok(Self { caller: parse(caller)?, port: parse(service)?.port() })
+    }
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Entry {
+    sequence: u32,
+    silenced: bool,
+}
+
+/// Open flows.
+#[derive(Debug, Default)]
+pub struct Table {
+    entries: HashMap<Key, Entry>,
+}
+
+impl Table {
+    /// Learns from a packet between a caller and a service address. An opening with a new sequence number is a new
+    /// flow, which is not silenced.
+    pub fn observe(&mut self, key: Key, header: &Header) {
+        let known = self.entries.get(&key).copied();
+        if header.opening {
+            let repeated = known.is_some_and(|entry| entry.sequence == header.sequence);
+            if !repeated && (known.is_some() || self.entries.len() < MAX_FLOWS) {
+                self.entries.insert(key, Entry { sequence: header.sequence, silenced: false });
+            }
+        } else if header.ending && known.is_some_and(|entry| !entry.silenced) {
+            self.entries.remove(&key);
+        }
+    }
+
+    /// Silences an open flow; returns false when it is not known.
+    pub fn silence(&mut self, key: &Key) -> bool {
+        self.entries.get_mut(key).is_some_and(|entry| {
+            entry.silenced = true;
+            true
+        })
+    }
+
+    /// Silences the open flows for which `choose` returns true, in the order of their keys, and returns their number.
+    pub fn silence_where(&mut self, mut choose: impl FnMut(&Key) -> bool) -> usize {
+        let mut keys: Vec<_> = self.entries.keys().copied().collect();
+        keys.sort_unstable_by_key(|key| (key.caller, key.port));
+        keys.iter().filter(|key| choose(key)).filter(|key| self.silence(key)).count()
+    }
+
+    /// Returns true when packets of the flow are dropped.
+    #[must_use]
+    pub fn is_silenced(&self, key: &Key) -> bool {
+        self.entries.get(key).is_some_and(|entry| entry.silenced)
+    }
+
+    /// Returns the number of open flows, silenced ones included.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Returns true when no flow is open.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+}
--- a/crates/poplarpaddle-standins/src/main.rs
+++ /dev/null
@@ -1,2 +0,0 @@
-//! Placeholder.
-fn main() {}
--- /dev/null
+++ b/crates/poplarpaddle-standins/src/stack.rs
@@ -0,0 +1,400 @@
+//! User-space TCP over raw IP packets in UDP datagrams.
+//!
+//! `smoltcp` looks through all sockets of an interface for each packet. With thousands of connections that would take
+//! most of a core, so a [`Stack`] divides the connections by the caller's port among buckets, each with an interface of
+//! its own, and polls only buckets with a packet, a change or a passed deadline.
+
+use std::fmt;
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4, UdpSocket};
+use std::sync::Arc;
+use std::sync::mpsc::Receiver;
+
+use etherparse::{Ipv4HeaderSlice, TcpHeaderSlice};
+use eyre::{Result, eyre};
+use smoltcp::iface::{Config, Interface, SocketHandle, SocketSet};
+use smoltcp::phy::{self, DeviceCapabilities, Medium};
+use smoltcp::socket::tcp;
+use smoltcp::time::Instant;
+use smoltcp::wire::{HardwareAddress, IpAddress, IpCidr, IpEndpoint, IpListenEndpoint};
+
+use crate::clock;
+use crate::net::{Datagram, Stop};
+
+/// Number of buckets; at 4,500 connections a packet is compared with about 70 sockets.
+const BUCKETS: usize = 64;
+/// Longest IP packet, in bytes.
+const MTU: usize = 1500;
+/// Longest sleep of the driver, so that a stop is seen soon.
+const MAX_SLEEP: u64 = 20 * clock::MILLISECOND;
+/// Packets handled before the user's turn, so that a flood does not hold up answers.
+const BATCH: usize = 256;
+
+/// Fields of a TCP/IPv4 packet that routing needs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Header {
+    /// Source endpoint.
+    pub source: SocketAddrV4,
+    /// Destination endpoint.
+    pub destination: SocketAddrV4,
+    /// True for a SYN without ACK.
+    pub opening: bool,
+    /// True for a FIN or RST.
+    pub ending: bool,
+    /// Sequence number.
+    pub sequence: u32,
+}
+
+impl Header {
+    /// Parses a raw IP packet, none when it is not TCP over IPv4.
+    #[must_use]
+    pub fn parse(bytes: &[u8]) -> Option<Self> {
+        let ip = Ipv4HeaderSlice::from_slice(bytes).ok()?;
+        if ip.protocol() != etherparse::IpNumber::TCP {
+            return None;
+        }
+        let tcp = TcpHeaderSlice::from_slice(bytes.get(ip.slice().len()..)?).ok()?;
+        Some(Self {
+            source: SocketAddrV4::new(ip.source_addr(), tcp.source_port()),
+            destination: SocketAddrV4::new(ip.destination_addr(), tcp.destination_port()),
+            opening: tcp.syn() && !tcp.ack(),
+            ending: tcp.fin() || tcp.rst(),
+            sequence: tcp.sequence_number(),
+        })
+    }
+}
+
+/// Where the packets of a stack go.
+#[derive(Debug, Clone)]
+pub struct Carrier {
+    /// Socket that packets leave from.
+    pub socket: Arc<UdpSocket>,
+    /// Address of the fabric.
+    pub fabric: SocketAddr,
+}
+
+struct Device {
+    carrier: Carrier,
+    inbound: Option<Vec<u8>>,
+}
+
+struct Arrival(Vec<u8>);
+
+impl phy::RxToken for Arrival {
+    fn consume<R, F: FnOnce(&[u8]) -> R>(self, f: F) -> R {
+        f(&self.0)
+    }
+}
+
+struct Departure<'a>(&'a Carrier);
+
+impl phy::TxToken for Departure<'_> {
+    fn consume<R, F: FnOnce(&mut [u8]) -> R>(self, len: usize, f: F) -> R {
+        let mut buffer = vec![0; len];
+        let result = f(&mut buffer);
+        // A datagram that cannot be sent is a lost packet, which TCP repeats.
+        drop(self.0.socket.send_to(&buffer, self.0.fabric));
+        result
+    }
+}
+
+impl phy::Device for Device {
+    type RxToken<'a> = Arrival;
+    type TxToken<'a> = Departure<'a>;
+
+    fn receive(&mut self, _now: Instant) -> Option<(Arrival, Departure<'_>)> {
+        let bytes = self.inbound.take()?;
+        Some((Arrival(bytes), Departure(&self.carrier)))
+    }
+
+    fn transmit(&mut self, _now: Instant) -> Option<Departure<'_>> {
+        Some(Departure(&self.carrier))
+    }
+
+    fn capabilities(&self) -> DeviceCapabilities {
+        let mut capabilities = DeviceCapabilities::default();
+        capabilities.medium = Medium::Ip;
+        capabilities.max_transmission_unit = MTU;
+        capabilities
+    }
+}
+
+/// Which end of the connections a stack is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Side {
+    /// Opens connections from many addresses and ports.
+    Caller,
+    /// Listens at one address.
+    Target,
+}
+
+/// Settings of a [`Stack`].
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// Which end it is.
+    pub side: Side,
+    /// Its address; a caller also uses others.
+    pub address: Ipv4Addr,
+    /// Seed of initial sequence numbers.
+    pub seed: u64,
+    /// Receive buffer of a connection, in bytes.
+    pub receive: usize,
+    /// Send buffer of a connection, in bytes.
+    pub send: usize,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self { side: Side::Target, address: Ipv4Addr::LOCALHOST, seed: 0, receive: 4096, send: 4096 }
+    }
+}
+
+/// Identifies a connection of a stack.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Handle {
+    bucket: usize,
+    socket: SocketHandle,
+}
+
+struct Listener {
+    port: u16,
+    socket: SocketHandle,
+}
+
+struct Bucket {
+    interface: Interface,
+    device: Device,
+    sockets: SocketSet<'static>,
+    listeners: Vec<Listener>,
+    due: u64,
+    dirty: bool,
+}
+
+/// A TCP stack.
+pub struct Stack {
+    settings: Settings,
+    buckets: Vec<Bucket>,
+    accepted: Vec<Handle>,
+    ports: Vec<u16>,
+    listening: bool,
+}
+
+impl fmt::Debug for Stack {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Stack").field("settings", &self.settings).finish_non_exhaustive()
+    }
+}
+
+impl Stack {
+    /// Returns a stack that sends over `carrier`.
+    #[must_use]
+    pub fn new(settings: Settings, carrier: &Carrier) -> Self {
+        let buckets = (0..BUCKETS).map(|index| Bucket::new(&settings, carrier, index)).collect();
+        Self { settings, buckets, accepted: Vec::new(), ports: Vec::new(), listening: false }
+    }
+
+    /// Sets the ports at which a target listens, and whether it does. While it does not, an opening gets a reset.
+    pub fn listen(&mut self, ports: &[u16], listening: bool) {
+        if self.listening == listening && self.ports == ports {
+            return;
+        }
+        self.listening = listening;
+        ports.clone_into(&mut self.ports);
+        for bucket in &mut self.buckets {
+            for listener in bucket.listeners.drain(..) {
+                bucket.sockets.remove(listener.socket);
+            }
+            bucket.fill(&self.settings, ports, listening);
+        }
+    }
+
+    /// Opens a connection.
+    ///
+    /// # Errors
+    ///
+    /// Fails when an endpoint is unusable, for example port 0.
+    pub fn connect(&mut self, local: SocketAddrV4, remote: SocketAddrV4) -> Result<Handle> {
+        let index = usize::from(local.port()) % BUCKETS;
+        let bucket = &mut self.buckets[index];
+        let mut socket = socket(&self.settings);
+        socket
+            .connect(bucket.interface.context(), endpoint(remote), endpoint(local))
+            .map_err(|error| eyre!("cannot connect {local} to {remote}: {error}"))?;
+        bucket.dirty = true;
+        Ok(Handle { bucket: index, socket: bucket.sockets.add(socket) })
+    }
+
+    /// Returns a connection; its bucket is polled at the next [`Stack::flush`].
+    pub fn socket(&mut self, handle: Handle) -> &mut tcp::Socket<'static> {
+        let bucket = &mut self.buckets[handle.bucket];
+        bucket.dirty = true;
+        bucket.sockets.get_mut(handle.socket)
+    }
+
+    /// Returns the state of a connection.
+    #[must_use]
+    pub fn state(&self, handle: Handle) -> tcp::State {
+        self.buckets[handle.bucket].sockets.get::<tcp::Socket<'_>>(handle.socket).state()
+    }
+
+    /// Removes a connection. A segment that still arrives for it gets a reset.
+    pub fn remove(&mut self, handle: Handle) {
+        self.buckets[handle.bucket].sockets.remove(handle.socket);
+    }
+
+    /// Handles a packet and returns the connections that it may concern.
+    pub fn packet(&mut self, now: u64, bytes: Vec<u8>) -> Vec<Handle> {
+        let Some(header) = Header::parse(&bytes) else { return Vec::new() };
+        let port = match self.settings.side {
+            Side::Caller => header.destination.port(),
+            Side::Target => header.source.port(),
+        };
+        let index = usize::from(port) % BUCKETS;
+        let bucket = &mut self.buckets[index];
+        if header.opening && bucket.knows(&header) {
+            return Vec::new();
+        }
+        bucket.packet(now, bytes);
+        let accepted = bucket.accepted();
+        bucket.fill(&self.settings, &self.ports, self.listening);
+        self.accepted.extend(accepted.into_iter().map(|socket| Handle { bucket: index, socket }));
+        bucket.sockets.iter().map(|(socket, _)| Handle { bucket: index, socket }).collect()
+    }
+
+    /// Returns the connections accepted since the last call.
+    pub fn accepted(&mut self) -> Vec<Handle> {
+        std::mem::take(&mut self.accepted)
+    }
+
+    /// Sends what is due at `now`.
+    pub fn flush(&mut self, now: u64) {
+        for bucket in self.buckets.iter_mut().filter(|bucket| bucket.dirty || bucket.due <= now) {
+            bucket.poll(now);
+        }
+    }
+
+    /// Returns the time of the next [`Stack::flush`].
+    #[must_use]
+    pub fn due(&self) -> u64 {
+        self.buckets.iter().map(|bucket| if bucket.dirty { 0 } else { bucket.due }).min().unwrap_or(u64::MAX)
+    }
+}
+
+impl Bucket {
+    fn new(settings: &Settings, carrier: &Carrier, index: usize) -> Self {
+        let mut device = Device { carrier: carrier.clone(), inbound: None };
+        let mut config = Config::new(HardwareAddress::Ip);
+        // Targets with equal sequence numbers would accept each other's segments, so the address is part of the seed.
+        config.random_seed = mix(settings.seed, settings.address, index);
+        let mut interface = Interface::new(config, &mut device, instant(clock::now()));
+        interface.update_ip_addrs(|addresses| {
+            // The list of a new interface is empty and has room for one address.
+            let _pushed = addresses.push(IpCidr::new(IpAddress::Ipv4(settings.address), 32));
+        });
+        // With a default route through itself the interface takes packets for every caller address.
+        let _added = interface.routes_mut().add_default_ipv4_route(settings.address);
+        interface.set_any_ip(settings.side == Side::Caller);
+        let sockets = SocketSet::new(Vec::new());
+        Self { interface, device, sockets, listeners: Vec::new(), due: u64::MAX, dirty: false }
+    }
+
+    fn packet(&mut self, now: u64, bytes: Vec<u8>) {
+        self.device.inbound = Some(bytes);
+        self.interface.poll_ingress_single(instant(now), &mut self.device, &mut self.sockets);
+        self.dirty = true;
+    }
+
+    fn poll(&mut self, now: u64) {
+        self.interface.poll(instant(now), &mut self.device, &mut self.sockets);
+        let due = self.interface.poll_at(instant(now), &self.sockets);
+        self.due = due.map_or(u64::MAX, |due| u64::try_from(due.total_micros()).unwrap_or(0).max(now + 1));
+        self.dirty = false;
+    }
+
+    /// Returns true when a connection has the endpoints of `header`.
+    ///
+    /// A listening socket could take a repeated opening before the connection's own socket sees it, and the second
+    /// connection would answer with another sequence number.
+    fn knows(&self, header: &Header) -> bool {
+        self.sockets.iter().any(|(_, socket)| {
+            let smoltcp::socket::Socket::Tcp(socket) = socket;
+            socket.remote_endpoint() == Some(endpoint(header.source))
+                && socket.local_endpoint() == Some(endpoint(header.destination))
+        })
+    }
+
+    /// Takes the listeners that became connections out of the list.
+    fn accepted(&mut self) -> Vec<SocketHandle> {
+        let sockets = &self.sockets;
+        let taken =
+            |listener: &mut Listener| sockets.get::<tcp::Socket<'_>>(listener.socket).state() != tcp::State::Listen;
+        self.listeners.extract_if(.., taken).map(|listener| listener.socket).collect()
+    }
+
+    /// Adds a listener for each port that has none.
+    fn fill(&mut self, settings: &Settings, ports: &[u16], listening: bool) {
+        for &port in ports.iter().filter(|_| listening) {
+            if self.listeners.iter().any(|listener| listener.port == port) {
+                continue;
+            }
+            let mut socket = socket(settings);
+            let address = Some(IpAddress::Ipv4(settings.address));
+            if socket.listen(IpListenEndpoint { addr: address, port }).is_ok() {
+                self.listeners.push(Listener { port, socket: self.sockets.add(socket) });
+            }
+        }
+    }
+}
+
+fn socket(settings: &Settings) -> tcp::Socket<'static> {
+    let receive = tcp::SocketBuffer::new(vec![0; settings.receive]);
+    let send = tcp::SocketBuffer::new(vec![0; settings.send]);
+    let mut socket = tcp::Socket::new(receive, send);
+    socket.set_nagle_enabled(false);
+    // A delayed ACK can outlast the shortest retransmission time on loopback and cause repeats.
+    socket.set_ack_delay(None);
+    socket
+}
+
+const fn endpoint(address: SocketAddrV4) -> IpEndpoint {
+    IpEndpoint { addr: IpAddress::Ipv4(*address.ip()), port: address.port() }
+}
+
+fn instant(now: u64) -> Instant {
+    Instant::from_micros(i64::try_from(now).unwrap_or(i64::MAX))
+}
+
+fn mix(seed: u64, address: Ipv4Addr, index: usize) -> u64 {
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(&seed.to_be_bytes()).update(&address.octets()).update(&index.to_be_bytes());
+    hasher.finalize().as_bytes()[..8].iter().fold(0, |sum, &byte| (sum << 8) | u64::from(byte))
+}
+
+/// A user of a stack.
+pub trait App {
+    /// Acts on connections whose packets arrived, and on passed deadlines.
+    fn advance(&mut self, now: u64, stack: &mut Stack, touched: &[Handle]);
+
+    /// Returns when [`App::advance`] has to be called without a packet.
+    fn due(&self) -> u64;
+
+    /// Returns true when the app has ended.
+    fn done(&self) -> bool;
+}
+
+/// Drives a stack and its user until the user has ended or `stop` is set.
+pub fn drive(app: &mut impl App, stack: &mut Stack, inbox: &Receiver<Datagram>, stop: &Stop) {
+    let mut touched = Vec::new();
+    while !stop.is_set() && !app.done() {
+        let now = clock::now();
+        touched.clear();
+        let deadline = app.due().min(stack.due()).min(now + MAX_SLEEP);
+        let first = inbox.recv_timeout(clock::until(now, deadline)).ok();
+        for datagram in first.into_iter().chain(inbox.try_iter().take(BATCH)) {
+            touched.extend(stack.packet(clock::now(), datagram.bytes));
+        }
+        touched.sort_unstable();
+        touched.dedup();
+        app.advance(clock::now(), stack, &touched);
+        stack.flush(clock::now());
+    }
+}
