Add the platform stand-in and the judge

Publishing, leases and watches need a store that refuses stale writes, loses answers and has outages, and a run needs one result that fails when a request ran twice, ran after a refusal, was misrouted or got a wrong answer.

Lost answers close the connection below HTTP after the write took effect.

--- /dev/null
+++ b/crates/poplarpaddle-standins/src/judge.rs
@@ -0,0 +1,191 @@
+//! Joins the records of callers and targets into the result of a run.
+
+use std::collections::{BTreeMap, HashMap};
+
+use eyre::{Result, WrapErr};
+use serde::{Deserialize, Serialize};
+
+use crate::record::{Outcome, Record, Request, Run};
+
+/// Ids listed per fault at most.
+const MAX_EXAMPLES: usize = 5;
+
+/// Result of a run.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Report {
+    /// Requests of all callers.
+    pub requests: u64,
+    /// Whole and correct answers.
+    pub answered: u64,
+    /// Requests whose caller was told that they were not run because the opening was refused.
+    pub refused: u64,
+    /// Requests whose caller was told by the target that they were not run because of their deadline.
+    pub expired: u64,
+    /// Requests on flows that were reset or closed.
+    pub reset: u64,
+    /// Requests without an answer in time.
+    pub timeouts: u64,
+    /// Established flows.
+    pub flows: u64,
+    /// Established flows that broke before their last answer.
+    pub broken_flows: u64,
+    /// Broken flows by cause.
+    pub broken_by_cause: BTreeMap<String, u64>,
+    /// Requests that reached a target of another service.
+    pub misrouted: u64,
+    /// Requests that are not idempotent and ran more than once.
+    pub run_twice: u64,
+    /// Idempotent requests that ran more than once, which is allowed.
+    pub idempotent_run_twice: u64,
+    /// Requests that ran although their caller was told that they were not.
+    pub refused_but_run: u64,
+    /// Answers with wrong bytes, or answers whose request never ran.
+    pub wrong_answers: u64,
+    /// Runs at targets.
+    pub runs: u64,
+    /// Openings that reached draining targets later than 5 s after the drain began.
+    pub late_openings: u64,
+    /// Lines that are not records; a process that was killed may leave a cut last line.
+    pub unreadable_lines: u64,
+    /// Some request ids or flows for each fault.
+    pub examples: BTreeMap<String, Vec<String>>,
+    /// Seed of the run.
+    pub seed: u64,
+}
+
+/// A leaving target may still get new work for this time, in microseconds.
+const LATE_OPENING: u64 = 5 * crate::clock::SECOND;
+
+/// Collects records.
+#[derive(Debug, Default)]
+pub struct Judge {
+    report: Report,
+    requests: Vec<Request>,
+    runs: HashMap<u64, Vec<Run>>,
+}
+
+impl Judge {
+    /// Returns a judge of a run with `seed`.
+    #[must_use]
+    pub fn new(seed: u64) -> Self {
+        Self { report: Report { seed, ..Default::default() }, ..Default::default() }
+    }
+
+    /// Reads records from JSON lines.
+    pub fn read(&mut self, text: &str) {
+        for line in text.lines().filter(|line| !line.trim().is_empty()) {
+            match serde_json::from_str(line) {
+                Ok(record) => self.add(record),
+                Err(_) => self.report.unreadable_lines += 1,
+            }
+        }
+    }
+
+    /// Reads a file.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the file cannot be read.
+    pub fn read_file(&mut self, file: &str) -> Result<()> {
+        let bytes = std::fs::read(file).wrap_err_with(|| format!("cannot read record file {file:?}"))?;
+        self.read(&String::from_utf8_lossy(&bytes));
+        Ok(())
+    }
+
+    /// Adds a record.
+    pub fn add(&mut self, record: Record) {
+        match record {
+            Record::Request(request) => self.requests.push(request),
+            Record::Run(run) => self.runs.entry(run.id).or_default().push(run),
+            Record::Flow(flow) => {
+                self.report.flows += u64::from(flow.established);
+                if let Some(cause) = flow.broken {
+                    self.report.broken_flows += 1;
+                    *self.report.broken_by_cause.entry(format!("{cause:?}").to_lowercase()).or_default() += 1;
+                    self.example("broken_flows", flow.flow);
+                }
+            }
+            Record::Misrouted(misrouted) => {
+                self.report.misrouted += 1;
+                self.example("misrouted", misrouted.id.to_string());
+            }
+            Record::LateOpening(opening) => {
+                self.report.late_openings += u64::from(opening.after_us > LATE_OPENING);
+            }
+            Record::Summary(_) => {}
+        }
+    }
+
+    /// Returns the result.
+    #[must_use]
+    pub fn report(mut self) -> Report {
+        self.report.runs = self.runs.values().map(|runs| runs.len() as u64).sum();
+        for request in std::mem::take(&mut self.requests) {
+            self.judge(&request);
+        }
+        // Runs whose caller wrote no record are counted like those of requests that are not idempotent.
+        let orphans: Vec<_> = self.runs.iter().filter(|(_, runs)| runs.len() > 1).map(|(id, _)| *id).collect();
+        for id in orphans {
+            self.report.run_twice += 1;
+            self.example("run_twice", id.to_string());
+        }
+        self.report
+    }
+
+    fn judge(&mut self, request: &Request) {
+        self.report.requests += 1;
+        let runs = self.runs.remove(&request.id).unwrap_or_default();
+        self.count_outcome(request, !runs.is_empty());
+        if runs.len() > 1 && request.idempotent {
+            self.report.idempotent_run_twice += 1;
+        } else if runs.len() > 1 {
+            self.report.run_twice += 1;
+            self.example("run_twice", request.id.to_string());
+        }
+        if runs.iter().any(|run| run.service != request.service) {
+            self.report.misrouted += 1;
+            self.example("misrouted", request.id.to_string());
+        }
+    }
+
+    fn count_outcome(&mut self, request: &Request, ran: bool) {
+        let told_not_run = matches!(request.outcome, Outcome::Refused | Outcome::Expired);
+        if told_not_run && ran {
+            self.report.refused_but_run += 1;
+            self.example("refused_but_run", request.id.to_string());
+        }
+        let answered_without_run = request.outcome == Outcome::Answered && !ran;
+        if answered_without_run || request.outcome == Outcome::WrongAnswer {
+            self.report.wrong_answers += 1;
+            self.example("wrong_answers", request.id.to_string());
+        }
+        let count = match request.outcome {
+            Outcome::Answered => &mut self.report.answered,
+            Outcome::Refused => &mut self.report.refused,
+            Outcome::Expired => &mut self.report.expired,
+            Outcome::Reset => &mut self.report.reset,
+            Outcome::Timeout => &mut self.report.timeouts,
+            Outcome::WrongAnswer => return,
+        };
+        *count += 1;
+    }
+
+    fn example(&mut self, fault: &str, subject: String) {
+        let examples = self.report.examples.entry(fault.to_owned()).or_default();
+        if examples.len() < MAX_EXAMPLES {
+            examples.push(subject);
+        }
+    }
+}
+
+impl Report {
+    /// Returns true when nothing happened that must never happen.
+    #[must_use]
+    pub const fn holds(&self) -> bool {
+        self.broken_flows == 0
+            && self.misrouted == 0
+            && self.run_twice == 0
+            && self.refused_but_run == 0
+            && self.wrong_answers == 0
+    }
+}
--- /dev/null
+++ b/crates/poplarpaddle-standins/src/platform/http.rs
@@ -0,0 +1,319 @@
+//! HTTP interface of the platform.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use axum::body::Bytes;
+use axum::extract::rejection::{BytesRejection, JsonRejection, QueryRejection};
+use axum::extract::{ConnectInfo, DefaultBodyLimit, Path, Query, Request, State as Extract};
+use axum::http::{Method, StatusCode};
+use axum::middleware::{Next, from_fn_with_state};
+use axum::response::{IntoResponse, Response};
+use axum::routing::{delete, get, post};
+use axum::{Json, Router};
+use serde::Deserialize;
+use serde_json::{Value, json};
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio::time::{sleep, timeout};
+
+use super::link::{Breaker, Listener};
+use super::{Change, Counts, KINDS, MAX_NAME, MAX_VALUE, Outage, Store, Switches, Vm, VmList, Written};
+use crate::clock;
+use crate::http::{failure, rejected};
+
+/// Longest wait of a watch.
+const MAX_WATCH: Duration = Duration::from_mins(1);
+
+#[derive(Debug, Default)]
+struct Data {
+    store: Store,
+    vms: VmList,
+    counts: Counts,
+}
+
+/// The platform as handlers share it.
+#[derive(Debug, Clone)]
+pub struct Platform {
+    data: Arc<Mutex<Data>>,
+    switches: Arc<watch::Sender<Switches>>,
+    changes: Arc<watch::Sender<u64>>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Condition {
+    if_version: u64,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Wait {
+    after: u64,
+    timeout_ms: u64,
+}
+
+type Name = Path<(String, String)>;
+
+impl Platform {
+    /// Returns an empty platform.
+    #[must_use]
+    pub fn new(switches: Switches) -> Self {
+        Self {
+            data: Arc::default(),
+            switches: Arc::new(watch::Sender::new(switches)),
+            changes: Arc::new(watch::Sender::new(0)),
+        }
+    }
+
+    /// Serves until the future is dropped.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the listener fails.
+    pub async fn serve(self, listener: TcpListener) -> eyre::Result<()> {
+        let service = self.router().into_make_service_with_connect_info::<Breaker>();
+        axum::serve(Listener(listener), service).await?;
+        Ok(())
+    }
+
+    fn router(self) -> Router {
+        let api = Router::new()
+            .route("/objects/{kind}", get(list))
+            .route("/objects/{kind}/{name}", get(read).put(write).delete(remove))
+            .route("/objects/{kind}/{name}/watch", get(observe))
+            .route("/vms", get(vms))
+            .layer(from_fn_with_state(self.clone(), gate))
+            .layer(DefaultBodyLimit::max(MAX_VALUE));
+        let admin = Router::new()
+            .route("/vms", post(put_vm))
+            .route("/vms/{name}", delete(remove_vm))
+            .route("/admin", get(counts).post(change));
+        api.merge(admin).with_state(self)
+    }
+
+    fn data(&self) -> MutexGuard<'_, Data> {
+        self.data.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn written(&self, written: Written) -> Response {
+        match written {
+            Written::Version(version) => {
+                self.changes.send_replace(version);
+                Json(json!({ "version": version })).into_response()
+            }
+            Written::Conflict(version) => {
+                self.data().counts.conflicts += 1;
+                (StatusCode::CONFLICT, Json(json!({ "version": version }))).into_response()
+            }
+        }
+    }
+
+    fn object(&self, kind: &str, name: &str) -> Response {
+        let object = self.data().store.get(kind, name).cloned();
+        object.map_or_else(|| missing(kind, name), |object| Json(object).into_response())
+    }
+
+    /// Answers a call during an outage, none when there is no outage.
+    async fn outage(&self) -> Option<Response> {
+        let outage = self.switches.borrow().outage;
+        if outage == Outage::None {
+            return None;
+        }
+        self.data().counts.outage_calls += 1;
+        if outage == Outage::Silent {
+            // The sender lives as long as this platform, so the wait ends only with the outage.
+            drop(self.switches.subscribe().wait_for(|switches| switches.outage != Outage::Silent).await);
+        }
+        Some(failure(StatusCode::SERVICE_UNAVAILABLE, "the store has an outage"))
+    }
+
+    /// Returns true when the answer to this successful write shall be lost.
+    fn loses_answer(&self) -> bool {
+        self.switches.send_if_modified(|switches| {
+            let lose = switches.lose_answers > 0;
+            switches.lose_answers -= u64::from(lose);
+            lose
+        })
+    }
+}
+
+/// Applies the switches to a call of the API.
+async fn gate(
+    Extract(platform): Extract<Platform>,
+    ConnectInfo(breaker): ConnectInfo<Breaker>,
+    request: Request,
+    next: Next,
+) -> Response {
+    let slow = platform.switches.borrow().slow_ms;
+    sleep(Duration::from_millis(slow)).await;
+    if let Some(answer) = platform.outage().await {
+        return answer;
+    }
+    let is_write = request.method() != Method::GET;
+    let answer = next.run(request).await;
+    if !is_write {
+        // A watch may have waited into an outage.
+        return platform.outage().await.unwrap_or(answer);
+    }
+    if answer.status() == StatusCode::OK && platform.loses_answer() {
+        platform.data().counts.lost_answers += 1;
+        breaker.open();
+    }
+    answer
+}
+
+async fn list(Extract(platform): Extract<Platform>, Path(kind): Path<String>) -> Response {
+    platform.data().counts.reads += 1;
+    if let Some(answer) = fault(&kind, "") {
+        return answer;
+    }
+    Json(platform.data().store.list(&kind)).into_response()
+}
+
+async fn read(Extract(platform): Extract<Platform>, Path((kind, name)): Name) -> Response {
+    platform.data().counts.reads += 1;
+    fault(&kind, &name).unwrap_or_else(|| platform.object(&kind, &name))
+}
+
+async fn write(
+    Extract(platform): Extract<Platform>,
+    Path((kind, name)): Name,
+    condition: Result<Query<Condition>, QueryRejection>,
+    body: Result<Bytes, BytesRejection>,
+) -> Response {
+    platform.data().counts.writes += 1;
+    if let Some(answer) = fault(&kind, &name) {
+        return answer;
+    }
+    let condition = match condition {
+        Ok(Query(condition)) => condition,
+        Err(rejection) => return failure(StatusCode::BAD_REQUEST, &rejection.body_text()),
+    };
+    let body = match body {
+        Ok(body) => body,
+        Err(rejection) => return failure(rejection.status(), &rejection.body_text()),
+    };
+    let value: Value = match serde_json::from_slice(&body) {
+        Ok(value) => value,
+        Err(error) => return failure(StatusCode::BAD_REQUEST, &format!("value of {kind} {name:?}: {error}")),
+    };
+    let written = platform.data().store.put(&kind, &name, condition.if_version, value);
+    platform.written(written)
+}
+
+async fn remove(
+    Extract(platform): Extract<Platform>,
+    Path((kind, name)): Name,
+    condition: Result<Query<Condition>, QueryRejection>,
+) -> Response {
+    platform.data().counts.writes += 1;
+    let condition = match condition {
+        Ok(Query(condition)) => condition,
+        Err(rejection) => return failure(StatusCode::BAD_REQUEST, &rejection.body_text()),
+    };
+    if let Some(answer) = fault(&kind, &name) {
+        return answer;
+    }
+    if platform.data().store.get(&kind, &name).is_none() {
+        return missing(&kind, &name);
+    }
+    let written = platform.data().store.delete(&kind, &name, condition.if_version);
+    platform.written(written)
+}
+
+async fn observe(
+    Extract(platform): Extract<Platform>,
+    Path((kind, name)): Name,
+    wait: Result<Query<Wait>, QueryRejection>,
+) -> Response {
+    platform.data().counts.reads += 1;
+    let wait = match wait {
+        Ok(Query(wait)) => wait,
+        Err(rejection) => return failure(StatusCode::BAD_REQUEST, &rejection.body_text()),
+    };
+    if let Some(answer) = fault(&kind, &name) {
+        return answer;
+    }
+    let _waiting = Waiting::new(&platform);
+    let mut versions = platform.changes.subscribe();
+    let changed = versions.wait_for(|_| platform.data().store.version(&kind, &name) != wait.after);
+    // The answer is the same whether the version changed or the time is over.
+    drop(timeout(Duration::from_millis(wait.timeout_ms).min(MAX_WATCH), changed).await);
+    platform.object(&kind, &name)
+}
+
+async fn vms(Extract(platform): Extract<Platform>) -> Json<Vec<Vm>> {
+    let mut data = platform.data();
+    data.counts.reads += 1;
+    Json(data.vms.list(clock::now()))
+}
+
+async fn put_vm(Extract(platform): Extract<Platform>, body: Result<Json<Vm>, JsonRejection>) -> Response {
+    let vm = match body {
+        Ok(Json(vm)) => vm,
+        Err(rejection) => return rejected(&rejection),
+    };
+    if !matches!(vm.role.as_str(), "balancer" | "target") {
+        return failure(StatusCode::BAD_REQUEST, &format!("role {:?} is not balancer or target", vm.role));
+    }
+    let visible = platform.visible();
+    platform.data().vms.put(visible, vm);
+    Json(json!({})).into_response()
+}
+
+async fn remove_vm(Extract(platform): Extract<Platform>, Path(name): Path<String>) -> Response {
+    let visible = platform.visible();
+    platform.data().vms.remove(visible, &name);
+    Json(json!({})).into_response()
+}
+
+async fn counts(Extract(platform): Extract<Platform>) -> Response {
+    let switches = *platform.switches.borrow();
+    let counts = platform.data().counts;
+    Json(json!({ "counts": counts, "switches": switches })).into_response()
+}
+
+async fn change(Extract(platform): Extract<Platform>, body: Result<Json<Change>, JsonRejection>) -> Response {
+    let change = match body {
+        Ok(Json(change)) => change,
+        Err(rejection) => return rejected(&rejection),
+    };
+    platform.switches.send_modify(|switches| switches.apply(change));
+    Json(json!({})).into_response()
+}
+
+impl Platform {
+    fn visible(&self) -> u64 {
+        clock::now() + self.switches.borrow().vm_lag_ms * clock::MILLISECOND
+    }
+}
+
+/// Counts a waiting watch, also when its connection is closed early.
+struct Waiting(Platform);
+
+impl Waiting {
+    fn new(platform: &Platform) -> Self {
+        platform.data().counts.waiting_watches += 1;
+        Self(platform.clone())
+    }
+}
+
+impl Drop for Waiting {
+    fn drop(&mut self) {
+        self.0.data().counts.waiting_watches -= 1;
+    }
+}
+
+/// Returns the answer to an unusable kind or name.
+fn fault(kind: &str, name: &str) -> Option<Response> {
+    if !KINDS.contains(&kind) {
+        return Some(failure(StatusCode::BAD_REQUEST, &format!("kind {kind:?} is not one of {KINDS:?}")));
+    }
+    let length = name.len();
+    (length > MAX_NAME).then(|| failure(StatusCode::BAD_REQUEST, &format!("name of {length} bytes is over {MAX_NAME}")))
+}
+
+fn missing(kind: &str, name: &str) -> Response {
+    failure(StatusCode::NOT_FOUND, &format!("{kind} {name:?} does not exist"))
+}
--- /dev/null
+++ b/crates/poplarpaddle-standins/src/platform/link.rs
@@ -0,0 +1,88 @@
+//! HTTP connections that can be closed without an answer.
+
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::task::{Context, Poll};
+use std::{io, time::Duration};
+
+use axum::extract::connect_info::Connected;
+use axum::serve::IncomingStream;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::{TcpListener, TcpStream};
+
+/// Pause after a failed accept, for example when no file descriptor is left.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Breaks one connection.
+#[derive(Debug, Clone, Default)]
+pub struct Breaker(Arc<AtomicBool>);
+
+impl Breaker {
+    /// Makes every further byte of the connection fail, so that it closes without an answer.
+    pub fn open(&self) {
+        self.0.store(true, Ordering::Release);
+    }
+
+    fn check(&self) -> io::Result<()> {
+        if self.0.load(Ordering::Acquire) { Err(io::ErrorKind::ConnectionAborted.into()) } else { Ok(()) }
+    }
+}
+
+impl Connected<IncomingStream<'_, Listener>> for Breaker {
+    fn connect_info(stream: IncomingStream<'_, Listener>) -> Self {
+        stream.io().breaker.clone()
+    }
+}
+
+/// Listener of connections with a [`Breaker`].
+#[derive(Debug)]
+pub struct Listener(pub TcpListener);
+
+impl axum::serve::Listener for Listener {
+    type Io = Link;
+    type Addr = SocketAddr;
+
+    async fn accept(&mut self) -> (Link, SocketAddr) {
+        loop {
+            match self.0.accept().await {
+                Ok((stream, address)) => return (Link { stream, breaker: Breaker::default() }, address),
+                Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
+            }
+        }
+    }
+
+    fn local_addr(&self) -> io::Result<SocketAddr> {
+        self.0.local_addr()
+    }
+}
+
+/// A connection.
+#[derive(Debug)]
+pub struct Link {
+    stream: TcpStream,
+    breaker: Breaker,
+}
+
+impl AsyncRead for Link {
+    fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        self.breaker.check()?;
+        Pin::new(&mut self.stream).poll_read(cx, buf)
+    }
+}
+
+impl AsyncWrite for Link {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        self.breaker.check()?;
+        Pin::new(&mut self.stream).poll_write(cx, buf)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
