--- /dev/null
+++ b/crates/poplarpaddle-standins/src/target/http.rs
@@ -0,0 +1,201 @@
+//! Load report and admin interface of a target.
+
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use axum::extract::State as Extract;
+use axum::extract::rejection::JsonRejection;
+use axum::response::{IntoResponse, Response};
+use axum::routing::get;
+use axum::{Json, Router};
+use serde::{Deserialize, Serialize};
+use serde_json::json;
+
+use super::{Shared, State};
+use crate::clock;
+use crate::http;
+
+/// How often the load is sampled for the lagging report.
+const SAMPLE: Duration = Duration::from_millis(50);
+
+/// Load report as the page gives it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Load {
+    /// Service name.
+    pub service: String,
+    /// Slots of the host.
+    pub slots: usize,
+    /// Slots in use.
+    pub busy: usize,
+    /// Open connections.
+    pub connections: usize,
+    /// `serving`, `draining` or `cold`.
+    pub state: String,
+}
+
+/// Values that replace the true ones in the report.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Misleading {
+    /// Service name.
+    pub service: Option<String>,
+    /// Slots in use.
+    pub busy: Option<usize>,
+    /// Open connections.
+    pub connections: Option<usize>,
+    /// State.
+    pub state: Option<String>,
+}
+
+/// Settings of the report.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// HTTP address.
+    pub listen: SocketAddr,
+    /// True service name.
+    pub service: String,
+    /// True number of slots.
+    pub slots: usize,
+    /// When the target is warm, in microseconds since the Unix epoch.
+    pub warm_at: u64,
+    /// Age of the report in microseconds.
+    pub lag: u64,
+    /// Values that replace the true ones.
+    pub misleading: Misleading,
+}
+
+/// Body of `POST /admin`; a field that is left out stays as it is.
+#[derive(Debug, Clone, Default, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Admin {
+    draining: Option<bool>,
+    load_lag_ms: Option<u64>,
+    misleading: Option<Misleading>,
+}
+
+struct Report {
+    settings: Settings,
+    samples: VecDeque<(u64, Load)>,
+}
+
+#[derive(Clone)]
+struct Server {
+    state: State,
+    report: Arc<Mutex<Report>>,
+}
+
+/// Serves `/load` and `/admin` until the process is told to stop.
+///
+/// # Errors
+///
+/// Fails when the address cannot be bound.
+pub async fn serve(settings: Settings, state: State) -> eyre::Result<()> {
+    let listener = http::listen(settings.listen).await?;
+    let report = Arc::new(Mutex::new(Report { settings, samples: VecDeque::new() }));
+    let server = Server { state, report };
+    let router =
+        Router::new().route("/load", get(load)).route("/admin", get(counts).post(admin)).with_state(server.clone());
+    tokio::select! {
+        result = async { axum::serve(listener, router).await } => result?,
+        () = sample(server) => {}
+        result = http::terminated() => result?,
+    }
+    Ok(())
+}
+
+async fn sample(server: Server) {
+    let mut interval = tokio::time::interval(SAMPLE);
+    loop {
+        interval.tick().await;
+        let shared = server.shared();
+        server.report().sample(clock::now(), &shared);
+    }
+}
+
+async fn load(Extract(server): Extract<Server>) -> Json<Load> {
+    let shared = server.shared();
+    Json(server.report().load(clock::now(), &shared))
+}
+
+async fn counts(Extract(server): Extract<Server>) -> Response {
+    let shared = server.shared();
+    Json(json!({
+        "draining": shared.draining.is_some(),
+        "busy": shared.busy,
+        "waiting": shared.waiting,
+        "connections": shared.connections,
+        "started": shared.started,
+        "accepted": shared.accepted,
+        "misrouted": shared.misrouted,
+        "shedding": shared.shedding,
+    }))
+    .into_response()
+}
+
+async fn admin(Extract(server): Extract<Server>, body: Result<Json<Admin>, JsonRejection>) -> Response {
+    let admin = match body {
+        Ok(Json(admin)) => admin,
+        Err(rejection) => return http::rejected(&rejection),
+    };
+    if let Some(draining) = admin.draining {
+        let mut shared = server.state.lock().unwrap_or_else(PoisonError::into_inner);
+        shared.draining = draining.then(|| shared.draining.unwrap_or_else(clock::now));
+    }
+    let mut report = server.report();
+    report.settings.lag = admin.load_lag_ms.map_or(report.settings.lag, |lag| lag * clock::MILLISECOND);
+    report.settings.misleading = admin.misleading.unwrap_or_else(|| report.settings.misleading.clone());
+    drop(report);
+    Json(json!({})).into_response()
+}
+
+impl Server {
+    fn shared(&self) -> Shared {
+        *self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn report(&self) -> std::sync::MutexGuard<'_, Report> {
+        self.report.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Report {
+    fn sample(&mut self, now: u64, shared: &Shared) {
+        let load = self.truth(now, shared);
+        self.samples.push_back((now, load));
+        let oldest = now.saturating_sub(self.settings.lag);
+        while self.samples.get(1).is_some_and(|&(time, _)| time <= oldest) {
+            self.samples.pop_front();
+        }
+    }
+
+    fn load(&self, now: u64, shared: &Shared) -> Load {
+        let lagging = self.settings.lag > 0;
+        let old = self.samples.front().filter(|_| lagging).map(|(_, load)| load.clone());
+        let truth = old.unwrap_or_else(|| self.truth(now, shared));
+        let misleading = &self.settings.misleading;
+        Load {
+            service: misleading.service.clone().unwrap_or(truth.service),
+            slots: truth.slots,
+            busy: misleading.busy.unwrap_or(truth.busy),
+            connections: misleading.connections.unwrap_or(truth.connections),
+            state: misleading.state.clone().unwrap_or(truth.state),
+        }
+    }
+
+    fn truth(&self, now: u64, shared: &Shared) -> Load {
+        let state = match shared.draining {
+            Some(_) => "draining",
+            None if now < self.settings.warm_at => "cold",
+            None => "serving",
+        };
+        Load {
+            service: self.settings.service.clone(),
+            slots: self.settings.slots,
+            busy: shared.busy,
+            connections: shared.connections,
+            state: state.to_owned(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/poplarpaddle-standins/src/target/work.rs
@@ -0,0 +1,152 @@
+//! Slots and queue of a target.
+
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, VecDeque};
+
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64;
+
+use crate::protocol::Request;
+use crate::stack::Handle;
+
+/// How long requests take.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Service {
+    /// Mean service time in microseconds.
+    pub mean: u64,
+    /// Half-width of the uniform spread around the mean, as a share of it.
+    pub spread: f64,
+    /// Factor on service times while the target is cold.
+    pub cold_factor: f64,
+    /// When the target is warm, in microseconds since the Unix epoch.
+    pub warm_at: u64,
+}
+
+/// Identifies a connection; the serial number tells it from a later one with the same handle.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Origin {
+    /// Connection.
+    pub handle: Handle,
+    /// Number of the connection at this target.
+    pub serial: u64,
+}
+
+/// A request at a target.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Job {
+    /// Connection that it came from.
+    pub origin: Origin,
+    /// The request.
+    pub request: Request,
+}
+
+/// What became of a job.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Step {
+    /// It started and will end at this time.
+    Started(Job, u64),
+    /// It ended.
+    Finished(Job),
+    /// Its deadline passed before it started.
+    Expired(Job),
+}
+
+/// Requests that run or wait.
+#[derive(Debug)]
+pub struct Work {
+    slots: usize,
+    bound: usize,
+    service: Service,
+    random: Pcg64,
+    waiting: VecDeque<Job>,
+    running: BinaryHeap<Reverse<(u64, u64)>>,
+    jobs: std::collections::HashMap<u64, Job>,
+    started: u64,
+}
+
+impl Work {
+    /// Returns an idle target with `slots` slots and a queue of at most `bound` requests.
+    #[must_use]
+    pub fn new(slots: usize, bound: usize, service: Service, seed: u64) -> Self {
+        Self {
+            slots,
+            bound,
+            service,
+            random: Pcg64::seed_from_u64(seed),
+            waiting: VecDeque::new(),
+            running: BinaryHeap::new(),
+            jobs: std::collections::HashMap::new(),
+            started: 0,
+        }
+    }
+
+    /// Returns true when the queue has no room.
+    #[must_use]
+    pub fn full(&self) -> bool {
+        self.waiting.len() >= self.bound && self.busy() >= self.slots
+    }
+
+    /// Returns the number of slots in use.
+    #[must_use]
+    pub fn busy(&self) -> usize {
+        self.running.len()
+    }
+
+    /// Returns the number of waiting requests.
+    #[must_use]
+    pub fn waiting(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Returns the number of requests that started so far.
+    #[must_use]
+    pub const fn started(&self) -> u64 {
+        self.started
+    }
+
+    /// Puts a request into the queue.
+    pub fn offer(&mut self, job: Job) {
+        self.waiting.push_back(job);
+    }
+
+    /// Removes the waiting requests of a connection that ended.
+    pub fn cancel(&mut self, origin: Origin) {
+        self.waiting.retain(|job| job.origin != origin);
+    }
+
+    /// Returns the next step at `now`, none when nothing is due.
+    pub fn next(&mut self, now: u64) -> Option<Step> {
+        if let Some(&Reverse((end, number))) = self.running.peek()
+            && end <= now
+        {
+            self.running.pop();
+            return self.jobs.remove(&number).map(Step::Finished);
+        }
+        if self.busy() >= self.slots {
+            return None;
+        }
+        let job = self.waiting.pop_front()?;
+        if job.request.deadline != 0 && job.request.deadline < now {
+            return Some(Step::Expired(job));
+        }
+        let end = now + self.duration(now);
+        self.started += 1;
+        self.running.push(Reverse((end, self.started)));
+        self.jobs.insert(self.started, job.clone());
+        Some(Step::Started(job, end))
+    }
+
+    /// Returns when the next running request ends.
+    #[must_use]
+    pub fn due(&self) -> u64 {
+        self.running.peek().map_or(u64::MAX, |&Reverse((end, _))| end)
+    }
+
+    fn duration(&mut self, now: u64) -> u64 {
+        let spread = self.service.spread;
+        let factor = if spread > 0.0 { self.random.random_range(1.0 - spread..=1.0 + spread) } else { 1.0 };
+        let cold = if now < self.service.warm_at { self.service.cold_factor } else { 1.0 };
+        let mean = std::time::Duration::from_micros(self.service.mean);
+        u64::try_from(mean.mul_f64(factor * cold).as_micros()).unwrap_or(u64::MAX)
+    }
+}
