--- /dev/null
+++ b/crates/poplarpaddle-balancer/src/carrier.rs
@@ -0,0 +1,315 @@
+//! The data path on its own thread: UDP sockets in and out of the engine.
+//!
+//! Each datagram from the fabric is one raw IP packet. Each datagram from a peer is a [`wire::Relay`]. The thread reads
+//! datagrams in bursts, so that one wake-up serves many packets.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use std::thread::JoinHandle;
+
+use eyre::Context as _;
+use poplarpaddle::ip;
+use poplarpaddle::map::{self, Map};
+use poplarpaddle::packet::{Flow, View};
+use poplarpaddle::path::{self, Engine, Hop, MemberId, Outlet, Reason, Source};
+use poplarpaddle::time::Time;
+use poplarpaddle::{event::Event, view, wire};
+use poplarpaddle_io::clock::Clock;
+use slog::{Logger, debug};
+use socket2::{Domain, Protocol, Socket, Type};
+use tokio::net::UdpSocket;
+use tokio::sync::{mpsc, oneshot};
+
+use crate::telemetry::{Carried, Snapshot, Telemetry};
+
+/// Datagrams read from one socket before the other input is looked at.
+const BURST: usize = 128;
+
+/// Receive and send buffer of a socket, in bytes; a burst of a few thousand packets fits.
+const SOCKET_BUFFER: usize = 4 << 20;
+
+/// Largest datagram, in bytes.
+const DATAGRAM: usize = 65_535;
+
+/// Longest time between two updates of the published counters, in milliseconds.
+const PUBLISH_MS: u64 = 100;
+
+/// What the other parts ask of the data path.
+#[derive(Debug)]
+pub enum Command {
+    /// Uses this view from now on.
+    Apply(view::View),
+    /// Hands held packets to their new owners; answers when done.
+    Drain(oneshot::Sender<()>),
+    /// Ends the thread.
+    Stop,
+}
+
+/// Addresses and bounds of the data path.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// UDP address for packets from the fabric.
+    pub data: SocketAddr,
+    /// UDP address for packets relayed by other balancers.
+    pub relay: SocketAddr,
+    /// UDP address of the fabric.
+    pub fabric: SocketAddr,
+    /// Settings of the engine.
+    pub path: path::Settings,
+}
+
+/// Binds the sockets and starts the thread.
+///
+/// # Errors
+///
+/// Fails when an address cannot be bound or the thread cannot be started.
+pub fn start(
+    settings: Settings,
+    commands: mpsc::UnboundedReceiver<Command>,
+    telemetry: Telemetry,
+    logger: Logger,
+) -> eyre::Result<JoinHandle<()>> {
+    let data = bind(settings.data).wrap_err_with(|| format!("cannot listen on [listen] data = {}", settings.data))?;
+    let relay =
+        bind(settings.relay).wrap_err_with(|| format!("cannot listen on [listen] relay = {}", settings.relay))?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let thread = std::thread::Builder::new().name("data-path".to_owned());
+    let handle = thread.spawn(move || {
+        runtime.block_on(async move {
+            let sockets = UdpSocket::from_std(data).and_then(|data| Ok((data, UdpSocket::from_std(relay)?)));
+            match sockets {
+                Ok((data, relay)) => Carrier::new(&settings, data, relay, telemetry, logger).run(commands).await,
+                Err(error) => slog::error!(logger, "sockets cannot be registered"; "error" => %error),
+            }
+        });
+    })?;
+    Ok(handle)
+}
+
+fn bind(address: SocketAddr) -> std::io::Result<std::net::UdpSocket> {
+    let socket = Socket::new(Domain::for_address(address), Type::DGRAM, Some(Protocol::UDP))?;
+    socket.set_recv_buffer_size(SOCKET_BUFFER)?;
+    socket.set_send_buffer_size(SOCKET_BUFFER)?;
+    socket.set_nonblocking(true)?;
+    socket.bind(&address.into())?;
+    Ok(socket.into())
+}
+
+/// What woke the loop.
+enum Wake {
+    Command(Option<Command>),
+    Data,
+    Relay,
+    Timer,
+}
+
+struct Carrier {
+    engine: Engine,
+    link: Link,
+    telemetry: Telemetry,
+    logger: Logger,
+    clock: Clock,
+    buffer: Vec<u8>,
+    publish_due: Time,
+}
+
+impl Carrier {
+    fn new(settings: &Settings, data: UdpSocket, relay: UdpSocket, telemetry: Telemetry, logger: Logger) -> Self {
+        let link = Link {
+            me: settings.path.me,
+            fabric: settings.fabric,
+            data,
+            relay,
+            config: None,
+            members: map::seeded(settings.path.seed),
+            scratch: Vec::with_capacity(DATAGRAM),
+            carried: Carried::default(),
+            telemetry: telemetry.clone(),
+        };
+        Self {
+            engine: Engine::new(settings.path.clone()),
+            link,
+            telemetry,
+            logger,
+            clock: Clock::new(),
+            buffer: vec![0; DATAGRAM],
+            publish_due: Time::default(),
+        }
+    }
+
+    async fn run(mut self, mut commands: mpsc::UnboundedReceiver<Command>) {
+        loop {
+            let deadline = self.clock.instant(self.engine.deadline().min(self.publish_due));
+            let wake = tokio::select! {
+                biased;
+                command = commands.recv() => Wake::Command(command),
+                _ = self.link.relay.readable() => Wake::Relay,
+                _ = self.link.data.readable() => Wake::Data,
+                () = tokio::time::sleep_until(deadline.into()) => Wake::Timer,
+            };
+            match wake {
+                Wake::Command(None | Some(Command::Stop)) => break,
+                Wake::Command(Some(command)) => self.command(command),
+                Wake::Data | Wake::Relay => self.read(),
+                Wake::Timer => {}
+            }
+            self.tick();
+        }
+        self.publish();
+    }
+
+    fn command(&mut self, command: Command) {
+        let now = self.clock.now();
+        match command {
+            Command::Apply(view) => {
+                self.link.config.clone_from(&view.config);
+                self.link.members = map::seeded(0);
+                self.link.members.extend(view.members.iter().map(|member| (member.id, member.relay)));
+                self.engine.apply(now, &view, &mut self.link);
+            }
+            Command::Drain(done) => {
+                self.engine.drain(now, &mut self.link);
+                // A closed channel means that nobody waits for the end of the drain any more.
+                let _outcome: Result<(), ()> = done.send(());
+            }
+            Command::Stop => {}
+        }
+    }
+
+    fn tick(&mut self) {
+        let now = self.clock.now();
+        if now.reached(self.engine.deadline()) {
+            self.engine.tick(now, &mut self.link);
+        }
+        if now.reached(self.publish_due) {
+            self.publish();
+            self.publish_due = now + std::time::Duration::from_millis(PUBLISH_MS);
+        }
+    }
+
+    /// Reads a burst from both sockets, whichever became readable, so that neither waits for the other.
+    fn read(&mut self) {
+        for _ in 0..BURST {
+            match self.link.relay.try_recv(&mut self.buffer) {
+                Ok(length) => self.relayed(length),
+                Err(_) => break,
+            }
+        }
+        for _ in 0..BURST {
+            match self.link.data.try_recv(&mut self.buffer) {
+                Ok(length) => {
+                    self.link.carried.from_fabric += 1;
+                    let buffer = std::mem::take(&mut self.buffer);
+                    self.packet(Source::Fabric, &buffer[..length]);
+                    self.buffer = buffer;
+                }
+                Err(_) => break,
+            }
+        }
+    }
+
+    fn relayed(&mut self, length: usize) {
+        self.link.carried.from_peers += 1;
+        let buffer = std::mem::take(&mut self.buffer);
+        match rmp_serde::from_slice::<wire::Relay<'_>>(&buffer[..length]) {
+            Ok(relay) if relay.version == wire::VERSION => {
+                self.packet(Source::Peer(relay.sender, relay.hop), relay.packet);
+            }
+            Ok(relay) => {
+                self.link.carried.malformed += 1;
+                debug!(self.logger, "relayed packet of another protocol version"; "version" => relay.version);
+            }
+            Err(error) => {
+                self.link.carried.malformed += 1;
+                debug!(self.logger, "datagram is not a relayed packet"; "error" => %error);
+            }
+        }
+        self.buffer = buffer;
+    }
+
+    fn packet(&mut self, source: Source, bytes: &[u8]) {
+        let Some(config) = self.link.config.clone() else {
+            self.link.carried.malformed += 1;
+            return;
+        };
+        match ip::parse(bytes, &config) {
+            Ok(view) => self.engine.packet(self.clock.now(), source, &view, &mut self.link),
+            Err(error) => {
+                self.link.carried.malformed += 1;
+                debug!(self.logger, "packet dropped"; "error" => %error);
+            }
+        }
+    }
+
+    fn publish(&self) {
+        self.telemetry.set(Snapshot { path: self.engine.counters(), carried: self.link.carried });
+    }
+}
+
+/// Sends what the engine decides.
+struct Link {
+    me: MemberId,
+    fabric: SocketAddr,
+    data: UdpSocket,
+    relay: UdpSocket,
+    config: Option<Arc<view::Config>>,
+    members: Map<MemberId, SocketAddr>,
+    scratch: Vec<u8>,
+    carried: Carried,
+    telemetry: Telemetry,
+}
+
+impl Link {
+    fn send_scratch(&mut self, written: &poplarpaddle::error::Result<()>) {
+        let sent = written.is_ok() && self.data.try_send_to(&self.scratch, self.fabric).is_ok();
+        if !sent {
+            self.carried.unsent += 1;
+        }
+    }
+}
+
+impl Outlet for Link {
+    fn to_target(&mut self, target: Ipv4Addr, packet: &View<'_>) {
+        let written = ip::to_target(packet.bytes, target, &mut self.scratch);
+        self.send_scratch(&written);
+    }
+
+    fn to_caller(&mut self, packet: &View<'_>) {
+        let written = ip::to_caller(packet.bytes, *packet.flow.service.ip(), &mut self.scratch);
+        self.send_scratch(&written);
+    }
+
+    fn relay(&mut self, member: MemberId, hop: Hop, packet: &View<'_>) {
+        let Some(address) = self.members.get(&member) else {
+            self.carried.unsent += 1;
+            return;
+        };
+        let relay = wire::Relay { version: wire::VERSION, sender: self.me, hop, packet: packet.bytes };
+        self.scratch.clear();
+        let written = rmp_serde::encode::write(&mut self.scratch, &relay);
+        if written.is_err() || self.relay.try_send_to(&self.scratch, *address).is_err() {
+            self.carried.unsent += 1;
+        }
+    }
+
+    fn refuse(&mut self, packet: &View<'_>, reason: Reason) {
+        self.reset_caller(packet, reason);
+    }
+
+    fn reset_caller(&mut self, packet: &View<'_>, _reason: Reason) {
+        let written = ip::reset_for(packet.bytes, &mut self.scratch);
+        self.send_scratch(&written);
+    }
+
+    fn reset_target(&mut self, target: Ipv4Addr, flow: &Flow, sequence: u32) {
+        ip::reset_target(target, flow, sequence, &mut self.scratch);
+        self.send_scratch(&Ok(()));
+    }
+
+    /// The engine counts discarded packets by reason.
+    fn discard(&mut self, _packet: &View<'_>, _reason: Reason) {}
+
+    fn event(&mut self, event: Event) {
+        self.telemetry.events.push(event);
+    }
+}
--- /dev/null
+++ b/crates/poplarpaddle-balancer/src/control.rs
@@ -0,0 +1,234 @@
+//! The control task: owns the [`Node`] and performs its actions.
+//!
+//! Each action runs as a task of its own and sends its outcome back, so a slow peer or store never holds up the node.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::Duration;
+
+use poplarpaddle::config::Digest;
+use poplarpaddle::control::{Action, Answer, CallId, Node, Status};
+use poplarpaddle::error::{Error, Result};
+use poplarpaddle::ownership::Ownership;
+use poplarpaddle::path::MemberId;
+use poplarpaddle::placement;
+use poplarpaddle::store::{self, Store as _};
+use poplarpaddle::time::Time;
+use poplarpaddle::view;
+use poplarpaddle::wire::Gossip;
+use poplarpaddle_io::clock::Clock;
+use poplarpaddle_io::events::Events;
+use poplarpaddle_io::{peer, store as client};
+use slog::{Logger, debug, info};
+use tokio::sync::{mpsc, oneshot};
+
+use crate::carrier;
+
+/// Longest time for an exchange with a peer or a target, in milliseconds.
+const EXCHANGE_MS: u64 = 450;
+
+/// Longest time for a fetch of a manifest or part from a peer, in milliseconds.
+const FETCH_MS: u64 = 700;
+
+/// What other tasks ask of the control task.
+#[derive(Debug)]
+pub enum Request {
+    /// A message of a peer.
+    Gossip(Box<Gossip>, oneshot::Sender<Result<Gossip>>),
+    /// The manifest in force.
+    Manifest(oneshot::Sender<Option<Vec<u8>>>),
+    /// A part in force.
+    Part(Digest, oneshot::Sender<Option<Vec<u8>>>),
+    /// The status for people and tools.
+    Status(oneshot::Sender<Status>),
+    /// Announces that this balancer leaves.
+    Leave,
+    /// Outcome of an action.
+    Done(Outcome),
+}
+
+/// Owned outcome of an action.
+#[derive(Debug)]
+pub enum Outcome {
+    /// Of a gossip message.
+    Gossip(SocketAddr, Result<Box<Gossip>>),
+    /// Of a store call.
+    Store(CallId, store::Outcome),
+    /// Of a fetch of a manifest.
+    Manifest(SocketAddr, Result<Vec<u8>>),
+    /// Of a fetch of a part.
+    Part(SocketAddr, Digest, Result<Vec<u8>>),
+    /// Of a poll of a host.
+    Load(Ipv4Addr, Result<Vec<u8>>),
+}
+
+/// Clients that perform actions.
+#[derive(Debug, Clone)]
+pub struct Clients {
+    /// Sends messages to peers and polls targets.
+    pub peer: peer::Client,
+    /// Calls the store.
+    pub store: client::Http,
+    /// TCP port of the load endpoint on every host.
+    pub load_port: u16,
+}
+
+/// The control task.
+#[derive(Debug)]
+pub struct Task {
+    /// The node.
+    pub node: Node,
+    /// Clients.
+    pub clients: Clients,
+    /// Requests of other tasks and outcomes.
+    pub requests: mpsc::UnboundedReceiver<Request>,
+    /// Sends outcomes to [`Task::requests`].
+    pub outcomes: mpsc::UnboundedSender<Request>,
+    /// Sends views to the data path.
+    pub path: mpsc::UnboundedSender<carrier::Command>,
+    /// Which shards this balancer owns, for the polls of their hosts.
+    pub ownership: Ownership,
+    /// Events of the time line.
+    pub events: Events,
+    /// Logger.
+    pub logger: Logger,
+}
+
+impl Task {
+    /// Runs until every sender of requests is gone.
+    pub async fn run(mut self) {
+        let clock = Clock::new();
+        self.node.tick(clock.now());
+        self.act(clock.now());
+        loop {
+            let deadline = clock.instant(self.node.deadline());
+            let request = tokio::select! {
+                request = self.requests.recv() => request.map(Some),
+                () = tokio::time::sleep_until(deadline.into()) => Some(None),
+            };
+            let now = clock.now();
+            match request {
+                None => break,
+                Some(Some(request)) => self.request(now, request),
+                Some(None) => {}
+            }
+            if now.reached(self.node.deadline()) {
+                self.node.tick(now);
+            }
+            self.act(now);
+        }
+    }
+
+    /// An asker that went away in the meantime needs no answer, so failed sends are ignored.
+    fn request(&mut self, now: Time, request: Request) {
+        match request {
+            Request::Gossip(message, answer) => drop(answer.send(self.node.message(now, &message))),
+            Request::Manifest(answer) => drop(answer.send(self.node.manifest().map(<[u8]>::to_vec))),
+            Request::Part(digest, answer) => drop(answer.send(self.node.part(&digest.into()).map(<[u8]>::to_vec))),
+            Request::Status(answer) => drop(answer.send(self.node.status(now))),
+            Request::Leave => self.node.leave(now),
+            Request::Done(outcome) => self.done(now, &outcome),
+        }
+    }
+
+    fn done(&mut self, now: Time, outcome: &Outcome) {
+        let answer = match outcome {
+            Outcome::Gossip(to, outcome) => Answer::Gossip { to: *to, outcome: outcome.as_deref() },
+            Outcome::Store(id, outcome) => Answer::Store { id: *id, outcome },
+            Outcome::Manifest(peer, outcome) => Answer::Manifest { peer: *peer, outcome: outcome.as_deref() },
+            Outcome::Part(peer, digest, outcome) => {
+                Answer::Part { peer: *peer, digest: (*digest).into(), outcome: outcome.as_deref() }
+            }
+            Outcome::Load(host, outcome) => Answer::Load { host: *host, outcome: outcome.as_deref() },
+        };
+        if let Err(error) = self.node.answer(now, &answer) {
+            info!(self.logger, "answer refused"; "error" => %error);
+        }
+    }
+
+    /// Hands the view to the data path and polls the hosts of the shards that this balancer owns.
+    fn apply(&mut self, now: Time, view: view::View) {
+        self.ownership.set_members(&view.members);
+        if let Some(config) = &view.config {
+            self.ownership.set_config(config);
+            self.node.poll(now, &owned_hosts(&self.ownership, config, view.me));
+        }
+        // The data path is gone only while the process stops.
+        drop(self.path.send(carrier::Command::Apply(view)));
+    }
+
+    fn act(&mut self, now: Time) {
+        for action in self.node.actions() {
+            match action {
+                Action::Apply(view) => self.apply(now, view),
+                Action::Event(event) => {
+                    info!(self.logger, "{}", event.name; "subject" => &event.subject, "detail" => &event.detail);
+                    self.events.push(event);
+                }
+                other => self.spawn(other),
+            }
+        }
+    }
+
+    fn spawn(&self, action: Action) {
+        let clients = self.clients.clone();
+        let outcomes = self.outcomes.clone();
+        let logger = self.logger.clone();
+        tokio::spawn(async move {
+            let Some(outcome) = clients.perform(action).await else { return };
+            if let Some(error) = outcome.error() {
+                debug!(logger, "action failed"; "error" => %error);
+            }
+            drop(outcomes.send(Request::Done(outcome)));
+        });
+    }
+}
+
+fn owned_hosts(ownership: &Ownership, config: &view::Config, me: MemberId) -> Vec<Ipv4Addr> {
+    let mut hosts = Vec::new();
+    for (service, shard, _) in ownership.owned_by(me) {
+        let service = &config.services[service.0 as usize];
+        hosts.extend(placement::dealt(service, shard).map(|target| target.address));
+    }
+    hosts.sort_unstable();
+    hosts.dedup();
+    hosts
+}
+
+impl Outcome {
+    fn error(&self) -> Option<&Error> {
+        match self {
+            Self::Gossip(_, outcome) => outcome.as_ref().err(),
+            Self::Manifest(_, outcome) | Self::Part(_, _, outcome) | Self::Load(_, outcome) => outcome.as_ref().err(),
+            Self::Store(_, store::Outcome::Failed(error)) => Some(error),
+            Self::Store(..) => None,
+        }
+    }
+}
+
+impl Clients {
+    async fn perform(&self, action: Action) -> Option<Outcome> {
+        let now = Clock::new().now();
+        let exchange = now + Duration::from_millis(EXCHANGE_MS);
+        let fetch = now + Duration::from_millis(FETCH_MS);
+        Some(match action {
+            Action::SendGossip { to, message } => {
+                let answer = self.peer.post(to, "/peer/gossip", &message, exchange).await;
+                Outcome::Gossip(to, answer.map(Box::new))
+            }
+            Action::Store { id, call, deadline } => Outcome::Store(id, self.store.call(&call, deadline).await),
+            Action::FetchManifest { peer } => {
+                Outcome::Manifest(peer, self.peer.fetch(peer, "/peer/manifest", fetch).await)
+            }
+            Action::FetchPart { peer, digest } => {
+                let digest = Digest::from(digest);
+                let path = format!("/peer/part/{digest}");
+                Outcome::Part(peer, digest, self.peer.fetch(peer, &path, fetch).await)
+            }
+            Action::Poll { host } => {
+                let address = SocketAddr::from((host, self.load_port));
+                Outcome::Load(host, self.peer.fetch(address, "/load", exchange).await)
+            }
+            Action::Apply(_) | Action::Event(_) => return None,
+        })
+    }
+}
--- /dev/null
+++ b/crates/poplarpaddle-balancer/src/daemon.rs
@@ -0,0 +1,153 @@
+//! Start and graceful stop of a balancer.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use eyre::Context as _;
+use poplarpaddle::admission::{self, Gate, Queue};
+use poplarpaddle::config;
+use poplarpaddle::control::{self, Node};
+use poplarpaddle::membership;
+use poplarpaddle::ownership::Ownership;
+use poplarpaddle::path::{self, MemberId};
+use poplarpaddle::view::Priority;
+use poplarpaddle_io::clock::Clock;
+use poplarpaddle_io::settings::Settings;
+use poplarpaddle_io::{peer, store};
+use slog::{Logger, info, o};
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::{mpsc, oneshot};
+
+use crate::carrier::{self, Command};
+use crate::control::{Clients, Request, Task};
+use crate::server::{self, Context};
+use crate::telemetry::Telemetry;
+
+/// Longest time for handing on held packets, in seconds.
+const DRAIN_SECONDS: u64 = 2;
+
+/// Runs a balancer until SIGTERM or SIGINT, then hands over and returns.
+///
+/// # Errors
+///
+/// Fails when an address cannot be bound, a client cannot be set up or the data path ends by itself.
+pub async fn run(settings: &Settings, logger: &Logger) -> eyre::Result<()> {
+    let telemetry = Telemetry::new()?;
+    let me = MemberId(rand::random());
+    let logger = logger.new(o!("member" => me.to_string(), "zone" => settings.node.zone.clone()));
+    let listener = TcpListener::bind(settings.listen.peer)
+        .await
+        .wrap_err_with(|| format!("cannot listen on [listen] peer = {}", settings.listen.peer))?;
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+
+    let (path, commands) = mpsc::unbounded_channel();
+    let carrier = carrier_settings(settings, me);
+    let thread = carrier::start(carrier, commands, telemetry.clone(), logger.new(o!("part" => "data-path")))?;
+    let (requests, receiver) = mpsc::unbounded_channel();
+    let task = Task {
+        node: node(settings, me),
+        clients: Clients {
+            peer: peer::Client::new()?,
+            store: store::Http::new(&settings.store.url)?,
+            load_port: settings.targets.load_port,
+        },
+        requests: receiver,
+        outcomes: requests.clone(),
+        path: path.clone(),
+        ownership: Ownership::default(),
+        events: telemetry.events.clone(),
+        logger: logger.new(o!("part" => "control")),
+    };
+    let task = tokio::spawn(task.run());
+    let leaving = Arc::new(AtomicBool::new(false));
+    let context = Context {
+        process: settings.node.name.as_str().into(),
+        control: requests.clone(),
+        telemetry,
+        leaving: Arc::clone(&leaving),
+    };
+    let server = tokio::spawn(async move { axum::serve(listener, server::routes(context)).await });
+    info!(logger, "started"; "peer" => %settings.listen.peer, "data" => %settings.listen.data);
+
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+        outcome = server => eyre::bail!("the HTTP server ended: {outcome:?}"),
+        outcome = task => eyre::bail!("the control task ended: {outcome:?}"),
+    }
+    info!(logger, "leaving"; "drain_ms" => settings.stop.drain_ms);
+    leaving.store(true, Ordering::Relaxed);
+    leave(settings, &requests, &path).await?;
+    path.send(Command::Stop)?;
+    thread.join().map_err(|_panic| eyre::eyre!("the data path panicked"))?;
+    info!(logger, "stopped");
+    Ok(())
+}
+
+/// Announces the leave, hands held packets on and forwards until the drain deadline, so that the new owners learn the
+/// flows from answers and the fabric stops sending packets here.
+async fn leave(
+    settings: &Settings,
+    requests: &mpsc::UnboundedSender<Request>,
+    path: &mpsc::UnboundedSender<Command>,
+) -> eyre::Result<()> {
+    let clock = Clock::new();
+    let deadline = clock.now() + Duration::from_millis(settings.stop.drain_ms.into());
+    requests.send(Request::Leave)?;
+    let (done, drained) = oneshot::channel();
+    path.send(Command::Drain(done))?;
+    let drained = tokio::time::timeout(Duration::from_secs(DRAIN_SECONDS), drained).await;
+    drained.wrap_err("held packets were not handed on in time")?.wrap_err("the data path ended")?;
+    tokio::time::sleep(clock.until(deadline)).await;
+    Ok(())
+}
+
+fn carrier_settings(settings: &Settings, me: MemberId) -> carrier::Settings {
+    let bounds = path::Bounds {
+        flows: settings.limits.flows as usize,
+        held_bytes: settings.limits.held_bytes as usize,
+        ..path::Bounds::default()
+    };
+    carrier::Settings {
+        data: settings.listen.data,
+        relay: settings.listen.relay,
+        fabric: settings.fabric.address,
+        path: path::Settings { me, seed: rand::random(), bounds, gates: Arc::new(Gates), ..path::Settings::default() },
+    }
+}
+
+fn node(settings: &Settings, me: MemberId) -> Node {
+    let membership = membership::Settings {
+        ping_ms: settings.members.ping_ms.into(),
+        suspect_ms: settings.members.suspect_ms.into(),
+        seeds: settings.members.seeds.clone(),
+        ..membership::Settings::default()
+    };
+    let control = control::Settings {
+        id: me,
+        name: settings.node.name.clone(),
+        zone: settings.node.zone.clone(),
+        region: settings.node.region.clone(),
+        fleet: settings.node.fleet.clone(),
+        peer: settings.listen.peer,
+        relay: settings.listen.relay,
+        seed: rand::random(),
+        membership,
+        ..control::Settings::default()
+    };
+    Node::new(Clock::new().now(), control, Box::new(config::State::new(&settings.node.fleet)))
+}
+
+/// Makes admission queues for the shards of the data path.
+#[derive(Debug)]
+struct Gates;
+
+impl path::Factory for Gates {
+    fn gate(&self, _service: &str, _shard: u16, priorities: &[Priority]) -> Box<dyn Gate> {
+        let settings = admission::Settings { priorities: priorities.to_vec(), ..admission::Settings::default() };
+        Box::new(Queue::new(settings))
+    }
+}
--- /dev/null
+++ b/crates/poplarpaddle-balancer/src/lib.rs
@@ -0,0 +1,32 @@
+//! The balancer daemon: sockets, timers and tasks around the core.
+//!
+//! [`daemon::run`] starts three parts. The data path runs on a thread of its own and owns the [`path::Engine`]
+//! (see [`carrier`]). The control task owns the [`control::Node`] (see [`control`](mod@control)). The HTTP server answers peers and
+//! tools (see [`server`]). They share nothing but channels, counters and the latest status.
+//!
+//! # Example
+//!
+//! ```no_run
+//! # async fn example() -> eyre::Result<()> {
+//! use std::path::Path;
+//! use poplarpaddle_io::settings::Settings;
+//!
+//! let settings = Settings::load(Path::new("settings/balancer.ini"))?;
+//! let (logger, _guard) = poplarpaddle_io::log::stderr(&settings.node.name, settings.log.level.0);
+//! poplarpaddle_balancer::daemon::run(&settings, &logger).await
+//! # }
+//! ```
+//!
+//! # Trade-offs
+//!
+//! One thread takes all packets of a balancer, so a flow never moves between threads and needs no lock. A VM with many
+//! cores does not use them all for packets; the fleet grows by VMs instead.
+//!
+//! [`path::Engine`]: poplarpaddle::path::Engine
+//! [`control::Node`]: poplarpaddle::control::Node
+
+pub mod carrier;
+pub mod control;
+pub mod daemon;
+pub mod server;
+pub mod telemetry;
--- a/crates/poplarpaddle/src/config.rs
+++ b/crates/poplarpaddle/src/config.rs
@@ -18,6 +18,7 @@
 //! field names to make up for it.
 
 mod compile;
+mod configuration;
 mod digest;
 mod manifest;
 mod part;
--- a/crates/poplarpaddle/src/path.rs
+++ b/crates/poplarpaddle/src/path.rs
@@ -113,6 +113,27 @@
     Silent,
 }
 
+impl Reason {
+    /// Every reason, in the order of the counters.
+    pub const ALL: [Self; 15] = [
+        Self::UnknownService,
+        Self::Malformed,
+        Self::PayloadInOpening,
+        Self::NoConfiguration,
+        Self::NoOwner,
+        Self::NoTarget,
+        Self::QueueFull,
+        Self::Deadline,
+        Self::WrongTarget,
+        Self::StrayReset,
+        Self::HoldFull,
+        Self::HopLimit,
+        Self::UnknownFlow,
+        Self::Unrecoverable,
+        Self::Silent,
+    ];
+}
+
 /// Takes the outcome of decisions.
 pub trait Outlet {
     /// Sends the packet of a caller to `target`.
