Let shedding and silent targets keep their flows; warm up joining hosts

The shedding target refused its standing flows before the run, so the scenario never mixed answers to established flows with shed openings. Faults now begin after the standing flows are open, and one_target_silent is new.

Placement compares the first four usable candidates, so that draining hosts do not shrink the choice, and a host that joins others starts at limit 1 because its first report comes a poll later.

--- a/crates/poplarpaddle-bench/src/balancers.rs
+++ b/crates/poplarpaddle-bench/src/balancers.rs
@@ -40,6 +40,8 @@
     Accepted,
     /// It refused the opening.
     Shed,
+    /// It did not answer the opening in time.
+    Unanswered,
     /// It answered the request in full.
     Answered,
     /// It does not know the flow and reset it.
@@ -236,9 +238,10 @@
             Signal::Answered => gate.finish(now, host, priority, End::Answered(started)),
             Signal::Reset => gate.finish(now, host, priority, End::Closed),
             Signal::Shed => gate.finish(now, host, priority, End::Shed),
+            Signal::Unanswered => gate.finish(now, host, priority, End::Unanswered),
         }
         if let Some(pending) = self.pending.remove(&request)
-            && signal == Signal::Shed
+            && matches!(signal, Signal::Shed | Signal::Unanswered)
         {
             let decision = self.shards[service].gate.retry(now, &pending.ticket(), host);
             self.decide(now, decision, pending, outputs);
--- a/crates/poplarpaddle-bench/src/driver.rs
+++ b/crates/poplarpaddle-bench/src/driver.rs
@@ -25,6 +25,9 @@
 /// First retransmission of a dropped packet; doubles each time.
 const RETRANSMIT: Duration = Duration::from_millis(200);
 
+/// How long the balancers wait for the answer to an opening.
+const OPENING_TIMEOUT: Duration = Duration::from_millis(250);
+
 /// Part of the run that is left out of the figures at its beginning, as a divisor.
 const WARM_UP_PART: u32 = 10;
 
@@ -324,8 +327,13 @@
                 }
             }
             Event::Opening(work, host) => {
-                let signal = if self.fleet.target(host).accept() { Signal::Accepted } else { Signal::Shed };
-                self.at(self.now + self.target_hop(), Event::Signal(work, host, signal));
+                let target = self.fleet.target(host);
+                let (signal, wait) = match (target.silent, target.accept()) {
+                    (true, _) => (Signal::Unanswered, OPENING_TIMEOUT),
+                    (false, true) => (Signal::Accepted, self.target_hop()),
+                    (false, false) => (Signal::Shed, self.target_hop()),
+                };
+                self.at(self.now + wait, Event::Signal(work, host, signal));
             }
             Event::Payload(work, host) => self.payload(work, host),
             Event::Done(work, host) => {
@@ -439,7 +447,7 @@
                 self.close(self.works[work].flow);
                 self.finish(work, Outcome::Broken);
             }
-            Signal::Shed => {}
+            Signal::Shed | Signal::Unanswered => {}
         }
     }
 
--- a/crates/poplarpaddle-bench/src/fleet.rs
+++ b/crates/poplarpaddle-bench/src/fleet.rs
@@ -63,7 +63,6 @@
             let target = |host| {
                 let mut target = Target::new(deployment.slots, deployment.connections);
                 target.special = host < special;
-                target.sheds = target.special && setup.fault == Fault::Shedding;
                 if target.special && setup.fault == Fault::Cold {
                     target.state = HostState::Down;
                 }
@@ -80,11 +79,15 @@
         }
     }
 
-    /// Starts cold hosts; they come up without flows.
+    /// Begins the faults that hold from the start of the trace. Cold hosts come up without flows; the others have theirs.
     pub fn begin(&mut self) {
-        for target in self.targets.iter_mut().flatten().filter(|target| target.state == HostState::Down) {
-            target.state = HostState::Serving;
-            target.chill();
+        for target in self.targets.iter_mut().flatten().filter(|target| target.special) {
+            target.sheds = self.fault == Fault::Shedding;
+            target.silent = self.fault == Fault::Silent;
+            if self.fault == Fault::Cold {
+                target.state = HostState::Serving;
+                target.chill();
+            }
         }
     }
 
@@ -169,7 +172,7 @@
 
 const fn special_hosts(fault: Fault, hosts: u8) -> u8 {
     match fault {
-        Fault::Cold | Fault::Shedding => 1,
+        Fault::Cold | Fault::Shedding | Fault::Silent => 1,
         Fault::Drain => hosts / 5,
         Fault::None | Fault::Misleading => 0,
     }
--- a/crates/poplarpaddle-bench/src/scenario.rs
+++ b/crates/poplarpaddle-bench/src/scenario.rs
@@ -109,6 +109,8 @@
     Cold,
     /// The first host of each service sheds all openings.
     Shedding,
+    /// The first host of each service answers no opening.
+    Silent,
     /// A fifth of the hosts drains after a third of the run.
     Drain,
 }
@@ -127,7 +129,7 @@
 }
 
 /// All scenarios.
-pub const SCENARIOS: [Scenario; 7] = [
+pub const SCENARIOS: [Scenario; 8] = [
     Scenario { name: "calm_lagging_reports", load: 60, flood: None, fault: Fault::None },
     Scenario { name: "misleading_reports", load: 60, flood: None, fault: Fault::Misleading },
     Scenario {
@@ -139,6 +141,7 @@
     Scenario { name: "most_urgent_flood", load: 50, flood: Some(Flood { priority: 0, load: 500 }), fault: Fault::None },
     Scenario { name: "one_target_cold", load: 60, flood: None, fault: Fault::Cold },
     Scenario { name: "one_target_shedding", load: 60, flood: None, fault: Fault::Shedding },
+    Scenario { name: "one_target_silent", load: 60, flood: None, fault: Fault::Silent },
     Scenario { name: "drain_in_flood", load: 50, flood: Some(Flood { priority: 2, load: 1_000 }), fault: Fault::Drain },
 ];
 
--- a/crates/poplarpaddle-bench/src/target.rs
+++ b/crates/poplarpaddle-bench/src/target.rs
@@ -27,6 +27,8 @@
     pub state: HostState,
     /// Sheds every opening.
     pub sheds: bool,
+    /// Answers no opening.
+    pub silent: bool,
     /// Left out of the balance over hosts, because the scenario takes work away from it.
     pub special: bool,
     /// Slot time used within the measured window.
@@ -47,6 +49,7 @@
             connections: 0,
             state: HostState::Serving,
             sheds: false,
+            silent: false,
             special: false,
             busy_time: Duration::ZERO,
             busy: 0,
@@ -69,7 +72,8 @@
 
     /// Returns true when an opening is accepted; it then counts as a connection.
     pub fn accept(&mut self) -> bool {
-        let accepted = !self.sheds && self.queue.len() < QUEUE && self.connections < self.max_connections;
+        let accepted =
+            !self.sheds && !self.silent && self.queue.len() < QUEUE && self.connections < self.max_connections;
         self.connections += u32::from(accepted);
         accepted
     }
--- a/crates/poplarpaddle-bench/tests/aims.rs
+++ b/crates/poplarpaddle-bench/tests/aims.rs
@@ -64,7 +64,7 @@
 /// Guards against a single bad target that costs callers more than its own established flows.
 #[test]
 fn one_bad_target_costs_little() {
-    for scenario in ["one_target_cold", "one_target_shedding"] {
+    for scenario in ["one_target_cold", "one_target_shedding", "one_target_silent"] {
         for line in measure(scenario, 10, &[DESIGN]) {
             assert_outcomes(&line);
             assert!(line.in_time >= KEPT, "{line:?}");
--- a/crates/poplarpaddle/src/admission/host.rs
+++ b/crates/poplarpaddle/src/admission/host.rs
@@ -87,10 +87,16 @@
         for account in self.accounts.values_mut() {
             account.listed = false;
         }
+        // A host that joins others has probably just started, and its first report comes a poll later. A new gate
+        // cannot tell and takes its hosts as warm.
+        let joining = !self.accounts.is_empty();
         for host in hosts {
-            let account = self.accounts.entry(host.address).or_insert_with(|| Account {
-                limit: Limit::new(settings.limit, host.slots),
-                ..Account::unlisted(settings)
+            let account = self.accounts.entry(host.address).or_insert_with(|| {
+                let mut limit = Limit::new(settings.limit, host.slots);
+                if joining {
+                    limit.chill(now);
+                }
+                Account { limit, ..Account::unlisted(settings) }
             });
             account.update(now, host);
         }
@@ -137,16 +143,11 @@
         }
     }
 
-    /// Returns the least loaded of the first `preferred` candidates that take an opening, else of all candidates.
+    /// Returns the least loaded of the first `preferred` usable candidates that take an opening, else of all candidates.
     pub(super) fn choose(&self, now: Time, candidates: &[Ipv4Addr], preferred: usize) -> Option<Ipv4Addr> {
-        let (near, far) = candidates.split_at(preferred.min(candidates.len()));
-        self.least(now, near).or_else(|| self.least(now, far))
-    }
-
-    fn least(&self, now: Time, candidates: &[Ipv4Addr]) -> Option<Ipv4Addr> {
         let accounts = candidates.iter().filter_map(|host| Some((*host, self.accounts.get(host)?)));
-        let open = accounts.filter(|(_, account)| account.takes_opening(now));
-        open.min_by(|(_, a), (_, b)| a.compare(b)).map(|(host, _)| host)
+        let usable = accounts.filter(|(_, account)| account.usable());
+        least_loaded(now, usable.clone().take(preferred)).or_else(|| least_loaded(now, usable.skip(preferred)))
     }
 
     /// Returns true when at least one host takes an opening now.
@@ -167,3 +168,8 @@
         pauses.filter(|&until| !now.reached(until)).min().unwrap_or(Time::NEVER)
     }
 }
+
+fn least_loaded<'a>(now: Time, accounts: impl Iterator<Item = (Ipv4Addr, &'a Account)>) -> Option<Ipv4Addr> {
+    let open = accounts.filter(|(_, account)| account.takes_opening(now));
+    open.min_by(|(_, a), (_, b)| a.compare(b)).map(|(host, _)| host)
+}
--- a/crates/poplarpaddle/tests/admission.rs
+++ b/crates/poplarpaddle/tests/admission.rs
@@ -268,6 +268,14 @@
     assert_eq!(gate.limit(hosts[0]), Some(1), "a host that was down may have restarted");
 }
 
+/// Guards against a burst on a host that joins before its first report can say cold.
+#[test]
+fn joining_hosts_warm_up() {
+    let mut gate = gate(1, settings());
+    gate.set_hosts(ms(10), &[host(0), host(1)]);
+    assert_eq!([gate.limit(address(0)), gate.limit(address(1))], [Some(ROOM), Some(1)]);
+}
+
 /// Guards against new work on hosts that must not get any, while payload of their flows goes on.
 #[test]
 fn only_serving_hosts_take_openings() {
@@ -342,6 +350,18 @@
     }
 }
 
+/// Guards against a choice that shrinks because the first candidates drain.
+#[test]
+fn placement_skips_unusable_candidates() {
+    let hosts: Vec<Ipv4Addr> = (0..6).map(address).collect();
+    let mut gate = Queue::new(settings());
+    let state = |index| if index < 2 { HostState::Draining } else { HostState::Serving };
+    gate.set_hosts(ms(0), &(0..6).map(|index| Host { state: state(index), ..host(index) }).collect::<Vec<_>>());
+    let mut starts: Vec<Decision> = (0..4).map(|_| gate.offer(ms(0), &ticket(0, &hosts))).collect();
+    starts.dedup();
+    assert_eq!(starts, [2, 3, 4, 5].map(|index| Decision::Start(address(index))));
+}
+
 /// Guards against work that is lost with the list: it must be counted until it ends.
 #[test]
 fn unlisted_host_keeps_its_account() {
