Add poplarctl, the operators' command line, and two example sets

Cause: operators edit objects, check and publish them and read the status without touching a balancer. Change: crate poplarpaddle-cli with check, diff, put, get, delete, publish, status and timeline over a dyn Store. Writes are conditional, a lost answer is read back, a conflict shows what the store holds.

--- /dev/null
+++ b/crates/poplarpaddle-cli/src/check.rs
@@ -0,0 +1,37 @@
+//! The command `check`.
+
+use std::path::Path;
+
+use poplarpaddle::check;
+use poplarpaddle::error::Result;
+use poplarpaddle::object::{Fault, Reading};
+
+use crate::console::Console;
+use crate::files;
+use crate::remote::Remote;
+
+pub(crate) fn files(folder: &Path, console: &mut Console<'_>) -> Result<()> {
+    report(&files::read(folder)?, console)
+}
+
+pub(crate) async fn store(remote: &Remote<'_>, console: &mut Console<'_>) -> Result<()> {
+    report(&remote.objects().await?, console)
+}
+
+/// Fails with every fault of the objects.
+pub(crate) fn accept(reading: &Reading) -> Result<()> {
+    let faults = check::reading(reading);
+    if faults.is_empty() { Ok(()) } else { Err(Fault::error(&faults)) }
+}
+
+fn report(reading: &Reading, console: &mut Console<'_>) -> Result<()> {
+    accept(reading)?;
+    let set = &reading.set;
+    console.print(&format!(
+        "no faults in {} zones, {} priorities, {} services, {} targets",
+        set.zones.len(),
+        set.priorities.len(),
+        set.services.len(),
+        set.targets.len()
+    ))
+}
--- /dev/null
+++ b/crates/poplarpaddle-cli/src/diff.rs
@@ -0,0 +1,62 @@
+//! The command `diff`.
+
+use std::path::Path;
+
+use poplarpaddle::error::Result;
+use poplarpaddle::object::{Change, Difference, Fault, Set};
+use serde_json::Value;
+
+use crate::console::Console;
+use crate::files;
+use crate::remote::Remote;
+
+pub(crate) async fn run(
+    remote: &Remote<'_>,
+    fleet: &str,
+    folder: Option<&Path>,
+    console: &mut Console<'_>,
+) -> Result<()> {
+    let store = remote.objects().await?;
+    let mut faults = store.faults.clone();
+    if let Some(folder) = folder {
+        let files = files::read(folder)?;
+        faults.extend(files.faults);
+        print("files against the store", &store.set, &files.set, console)?;
+    }
+    let published = remote.published(fleet).await?;
+    let (title, set) = match published {
+        Some(published) => (format!("store against generation {}", published.manifest.generation), published.set),
+        None => ("store against nothing, as no generation is published".to_owned(), Set::default()),
+    };
+    print(&title, &set, &store.set, console)?;
+    if faults.is_empty() { Ok(()) } else { Err(Fault::error(&faults)) }
+}
+
+fn print(title: &str, older: &Set, newer: &Set, console: &mut Console<'_>) -> Result<()> {
+    let changes = older.changes(newer);
+    console.print(&format!("{title}: {} differ", changes.len()))?;
+    for change in &changes {
+        console.print(&format!("  {change}"))?;
+        for line in fields(change, older, newer)? {
+            console.print(&format!("    {line}"))?;
+        }
+    }
+    Ok(())
+}
+
+/// Returns the fields of a changed object that differ.
+fn fields(change: &Change, older: &Set, newer: &Set) -> Result<Vec<String>> {
+    let value = |set: &Set| set.get(change.kind, &change.name).map(|item| item.to_value()).transpose();
+    let (Difference::Changed, Some(before), Some(after)) = (change.difference, value(older)?, value(newer)?) else {
+        return Ok(Vec::new());
+    };
+    let (Some(before), Some(after)) = (before.as_object(), after.as_object()) else {
+        return Ok(Vec::new());
+    };
+    let mut names: Vec<&String> = before.keys().chain(after.keys()).collect();
+    names.sort();
+    names.dedup();
+    let differing = names.into_iter().filter(|name| before.get(*name) != after.get(*name));
+    let text = |value: Option<&Value>| value.map_or_else(|| "none".to_owned(), ToString::to_string);
+    Ok(differing.map(|name| format!("{name}: {} -> {}", text(before.get(name)), text(after.get(name)))).collect())
+}
--- /dev/null
+++ b/crates/poplarpaddle-cli/src/files.rs
@@ -0,0 +1,89 @@
+//! Objects in files: one object for each file `KIND/NAME.json`.
+
+use std::fs;
+use std::path::{Path, PathBuf};
+
+use poplarpaddle::error::{Error, Kind as ErrorKind, Result};
+use poplarpaddle::object::{Fault, Item, Kind, Reading};
+
+/// Largest file that is read, in bytes; the store takes values up to 1 MB.
+const MAX_BYTES: u64 = 1_000_000;
+
+/// Reads every object below `folder`.
+///
+/// Faults of objects are part of the result, so that all of them are reported together.
+///
+/// # Errors
+///
+/// [`ErrorKind::Io`] naming the file or folder that cannot be read, [`ErrorKind::Argument`] for a folder that is not
+/// that of a kind.
+pub fn read(folder: &Path) -> Result<Reading> {
+    let mut reading = Reading::default();
+    for path in entries(folder)? {
+        if !path.is_dir() {
+            continue;
+        }
+        let kind = kind_of(&path)?;
+        for file in entries(&path)? {
+            add(&mut reading, kind, &file)?;
+        }
+    }
+    Ok(reading)
+}
+
+/// Reads the object of one file; the kind is the name of its folder.
+///
+/// # Errors
+///
+/// As [`read`].
+pub fn read_one(reading: &mut Reading, file: &Path) -> Result<()> {
+    let folder = file.parent().filter(|folder| folder.file_name().is_some());
+    let Some(folder) = folder else {
+        let message = format!("file {} has no folder, allowed: KIND/NAME.json", file.display());
+        return Err(Error::new(ErrorKind::Argument, message));
+    };
+    add(reading, kind_of(folder)?, file)
+}
+
+fn kind_of(folder: &Path) -> Result<Kind> {
+    let name = folder.file_name().unwrap_or_default().to_string_lossy();
+    name.parse().map_err(|error: Error| {
+        Error::new(ErrorKind::Argument, format!("folder {}: {}", folder.display(), error.message()))
+    })
+}
+
+fn add(reading: &mut Reading, kind: Kind, file: &Path) -> Result<()> {
+    let place = file.display().to_string();
+    let name = file.file_stem().unwrap_or_default().to_string_lossy();
+    if file.extension().is_none_or(|extension| extension != "json") {
+        reading.faults.push(Fault::new(place, "file name", &file.display(), "NAME.json"));
+        return Ok(());
+    }
+    let size = fs::metadata(file).map_err(|error| unreadable(file, &error))?.len();
+    if size > MAX_BYTES {
+        let faults = vec![Fault::new(&place, "size in bytes", &size, format!("up to {MAX_BYTES}"))];
+        reading.add(&place, kind, &name, Err(faults));
+        return Ok(());
+    }
+    let bytes = fs::read(file).map_err(|error| unreadable(file, &error))?;
+    reading.add(&place, kind, &name, Item::from_json(&place, kind, &bytes));
+    Ok(())
+}
+
+/// Returns the entries of a folder in the order of their names, hidden ones left out.
+fn entries(folder: &Path) -> Result<Vec<PathBuf>> {
+    let listing = fs::read_dir(folder).map_err(|error| unreadable(folder, &error))?;
+    let mut paths = Vec::new();
+    for entry in listing {
+        let entry = entry.map_err(|error| unreadable(folder, &error))?;
+        if !entry.file_name().to_string_lossy().starts_with('.') {
+            paths.push(entry.path());
+        }
+    }
+    paths.sort();
+    Ok(paths)
+}
+
+fn unreadable(path: &Path, error: &std::io::Error) -> Error {
+    Error::new(ErrorKind::Io, format!("{} cannot be read: {error}", path.display()))
+}
--- /dev/null
+++ b/crates/poplarpaddle-cli/src/help.rs
@@ -0,0 +1,142 @@
+//! Help texts.
+
+use std::fmt::Write as _;
+
+use poplarpaddle::error::Kind;
+
+use crate::arguments::Topic;
+
+/// Name and version of the program.
+pub const VERSION: &str = concat!("poplarctl ", env!("CARGO_PKG_VERSION"));
+
+const INTRODUCTION: &str = "\
+Edits, checks and publishes the objects of a poplarpaddle fleet and reports its status.
+
+usage: poplarctl COMMAND [OPTIONS]
+
+Objects are zones, priorities, services and targets. As files they are DIR/KIND/NAME.json, one object each.
+";
+
+const COMMON: &str = "
+  --store URL      object API, http://IP:port
+  --fleet NAME     name of the fleet
+  -h, --help       print this help; after a command, the help of the command
+  -V, --version    print the version
+";
+
+/// Returns the help of a command, or of the whole program with the table of exit codes.
+#[must_use]
+pub fn text(topic: Option<Topic>) -> String {
+    let mut text = String::new();
+    if let Some(topic) = topic {
+        text.push_str(command(topic));
+    } else {
+        text.push_str(INTRODUCTION);
+        text.push_str("\ncommands:\n");
+        for topic in Topic::ALL {
+            let _infallible = writeln!(text, "  {:<10} {}", topic.to_string(), summary(topic));
+        }
+    }
+    text.push_str(COMMON);
+    text.push_str("\nexit codes:\n   0  success\n");
+    for kind in Kind::ALL {
+        let _infallible = writeln!(text, "  {:>2}  {kind}", kind.answer().exit);
+    }
+    text
+}
+
+fn summary(topic: Topic) -> &'static str {
+    let text = command(topic);
+    let line = text.lines().next().unwrap_or_default();
+    line.trim_end_matches('.')
+}
+
+const fn command(topic: Topic) -> &'static str {
+    match topic {
+        Topic::Check => {
+            "\
+Check the whole set of objects and print every fault.
+
+usage: poplarctl check [--from DIR]
+
+Without --from the objects in the store are checked. What other services released a short time ago is checked only when
+the set is published. Faults exit with the code of `object`.
+
+  --from DIR       check the files in DIR instead
+"
+        }
+        Topic::Diff => {
+            "\
+Compare files with the store, and the store with the published generation.
+
+usage: poplarctl diff [--from DIR]
+
+  --from DIR       files to compare with the store
+"
+        }
+        Topic::Put => {
+            "\
+Write objects from files KIND/NAME.json to the store.
+
+usage: poplarctl put FILE... [--if-version N]
+
+All files are read before the first is written. Each write is conditional on the version read just before it; a
+conflict prints what the store holds and exits with the code of `conflict`.
+
+  --if-version N   write one file only if the object is at version N, 0 when it must not exist
+"
+        }
+        Topic::Get => {
+            "\
+Print an object as JSON, or the names and versions of all objects of a kind.
+
+usage: poplarctl get KIND [NAME]
+"
+        }
+        Topic::Delete => {
+            "\
+Delete an object from the store.
+
+usage: poplarctl delete KIND NAME [--if-version N]
+
+The delete is conditional like the writes of `put`.
+
+  --if-version N   delete only if the object is at version N
+"
+        }
+        Topic::Publish => {
+            "\
+Check the whole set and publish it as a new generation.
+
+usage: poplarctl publish [--from DIR] [--prune]
+
+A publish of another operator meanwhile is a conflict: nothing is written and its changes are printed. When the answer to
+the write is lost, the manifest is read back. An exit with the code of `timeout` may leave the new generation in force;
+`poplarctl diff` tells.
+
+  --from DIR       check the files in DIR and write those that differ to the store first
+  --prune          with --from, also delete objects in the store that have no file
+"
+        }
+        Topic::Status => {
+            "\
+Print the status that the zones report.
+
+usage: poplarctl status [--json] [--balancers IP:port,...]
+
+  --json           print JSON instead of tables
+  --balancers LIST also ask these balancers, by their peer HTTP addresses
+"
+        }
+        Topic::Timeline => {
+            "\
+Merge the events of several processes into one ordered timeline.
+
+usage: poplarctl timeline --from http://IP:port,... [--format text|json|trace]
+
+  --from LIST      processes to ask
+  --format FORMAT  text (default), json (JSON lines) or trace (Trace Event Format, for a browser's trace viewer)
+"
+        }
+    }
+}
--- /dev/null
+++ b/crates/poplarpaddle-cli/src/remote.rs
@@ -0,0 +1,230 @@
+//! The store as the commands use it: retried reads, and writes that are read back when their answer is lost.
+
+use std::time::Duration;
+
+use poplarpaddle::config::{Manifest, Part, encode, join};
+use poplarpaddle::error::{Error, Kind, Result};
+use poplarpaddle::object::{self, Reading, Set};
+use poplarpaddle::store::{Call, Object, Outcome, Store};
+use poplarpaddle::time::Time;
+use poplarpaddle_io::clock::Clock;
+use serde_json::Value;
+
+/// Time for one call.
+const CALL_TIME: Duration = Duration::from_secs(5);
+
+/// Waits before the repeated tries of a call.
+const BACKOFF: [Duration; 3] = [Duration::from_millis(100), Duration::from_millis(400), Duration::from_millis(1600)];
+
+/// A store with the clock of this process.
+#[derive(Clone, Copy)]
+pub struct Remote<'a> {
+    store: &'a dyn Store,
+    clock: Clock,
+}
+
+impl std::fmt::Debug for Remote<'_> {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Remote").field("clock", &self.clock).finish_non_exhaustive()
+    }
+}
+
+/// A conditional write of one object.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Write {
+    /// Kind of the object.
+    pub kind: object::Kind,
+    /// Name of the object.
+    pub name: String,
+    /// Expected version, 0 when the object must not exist.
+    pub version: u64,
+    /// The new value, none to delete the object.
+    pub value: Option<Value>,
+}
+
+/// The published generation with its objects.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Published {
+    /// The manifest.
+    pub manifest: Manifest,
+    /// Its objects.
+    pub set: Set,
+}
+
+impl<'a> Remote<'a> {
+    /// Returns a remote for `store`.
+    #[must_use]
+    pub fn new(store: &'a dyn Store) -> Self {
+        Self { store, clock: Clock::new() }
+    }
+
+    /// Returns the time.
+    #[must_use]
+    pub fn now(&self) -> Time {
+        self.clock.now()
+    }
+
+    /// Waits until `time`.
+    pub async fn wait(&self, time: Time) {
+        tokio::time::sleep(self.clock.until(time)).await;
+    }
+
+    /// Performs one call without retries.
+    pub async fn call(&self, call: &Call, deadline: Time) -> Outcome {
+        self.store.call(call, deadline).await
+    }
+
+    /// Lists the objects of a kind.
+    ///
+    /// # Errors
+    ///
+    /// The error of the last try.
+    pub async fn list(&self, kind: &str) -> Result<Vec<Object>> {
+        match self.read(&Call::List { kind: kind.to_owned() }).await? {
+            Outcome::Objects(objects) => Ok(objects),
+            other => Err(unexpected(&other)),
+        }
+    }
+
+    /// Reads an object.
+    ///
+    /// # Errors
+    ///
+    /// The error of the last try.
+    pub async fn get(&self, kind: &str, name: &str) -> Result<Option<Object>> {
+        match self.read(&Call::Get { kind: kind.to_owned(), name: name.to_owned() }).await? {
+            Outcome::Object(object) => Ok(object),
+            other => Err(unexpected(&other)),
+        }
+    }
+
+    /// Reads the objects of all kinds that operators edit.
+    ///
+    /// # Errors
+    ///
+    /// The error of the last try of a call. Faults of objects are part of the result.
+    pub async fn objects(&self) -> Result<Reading> {
+        let mut reading = Reading::default();
+        for kind in object::Kind::ALL {
+            reading.add_objects(kind, &self.list(&kind.to_string()).await?);
+        }
+        Ok(reading)
+    }
+
+    /// Reads the manifest of a fleet, none before the first publish.
+    ///
+    /// # Errors
+    ///
+    /// The error of the last try, or that of a malformed manifest.
+    pub async fn manifest(&self, fleet: &str) -> Result<Option<Manifest>> {
+        let object = self.get("manifest", fleet).await?;
+        object.map(|object| Manifest::decode(&encode(&object.value)?)).transpose()
+    }
+
+    /// Reads the published generation of a fleet.
+    ///
+    /// # Errors
+    ///
+    /// As [`Remote::manifest`]; [`Kind::Missing`] when a part is gone.
+    pub async fn published(&self, fleet: &str) -> Result<Option<Published>> {
+        let Some(manifest) = self.manifest(fleet).await? else {
+            return Ok(None);
+        };
+        let mut parts = Vec::new();
+        for digest in manifest.digests() {
+            let object = self.get("part", &digest.object_name()).await?;
+            let object = object.ok_or_else(|| {
+                let generation = manifest.generation;
+                Error::new(Kind::Missing, format!("part {digest} of generation {generation} is not in the store"))
+            })?;
+            parts.push(Part::decode(&encode(&object.value)?)?);
+        }
+        let set = join(&manifest, parts);
+        Ok(Some(Published { manifest, set }))
+    }
+
+    /// Performs a conditional write.
+    ///
+    /// # Errors
+    ///
+    /// [`Kind::Conflict`] with what the store holds when the version differs, otherwise the error of the last try.
+    pub async fn write(&self, write: &Write) -> Result<()> {
+        let (kind, name, version) = (write.kind.to_string(), write.name.clone(), write.version);
+        let call = match &write.value {
+            Some(value) => Call::Put { kind, name, version, value: value.clone() },
+            None => Call::Delete { kind, name, version },
+        };
+        let mut backoff = BACKOFF.into_iter();
+        let mut unsure = false;
+        loop {
+            let outcome = self.call(&call, self.now() + CALL_TIME).await;
+            unsure |= outcome == Outcome::Unknown;
+            let error = match outcome {
+                Outcome::Written(_) => return Ok(()),
+                Outcome::Conflict(_) | Outcome::Unknown if self.compare(write, unsure).await? => return Ok(()),
+                Outcome::Conflict(_) | Outcome::Unknown => {
+                    Error::new(Kind::Unavailable, format!("the write of {} was not answered", write.place()))
+                }
+                Outcome::Failed(error) => error,
+                other => return Err(unexpected(&other)),
+            };
+            self.pause(error, &mut backoff).await?;
+        }
+    }
+
+    /// Reads a write back. Returns true when it took effect, false when the object is as before; both only when an answer
+    /// was lost, otherwise the object as it is now is a conflict.
+    async fn compare(&self, write: &Write, unsure: bool) -> Result<bool> {
+        let held = self.get(&write.kind.to_string(), &write.name).await?;
+        let value = held.as_ref().map(|object| &object.value);
+        if unsure && value == write.value.as_ref() {
+            return Ok(true);
+        }
+        if unsure && held.as_ref().map_or(0, |object| object.version) == write.version {
+            return Ok(false);
+        }
+        Err(write.conflict(held.as_ref()))
+    }
+
+    async fn read(&self, call: &Call) -> Result<Outcome> {
+        let mut backoff = BACKOFF.into_iter();
+        loop {
+            match self.call(call, self.now() + CALL_TIME).await {
+                Outcome::Failed(error) => self.pause(error, &mut backoff).await?,
+                other => return Ok(other),
+            }
+        }
+    }
+
+    /// Waits before the next try; gives `error` back when no try is left or none would help.
+    async fn pause(&self, error: Error, backoff: &mut impl Iterator<Item = Duration>) -> Result<()> {
+        match backoff.next() {
+            Some(wait) if error.kind().answer().retry => {
+                tokio::time::sleep(wait).await;
+                Ok(())
+            }
+            _ => Err(error),
+        }
+    }
+}
+
+impl Write {
+    /// Returns kind and name for messages.
+    #[must_use]
+    pub fn place(&self) -> String {
+        format!("{} {:?}", self.kind, self.name)
+    }
+
+    fn conflict(&self, held: Option<&Object>) -> Error {
+        let held = held.map_or_else(
+            || "does not exist".to_owned(),
+            |object| format!("is at version {} with the value {}", object.version, object.value),
+        );
+        let message = format!("{} {held}, expected version {}", self.place(), self.version);
+        Error::new(Kind::Conflict, message)
+    }
+}
+
+fn unexpected(outcome: &Outcome) -> Error {
+    Error::new(Kind::Unavailable, format!("the store gave an outcome that does not fit the call: {outcome:?}"))
+}
--- /dev/null
+++ b/crates/poplarpaddle-cli/src/timeline.rs
@@ -0,0 +1,137 @@
+//! The command `timeline`: events of several processes in one order.
+//!
+//! ```
+//! use poplarpaddle_cli::arguments::Format;
+//! use poplarpaddle_cli::timeline::{Source, merge, render};
+//!
+//! let text = r#"{"process":"b1","time":1500000000,"name":"config.applied","subject":"7","detail":""}"#;
+//! let entries = merge(&[Source { place: "127.0.0.1:7000", text }]).unwrap();
+//! assert_eq!(render(&entries, Format::Text).unwrap(), "1.500000000 b1 config.applied 7\n");
+//! ```
+//!
+//! Processes order their own events by a monotonic clock that starts from the wall clock of their VM. The merged order of
+//! events of different processes is as good as those wall clocks agree.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use poplarpaddle::error::{Error, Kind, Result};
+use poplarpaddle::event::Event;
+use poplarpaddle_io::clock::Clock;
+use poplarpaddle_io::peer::Client;
+use serde::{Deserialize, Serialize};
+use serde_json::{Value, json};
+
+use crate::arguments::Format;
+use crate::console::Console;
+
+/// Time for the answer of one process.
+const CALL_TIME: Duration = Duration::from_secs(5);
+
+/// Events of one process as JSON lines.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Source<'a> {
+    /// Where the lines come from, for errors.
+    pub place: &'a str,
+    /// The lines.
+    pub text: &'a str,
+}
+
+/// An event with its process.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Entry {
+    /// Name of the process.
+    pub process: String,
+    /// The event.
+    #[serde(flatten)]
+    pub event: Event,
+}
+
+pub(crate) async fn run(from: &[SocketAddr], format: Format, console: &mut Console<'_>) -> Result<()> {
+    let (client, clock) = (Client::new()?, Clock::new());
+    let mut answers = Vec::new();
+    let mut silent = Vec::new();
+    for address in from {
+        match client.fetch(*address, "/events", clock.now() + CALL_TIME).await {
+            Ok(bytes) => answers.push((address.to_string(), String::from_utf8_lossy(&bytes).into_owned())),
+            Err(error) => silent.push(error.message().to_owned()),
+        }
+    }
+    let sources: Vec<Source<'_>> = answers.iter().map(|(place, text)| Source { place, text }).collect();
+    console.print(&render(&merge(&sources)?, format)?)?;
+    if silent.is_empty() {
+        return Ok(());
+    }
+    let (count, of) = (silent.len(), from.len());
+    Err(Error::new(Kind::Unavailable, format!("{count} of {of} processes gave no events:\n{}", silent.join("\n"))))
+}
+
+/// Merges events in the order of their times. Events of one process at the same time keep their order.
+///
+/// # Errors
+///
+/// [`Kind::Message`] naming the place and line that is not an event.
+pub fn merge(sources: &[Source<'_>]) -> Result<Vec<Entry>> {
+    let mut entries: Vec<Entry> = Vec::new();
+    for source in sources {
+        for (index, line) in source.text.lines().enumerate().filter(|(_, line)| !line.trim().is_empty()) {
+            let entry = serde_json::from_str(line).map_err(|error| {
+                let message = format!("events of {}, line {}: {error}: {line:.80}", source.place, index + 1);
+                Error::new(Kind::Message, message)
+            })?;
+            entries.push(entry);
+        }
+    }
+    entries.sort_by(|a, b| (a.event.time, &a.process).cmp(&(b.event.time, &b.process)));
+    Ok(entries)
+}
+
+/// Returns the text of a timeline.
+///
+/// # Errors
+///
+/// [`Kind::Internal`] when an event has no JSON form.
+pub fn render(entries: &[Entry], format: Format) -> Result<String> {
+    match format {
+        Format::Text => Ok(entries.iter().map(line).collect()),
+        Format::Json => entries.iter().map(|entry| Ok(encode(entry)? + "\n")).collect(),
+        Format::Trace => Ok(encode(&trace(entries))? + "\n"),
+    }
+}
+
+fn encode(value: &impl Serialize) -> Result<String> {
+    serde_json::to_string(value).map_err(|error| Error::new(Kind::Internal, format!("event has no JSON form: {error}")))
+}
+
+fn line(entry: &Entry) -> String {
+    const NANOS_PER_SECOND: u64 = 1_000_000_000;
+    let (nanos, event) = (entry.event.time.as_nanos(), &entry.event);
+    let (seconds, rest) = (nanos / NANOS_PER_SECOND, nanos % NANOS_PER_SECOND);
+    let text = format!("{seconds}.{rest:09} {} {} {} {}", entry.process, event.name, event.subject, event.detail);
+    // Control characters of a subject or detail would break the line or the terminal.
+    let clean: String = text.trim_end().chars().map(|c| if c.is_control() { ' ' } else { c }).collect();
+    clean + "\n"
+}
+
+/// Returns the events in the Trace Event Format: instant events, a process of the trace for each process.
+///
+/// Times count from the first event, since viewers show microseconds since the epoch poorly.
+fn trace(entries: &[Entry]) -> Value {
+    let mut processes: Vec<&str> = entries.iter().map(|entry| entry.process.as_str()).collect();
+    processes.sort_unstable();
+    processes.dedup();
+    let start = entries.first().map(|entry| entry.event.time).unwrap_or_default();
+    let names = processes.iter().enumerate().map(
+        |(index, name)| json!({"name": "process_name", "ph": "M", "pid": index + 1, "tid": 1, "args": {"name": name}}),
+    );
+    let instants = entries.iter().map(|entry| {
+        let event = &entry.event;
+        let process = processes.binary_search(&entry.process.as_str()).map_or(0, |index| index + 1);
+        let category = event.name.split('.').next().unwrap_or_default();
+        let micros = event.time.since(start).as_secs_f64() * 1e6;
+        json!({"name": event.name, "cat": category, "ph": "i", "s": "p", "ts": micros, "pid": process, "tid": 1,
+            "args": {"subject": event.subject, "detail": event.detail}})
+    });
+    let events: Vec<Value> = names.chain(instants).collect();
+    json!({"traceEvents": events, "displayTimeUnit": "ms", "otherData": {"start_ns": start.as_nanos().to_string()}})
+}
--- /dev/null
+++ b/crates/poplarpaddle-cli/tests/commands/arguments.rs
@@ -0,0 +1,54 @@
+//! Arguments and help.
+
+use poplarpaddle_cli::arguments::{Arguments, Topic};
+use poplarpaddle_cli::help;
+
+/// Guards against a wrong argument that is ignored or whose error names neither the value nor what is allowed.
+#[test]
+fn wrong_arguments_are_named() {
+    let lines = [
+        "",
+        "publsh",
+        "check --frm examples",
+        "check --json",
+        "publish --from a --from b",
+        "publish --fleet",
+        "put",
+        "put a.json b.json --if-version 3",
+        "put zone/a.json --if-version latest",
+        "get",
+        "get vm",
+        "get zone a b",
+        "delete zone",
+        "status --balancers 127.0.0.1:7000,localhost",
+        "status --json=yes",
+        "timeline",
+        "timeline --from 127.0.0.1:7000",
+        "timeline --from http://127.0.0.1:7000/ --format xml",
+        "get zone -x",
+    ];
+    let errors = lines.map(|line| {
+        let error = Arguments::parse(line.split_whitespace()).unwrap_err();
+        assert_eq!(error.kind().answer().exit, 2, "{line}");
+        format!("{line}\n  {}", error.message())
+    });
+    insta::assert_snapshot!(errors.join("\n"));
+}
+
+/// Guards against a command without help, options that the help does not mention, and undocumented exit codes.
+#[test]
+fn help_covers_every_command() {
+    insta::assert_snapshot!(help::text(None));
+    for topic in Topic::ALL {
+        let text = help::text(Some(topic));
+        for option in topic.options() {
+            assert!(
+                text.contains(&format!("--{option} ")) || text.contains(&format!("--{option}\n")),
+                "{topic}: {option}"
+            );
+        }
+        for line in [format!("{topic} --help"), format!("--help {topic}"), format!("{topic} -V")] {
+            Arguments::parse(line.split_whitespace()).unwrap();
+        }
+    }
+}
--- /dev/null
+++ b/crates/poplarpaddle-cli/tests/commands/edit.rs
@@ -0,0 +1,99 @@
+//! `put`, `get`, `delete` and the objects in files.
+
+use std::fs;
+
+use poplarpaddle_cli::files;
+use serde_json::json;
+
+use crate::fake::{Fake, Fate};
+use crate::support::{Scripted, example, run, writes};
+
+/// Guards against example sets that no longer pass the check or leave the loopback range.
+#[test]
+fn examples_are_valid() {
+    for (user, services) in [("kauri-crease", ["bookings", "crewdocs"]), ("kitami", ["pour-slot", "catalogue"])] {
+        let reading = files::read(&example(user)).unwrap();
+        assert_eq!(poplarpaddle::check::reading(&reading), []);
+        let set = reading.set;
+        assert_eq!((set.zones.len(), set.targets.len()), (3, 20));
+        assert!(set.targets.values().all(|target| target.address.is_loopback()));
+        assert!(services.iter().all(|service| set.services.contains_key(*service)));
+        let line = format!("check --from {}", example(user).display());
+        assert_eq!(run(&Fake::default(), &line), "no faults in 3 zones, 3 priorities, 2 services, 20 targets\n");
+    }
+}
+
+/// Guards against files that are written although one of them has a fault, and faults that do not name the file.
+#[test]
+fn faults_of_files_are_reported_together() {
+    let folder = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join("faults");
+    for (path, text) in [
+        ("zone/a.json", r#"{"name": "b", "region": "south"}"#),
+        ("zone/c.json", r#"{"name": "c", "region": 1}"#),
+        ("zone/d.txt", ""),
+        ("zone/e.json", r#"{"name": "e", "region": "south"}"#),
+    ] {
+        let path = folder.join(path);
+        fs::create_dir_all(path.parent().unwrap()).unwrap();
+        fs::write(path, text).unwrap();
+    }
+    let store = Fake::default();
+    let shown = folder.display().to_string();
+    let files = ["a.json", "c.json", "d.txt", "e.json"].map(|name| format!("{shown}/zone/{name}")).join(" ");
+    let put = run(&store, &format!("put {files}"));
+    let check = run(&store, &format!("check --from {shown}"));
+    fs::create_dir_all(folder.join("zoen")).unwrap();
+    let folder_name = run(&store, &format!("check --from {shown}"));
+    fs::remove_dir_all(&folder).unwrap();
+    let absent = run(&store, &format!("check --from {shown}"));
+    insta::assert_snapshot!([put, check, folder_name, absent].join("--\n").replace(&shown, "DIR"));
+    assert!(store.get("zone", "e").is_none());
+}
+
+/// Guards against an object that is overwritten although another operator changed it, and a conflict that hides what
+/// the store holds.
+#[test]
+fn conflicts_show_the_other_side() {
+    let fake = Fake::default();
+    let file = example("kitami").join("zone/kitami.json");
+    let put = format!("put {}", file.display());
+    let mut text = run(&fake, &put);
+    text += &run(&fake, &put);
+    text += &run(&fake, &format!("{put} --if-version 0"));
+    text += &run(&fake, "get zone");
+    text += &run(&fake, "get zone kitami");
+    text += &run(&fake, "get zone abashiri");
+    text += &run(&fake, "delete zone kitami --if-version 7");
+    let other = json!({"name": "kitami", "region": "elsewhere"});
+    fake.put("zone", "kitami", other.clone());
+    let mut raced = false;
+    let racing = Scripted::new(&fake, |fake, call| {
+        if writes(call, "zone") && !std::mem::replace(&mut raced, true) {
+            fake.put("zone", "kitami", json!({"name": "kitami", "region": "third"}));
+        }
+        Fate::Answer
+    });
+    text += &run(&racing, &put);
+    text += &run(&fake, "delete zone kitami");
+    text += &run(&fake, "delete zone kitami");
+    insta::assert_snapshot!(text);
+}
+
+/// Guards against a lost answer that makes `put` or `delete` fail although it took effect, or succeed although not.
+#[test]
+fn lost_answers_are_read_back() {
+    for fate in [Fate::Lose, Fate::Drop] {
+        let fake = Fake::default();
+        let file = example("kitami").join("zone/kitami.json");
+        let script = || {
+            let mut lost = false;
+            Scripted::new(&fake, move |_fake, call| {
+                if writes(call, "zone") && !std::mem::replace(&mut lost, true) { fate } else { Fate::Answer }
+            })
+        };
+        assert_eq!(run(&script(), &format!("put {}", file.display())), "added zone \"kitami\"\n", "{fate:?}");
+        assert_eq!(fake.get("zone", "kitami").unwrap().version, 1, "{fate:?}");
+        assert_eq!(run(&script(), "delete zone kitami"), "removed zone \"kitami\"\n", "{fate:?}");
+        assert!(fake.get("zone", "kitami").is_none(), "{fate:?}");
+    }
+}
--- /dev/null
+++ b/crates/poplarpaddle-cli/tests/commands/publish.rs
@@ -0,0 +1,99 @@
+//! `publish`, `diff`, `check` and `status`.
+
+use poplarpaddle::store::Call;
+use serde_json::json;
+
+use crate::fake::{Fake, Fate};
+use crate::support::{Scripted, example, run, writes};
+
+/// Replaces publish ids, which are random.
+fn stable(text: &str) -> String {
+    let hidden = |word: &str| word.len() == 32 && word.chars().all(|c| c.is_ascii_hexdigit());
+    let line =
+        |line: &str| line.split(' ').map(|word| if hidden(word) { "ID" } else { word }).collect::<Vec<_>>().join(" ");
+    text.split('\n').map(line).collect::<Vec<_>>().join("\n")
+}
+
+/// Guards against a publish from files that misses objects, repeats itself, or deletes objects of other operators
+/// unasked.
+#[test]
+fn files_become_a_generation() {
+    let fake = Fake::default();
+    let from = format!("--fleet kitami --from {}", example("kitami").display());
+    let plan = run(&fake, &format!("diff {from}"));
+    let plan = plan.lines().filter(|line| !line.starts_with("  ")).collect::<Vec<_>>().join("\n");
+    let first = run(&fake, &format!("publish {from}"));
+    assert_eq!(first.lines().count(), 28 + 2 + 28, "28 objects written, then published: {first}");
+    let again = run(&fake, &format!("publish {from}"));
+    fake.put("zone", "shari", json!({"name": "shari", "region": "okhotsk"}));
+    fake.put(
+        "service",
+        "catalogue",
+        json!({"name": "catalogue", "address": "10.30.0.2", "shards": 3,
+        "ports": [{"port": 7301, "priority": "normal"}]}),
+    );
+    let steps = ["diff", "publish", "publish-from", "prune", "diff"].map(|step| match step {
+        "diff" => run(&fake, &format!("diff {from}")),
+        "publish" => run(&fake, "publish --fleet kitami"),
+        "publish-from" => run(&fake, &format!("publish {from}")),
+        _ => run(&fake, &format!("publish {from} --prune")),
+    });
+    insta::assert_snapshot!(stable(&[vec![plan, again], steps.to_vec()].concat().join("\n--\n")));
+    let kinds: Vec<usize> =
+        ["zone", "priority", "service", "target"].map(|kind| run(&fake, &format!("get {kind}")).lines().count()).into();
+    assert_eq!(kinds, [3, 3, 2, 20]);
+}
+
+/// Guards against operators who overwrite each other's publish without a word.
+#[test]
+fn a_racing_publish_is_a_conflict() {
+    let fake = Fake::default();
+    run(&fake, &format!("publish --fleet kitami --from {}", example("kitami").display()));
+    let drain = |name: &str| {
+        let mut value = fake.get("target", name).unwrap().value;
+        value["draining"] = json!(true);
+        fake.put("target", name, value);
+    };
+    drain("pour-slot-01");
+    let mut raced = false;
+    let racing = Scripted::new(&fake, |fake, call| {
+        if writes(call, "manifest") && !std::mem::replace(&mut raced, true) {
+            drain("pour-slot-02");
+            // Another thread, since a runtime cannot be started within a runtime.
+            let other = std::thread::scope(|scope| scope.spawn(|| run(fake, "publish --fleet kitami")).join().unwrap());
+            assert!(other.starts_with("published generation 2"), "{other}");
+        }
+        Fate::Answer
+    });
+    let text = run(&racing, "publish --fleet kitami");
+    insta::assert_snapshot!(stable(&text));
+    let manifest = fake.get("manifest", "kitami").unwrap().value;
+    assert_eq!(manifest["generation"], 2);
+    assert!(run(&fake, "publish --fleet kitami").starts_with("nothing changed since generation 2"));
+}
+
+/// Guards against exits that do not tell an outage, a faulty set and a missing option apart.
+#[test]
+fn failures_have_their_exit_codes() {
+    let fake = Fake::default();
+    fake.put("target", "t1", json!({"name": "t1"}));
+    let text = run(&fake, "publish --fleet kitami");
+    assert!(text.contains("target \"t1\": service is missing") && text.ends_with("(exit 4)\n"), "{text}");
+    assert!(run(&fake, "check").ends_with("(exit 4)\n"));
+    assert!(run(&fake, "publish").ends_with("option --fleet is missing, allowed: the name of a fleet (exit 2)\n"));
+    let down = Scripted::new(&fake, |_fake, _call: &Call| Fate::Refuse);
+    let text = run(&down, "get zone");
+    assert!(text.ends_with("connection refused (exit 12)\n"), "{text}");
+}
+
+/// Guards against a status table that hides a zone that is behind.
+#[test]
+fn status_shows_who_is_behind() {
+    let fake = Fake::default();
+    run(&fake, &format!("publish --fleet kitami --from {}", example("kitami").display()));
+    fake.put("status", "kitami", json!({"zone": "kitami", "generation": 1, "epoch": 4, "members": [1, 2]}));
+    fake.put("status", "abashiri", json!({"zone": "abashiri", "generation": 0, "epoch": 9, "members": []}));
+    insta::assert_snapshot!(
+        [run(&fake, "status --fleet kitami"), run(&fake, "status --fleet kitami --json")].join("\n")
+    );
+}
--- /dev/null
+++ b/crates/poplarpaddle-cli/tests/commands/timeline.rs
@@ -0,0 +1,60 @@
+//! `timeline`, and the commands that ask balancers.
+
+use std::io::{Read as _, Write as _};
+use std::net::{SocketAddr, TcpListener};
+
+use poplarpaddle_cli::arguments::Format;
+use poplarpaddle_cli::timeline::{Source, merge, render};
+
+use crate::fake::Fake;
+use crate::support::run;
+
+const FIRST: &str = r#"{"process":"b1","time":2000000000,"name":"member.dead","subject":"b3","detail":"no answer"}
+{"process":"b1","time":2000000000,"name":"shard.taken","subject":"bookings/0","detail":""}
+{"process":"b1","time":3500000001,"name":"config.applied","subject":"7","detail":"a\u001b[2Jb"}
+"#;
+const SECOND: &str = r#"{"process":"a1","time":2000000000,"name":"member.dead","subject":"b3","detail":"told by b1"}
+
+{"process":"a1","time":1000000500,"name":"config.applied","subject":"6","detail":""}
+"#;
+
+/// Guards against events out of order, a process that is mistaken for another, and a trace that viewers cannot open.
+#[test]
+fn events_are_merged_in_one_order() {
+    let sources = [Source { place: "b1", text: FIRST }, Source { place: "a1", text: SECOND }];
+    let entries = merge(&sources).unwrap();
+    let text = [Format::Text, Format::Json, Format::Trace].map(|format| render(&entries, format).unwrap()).join("\n");
+    insta::assert_snapshot!(text);
+    let error = merge(&[Source { place: "127.0.0.1:7000", text: "\n{\"process\":\"b1\"}" }]).unwrap_err();
+    assert!(error.message().starts_with("events of 127.0.0.1:7000, line 2: missing field"), "{error}");
+    let error = merge(&[Source { place: "b2", text: "\u{fffd}{" }]).unwrap_err();
+    assert!(error.message().starts_with("events of b2, line 1: "), "{error}");
+}
+
+/// Answers one request with `body` as a balancer would.
+fn serve(body: &'static str) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    std::thread::spawn(move || {
+        let (mut stream, _caller) = listener.accept().unwrap();
+        let mut request = [0; 1024];
+        let _length = stream.read(&mut request).unwrap();
+        let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\nConnection: close\r\n\r\n", body.len());
+        stream.write_all((head + body).as_bytes()).unwrap();
+    });
+    address
+}
+
+/// Guards against one silent process that hides the answers of the others.
+#[test]
+fn a_silent_process_does_not_hide_the_others() {
+    let closed = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let (first, second) = (serve(FIRST), serve(SECOND));
+    let text = run(&Fake::default(), &format!("timeline --from http://{first},http://{closed},http://{second}"));
+    assert_eq!(text.matches("member.dead").count(), 2, "{text}");
+    assert!(text.contains("1 of 3 processes gave no events") && text.ends_with("(exit 12)\n"), "{text}");
+    let balancer = serve(r#"{"name":"b1","generation":0,"state":"ready","peers":[]}"#);
+    let closed_status = run(&Fake::default(), &format!("status --fleet kitami --balancers {balancer},{closed}"));
+    assert!(closed_status.contains("b1    ready  0"), "{closed_status}");
+    assert!(closed_status.contains("1 of 2 balancers did not report"), "{closed_status}");
+}
