Keep flows apart from older connections of the same caller port

Cause: a state machine test with several engines, lost and delayed packets broke flows in six ways: a reset after an opening timeout hit a connection that another owner had bound; a stale entry of a former owner was asked for ever; a target with an old connection taught a wrong binding; a late packet tore down a new opening; a stale confirmed entry let a wrong target's reset through; a probe left out misplaced targets and then claimed that the flow was lost. Change: sequence numbers tell connections apart at entries and probes, a reset by a former owner's target leads to a probe, openings are no longer reset at a target after a timeout, only the owner refuses, and learned work has a short expiry of its own.

--- a/crates/poplarpaddle/src/flow.rs
+++ b/crates/poplarpaddle/src/flow.rs
@@ -45,6 +45,8 @@
     Confirmed,
     /// Candidates are probed one by one.
     Probing,
+    /// A target reset the flow while a former owner served it, so the next packet is probed instead.
+    Doubted,
 }
 
 impl Stage {
@@ -57,7 +59,7 @@
 
 /// A fact about a flow that is either true or false.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-#[repr(u8)]
+#[repr(u16)]
 pub enum Flag {
     /// The gate accounts for running work of the flow.
     Working = 1,
@@ -75,6 +77,8 @@
     Lost = 64,
     /// The sequence number of the opening is known.
     Opened = 128,
+    /// The running work was learned from packets, so that it may have ended already.
+    Adopted = 256,
 }
 
 /// What the owner knows of one flow.
@@ -102,7 +106,7 @@
     pub stage: Stage,
     /// Index of the priority of the running work.
     pub priority: u8,
-    flags: u8,
+    flags: u16,
 }
 
 impl Entry {
@@ -128,17 +132,17 @@
     /// Returns whether `flag` is set.
     #[must_use]
     pub const fn has(&self, flag: Flag) -> bool {
-        self.flags & flag as u8 != 0
+        self.flags & flag as u16 != 0
     }
 
     /// Sets `flag`.
     pub const fn set(&mut self, flag: Flag) {
-        self.flags |= flag as u8;
+        self.flags |= flag as u16;
     }
 
     /// Clears `flag`.
     pub const fn clear(&mut self, flag: Flag) {
-        self.flags &= !(flag as u8);
+        self.flags &= !(flag as u16);
     }
 
     /// Returns true when the connection ended at both ends.
--- a/crates/poplarpaddle/src/path/account.rs
+++ b/crates/poplarpaddle/src/path/account.rs
@@ -30,6 +30,7 @@
     pub(super) fn finish(&mut self, now: Time, entry: &mut Entry, end: End) {
         if entry.has(Flag::Working) {
             entry.clear(Flag::Working);
+            entry.clear(Flag::Adopted);
             self.gate.finish(now, entry.target, usize::from(entry.priority), end);
             self.freed = true;
         }
@@ -52,6 +53,7 @@
     pub(super) fn adopt(&mut self, now: Time, entry: &mut Entry) {
         if !entry.has(Flag::Working) {
             entry.set(Flag::Working);
+            entry.set(Flag::Adopted);
             entry.started = now;
             self.gate.adopt(now, entry.target);
         }
--- a/crates/poplarpaddle/src/path/caller.rs
+++ b/crates/poplarpaddle/src/path/caller.rs
@@ -41,24 +41,43 @@
         outlet: &mut dyn Outlet,
     ) {
         let Some(entry) = self.table.at(slot).copied() else { return };
+        let is_fresh = matches!(entry.stage, Stage::Queued | Stage::Pending | Stage::Accepted);
+        if is_fresh && recovery::is_late(&entry, packet) {
+            return self.pass_late(place, &entry, packet, outlet);
+        }
         match entry.stage {
             Stage::Queued | Stage::Pending if packet.kind == Kind::Reset => {
                 self.abort(now, place, slot, &entry, packet, outlet);
             }
+            Stage::Doubted => {
+                self.remove(now, place.key, slot);
+                self.probe(now, place, packet, outlet);
+            }
             Stage::Probing => self.wait_for_probe(now, place, slot, packet, outlet),
             // The caller talks to a target that this balancer did not place the flow on.
             Stage::Queued | Stage::Pending => {
                 self.forget(now, place, slot, &entry, outlet);
                 self.recover(now, source, place, packet, outlet);
             }
-            _ if packet.kind != Kind::Reset && !recovery::confirms(&entry, packet) => {
+            _ if packet.kind != Kind::Reset && !recovery::belongs(&entry, packet) => {
                 self.forget(now, place, slot, &entry, outlet);
-                self.recover(now, source, place, packet, outlet);
+                // A wrong binding may come from the entry of a former owner, so that is not asked again.
+                self.probe(now, place, packet, outlet);
             }
             _ => self.pass(now, place, slot, &entry, packet, outlet),
         }
     }
 
+    /// Handles a packet of an earlier connection of the same caller port, which must not disturb the new one.
+    fn pass_late(&mut self, place: &Place, entry: &Entry, packet: &View<'_>, outlet: &mut dyn Outlet) {
+        let is_allowed = self.is_allowed(place, entry.target, &packet.flow);
+        if packet.kind == Kind::Reset && entry.stage != Stage::Queued && is_allowed {
+            // The caller resets what the target kept of the earlier connection, so that the opening can succeed.
+            return self.send_target(entry.target, packet, outlet);
+        }
+        self.discard(packet, Reason::UnknownFlow, outlet);
+    }
+
     /// The caller gave up an opening.
     fn abort(
         &mut self,
@@ -78,7 +97,8 @@
     /// Forgets a flow that belongs to another target, and closes the connection that waits at the wrong one.
     fn forget(&mut self, now: Time, place: &Place, slot: Slot, entry: &Entry, outlet: &mut dyn Outlet) {
         self.remove(now, place.key, slot);
-        if matches!(entry.stage, Stage::Pending | Stage::Accepted) {
+        // A pending target may be the one that the caller talks to; a SYN-ACK that the caller did not take up is not.
+        if entry.stage == Stage::Accepted {
             self.reset_target(place, entry, entry.opening.wrapping_add(1), outlet);
         }
     }
@@ -284,6 +304,7 @@
 /// Notes in the entry what a forwarded packet tells.
 fn note(now: Time, answer_due: Duration, entry: &mut Entry, packet: &View<'_>) {
     entry.active = now;
+    let is_current = recovery::is_current(entry, packet);
     if matches!(entry.stage, Stage::Accepted | Stage::Learned) {
         entry.stage = Stage::Confirmed;
     }
@@ -291,8 +312,8 @@
         note_payload(now, answer_due, entry, packet);
     }
     match packet.kind {
-        Kind::Closing => entry.set(Flag::CallerEnd),
-        Kind::Reset => entry.set(Flag::Reset),
+        Kind::Closing if is_current => entry.set(Flag::CallerEnd),
+        Kind::Reset if is_current => entry.set(Flag::Reset),
         _ => {}
     }
 }
--- a/crates/poplarpaddle/src/path/engine.rs
+++ b/crates/poplarpaddle/src/path/engine.rs
@@ -176,7 +176,7 @@
         let slot = self.table.find(&packet.flow)?;
         let entry = self.table.at(slot)?;
         let is_bound = entry.stage.is_bound() && !entry.has(Flag::Held);
-        let is_same = recovery::confirms(entry, packet) && self.is_allowed(place, entry.target, &packet.flow);
+        let is_same = recovery::belongs(entry, packet) && self.is_allowed(place, entry.target, &packet.flow);
         (is_bound && is_same).then_some(slot)
     }
 
@@ -190,7 +190,11 @@
         outlet.discard(packet, reason);
     }
 
-    pub(super) fn refuse(&mut self, packet: &View<'_>, reason: Reason, outlet: &mut dyn Outlet) {
+    /// Refuses an opening. Only the owner may: another balancer cannot know that the flow did not open elsewhere.
+    pub(super) fn turn_away(&mut self, place: &Place, packet: &View<'_>, reason: Reason, outlet: &mut dyn Outlet) {
+        if place.owner != Some(self.me) {
+            return self.discard(packet, reason, outlet);
+        }
         self.counters.reasons[reason as usize] += 1;
         outlet.refuse(packet, reason);
     }
--- a/crates/poplarpaddle/src/path/opening.rs
+++ b/crates/poplarpaddle/src/path/opening.rs
@@ -22,7 +22,7 @@
         }
         let candidates = self.candidates(place, &packet.flow, None);
         if candidates.is_empty() {
-            return self.refuse(packet, Reason::NoTarget, outlet);
+            return self.turn_away(place, packet, Reason::NoTarget, outlet);
         }
         let priority = self.priority(place, packet);
         let deadline = self.start_by(now, priority, packet);
@@ -35,7 +35,7 @@
                 self.send_opening(now, place, slot, host, packet, outlet);
             }
             Decision::Wait(ticket) => self.queue(now, place, packet, ticket, priority, outlet),
-            Decision::Refuse(reason) => self.refuse(packet, reason, outlet),
+            Decision::Refuse(reason) => self.turn_away(place, packet, reason, outlet),
         }
     }
 
@@ -117,11 +117,8 @@
         match entry.stage {
             Stage::Queued if is_repeat => self.counters.absorbed += 1,
             Stage::Pending if is_repeat => self.repeat_opening(place, &entry, packet, outlet),
-            Stage::Queued | Stage::Pending | Stage::Probing => {
+            Stage::Queued | Stage::Pending | Stage::Probing | Stage::Doubted => {
                 self.remove(now, place.key, slot);
-                if entry.stage == Stage::Pending {
-                    self.reset_target(place, &entry, entry.opening.wrapping_add(1), outlet);
-                }
                 self.open(now, place, packet, outlet);
             }
             _ if entry.is_finished() && !is_repeat => {
@@ -190,7 +187,7 @@
             }
             Decision::Refuse(reason) => {
                 self.table.remove(slot);
-                self.refuse(packet, reason, outlet);
+                self.turn_away(place, packet, reason, outlet);
             }
         }
     }
@@ -232,7 +229,7 @@
                     shard.gate.finish(now, host, 0, End::Closed);
                 }
             }
-            (Departure::Expire(_), Some((slot, entry)), _) => self.expire(slot, &entry, outlet),
+            (Departure::Expire(_), Some((slot, entry)), Some(place)) => self.expire(&place, slot, &entry, outlet),
             (Departure::Expire(_), ..) => {}
         }
     }
@@ -258,12 +255,12 @@
         }
     }
 
-    fn expire(&mut self, slot: Slot, entry: &Entry, outlet: &mut dyn Outlet) {
+    fn expire(&mut self, place: &Place, slot: Slot, entry: &Entry, outlet: &mut dyn Outlet) {
         let Some(hold) = self.holds.remove(slot) else { return };
         if entry.stage == Stage::Queued {
             self.table.remove(slot);
             for held in &hold.packets {
-                self.refuse(&held.view(), Reason::Deadline, outlet);
+                self.turn_away(place, &held.view(), Reason::Deadline, outlet);
             }
             return;
         }
--- a/crates/poplarpaddle/src/path/probing.rs
+++ b/crates/poplarpaddle/src/path/probing.rs
@@ -9,7 +9,7 @@
 use crate::ownership::Place;
 use crate::packet::{Kind, View};
 use crate::placement;
-use crate::recovery::Probe;
+use crate::recovery::{self, Probe};
 use crate::time::Time;
 use crate::view::HostState;
 
@@ -21,6 +21,8 @@
         if candidates.is_empty() {
             return self.discard(packet, Reason::NoTarget, outlet);
         }
+        // A misplaced target may hold the connection, and its report may be wrong.
+        let is_partial = candidates.len() < placement::hosts(config, place);
         if !self.holds.has_room(packet) || !self.make_room(now) {
             return self.discard(packet, Reason::HoldFull, outlet);
         }
@@ -28,7 +30,7 @@
         entry.set(Flag::Held);
         let Some(slot) = self.table.insert(entry) else { return };
         self.counters.probed += 1;
-        self.holds.open(slot, packet, Phase::Probe(Probe::new(candidates)), None);
+        self.holds.open(slot, packet, Phase::Probe(Probe::new(candidates, is_partial)), None);
         self.ask(now, place, slot, outlet);
     }
 
@@ -37,12 +39,23 @@
         let Some(Hold { packets, phase: Phase::Probe(probe), .. }) = self.holds.get(slot) else { return };
         let Some(host) = probe.current() else { return self.conclude(now, place, slot, outlet) };
         let Some(held) = packets.front() else { return };
+        if !self.is_allowed(place, host, &held.view().flow) {
+            return self.pass_over(now, place, slot, outlet);
+        }
         self.counters.probes += 1;
         self.counters.to_target += 1;
         outlet.to_target(host, &held.view());
         self.holds.set_deadline(slot, now + self.timings.probe_reply);
     }
 
+    /// The next candidate must not get packets of the flow any more.
+    fn pass_over(&mut self, now: Time, place: &Place, slot: Slot, outlet: &mut dyn Outlet) {
+        if let Some(Hold { phase: Phase::Probe(probe), .. }) = self.holds.get_mut(slot) {
+            probe.advance(false);
+        }
+        self.ask(now, place, slot, outlet);
+    }
+
     /// Ends a probe that found no target.
     fn conclude(&mut self, now: Time, place: &Place, slot: Slot, outlet: &mut dyn Outlet) {
         let Some(Hold { packets, phase: Phase::Probe(probe), .. }) = self.holds.remove(slot) else { return };
@@ -101,10 +114,12 @@
         packet: &View<'_>,
         outlet: &mut dyn Outlet,
     ) {
-        if packet.kind != Kind::Reset {
+        let is_reset = packet.kind == Kind::Reset;
+        let first = self.holds.get(slot).and_then(|hold| hold.packets.front());
+        if !is_reset && first.is_some_and(|held| recovery::is_same_connection(&held.view(), packet)) {
             return self.found(now, place, slot, target, packet, outlet);
         }
-        self.discard(packet, Reason::StrayReset, outlet);
+        self.discard(packet, if is_reset { Reason::StrayReset } else { Reason::WrongTarget }, outlet);
         if let Some(Hold { phase: Phase::Probe(probe), .. }) = self.holds.get_mut(slot)
             && probe.current() == Some(target)
         {
@@ -140,8 +155,7 @@
         let Ok(place) = self.locate(&entry.flow) else { return };
         match entry.stage {
             Stage::Pending => {
-                // The target may still accept; it must not keep a connection that the caller never completes.
-                self.reset_target(&place, &entry, entry.opening.wrapping_add(1), outlet);
+                // The target is not reset: the caller may have completed the handshake through another balancer.
                 self.retry(now, &place, slot, End::Unanswered, outlet);
             }
             Stage::Probing => self.skip(now, &place, slot, outlet),
--- a/crates/poplarpaddle/src/path/settings.rs
+++ b/crates/poplarpaddle/src/path/settings.rs
@@ -50,6 +50,9 @@
     pub closing: Duration,
     /// The work of an opening ends when no payload follows for this long.
     pub first_payload: Duration,
+    /// Work that was learned from packets ends when no end of its answer was seen for this long. It may have ended before
+    /// it was learned, and would then hold a slot of its host for nothing.
+    pub adopted: Duration,
     /// Work ends when no end of its answer was seen for this long.
     pub work: Duration,
 }
@@ -65,6 +68,7 @@
             idle: Duration::from_mins(15),
             closing: Duration::from_secs(10),
             first_payload: Duration::from_secs(2),
+            adopted: Duration::from_secs(5),
             work: Duration::from_mins(1),
         }
     }
--- a/crates/poplarpaddle/src/path/sweep.rs
+++ b/crates/poplarpaddle/src/path/sweep.rs
@@ -67,7 +67,7 @@
     fn keep(&self, entry: &Entry) -> Duration {
         match entry.stage {
             _ if entry.is_finished() => self.timings.closing,
-            Stage::Queued | Stage::Pending | Stage::Probing => self.timings.opening,
+            Stage::Queued | Stage::Pending | Stage::Probing | Stage::Doubted => self.timings.opening,
             Stage::Accepted | Stage::Learned => self.timings.learning,
             Stage::Confirmed => self.timings.idle,
         }
@@ -76,7 +76,12 @@
     fn work_deadline(&self, entry: &Entry) -> Time {
         let has_payload = !entry.has(Flag::Opened) || entry.next != entry.opening.wrapping_add(1);
         let is_open = entry.stage.is_bound() && !has_payload;
-        entry.started + if is_open { self.timings.first_payload } else { self.timings.work }
+        let limit = match entry.has(Flag::Adopted) {
+            true => self.timings.adopted,
+            false if is_open => self.timings.first_payload,
+            false => self.timings.work,
+        };
+        entry.started + limit
     }
 
     /// Makes room for one entry; false when none of the sampled entries can go.
--- a/crates/poplarpaddle/src/path/target.rs
+++ b/crates/poplarpaddle/src/path/target.rs
@@ -6,7 +6,7 @@
 use crate::admission::End;
 use crate::flow::{Entry, Flag, Slot, Stage};
 use crate::ownership::Place;
-use crate::packet::{Kind, View};
+use crate::packet::{Flow, Kind, View};
 use crate::placement;
 use crate::recovery;
 use crate::time::Time;
@@ -30,6 +30,11 @@
         let Some(entry) = self.table.at(slot).copied() else { return };
         match entry.stage {
             Stage::Queued => self.answer_queued(now, place, slot, &entry, target, packet, outlet),
+            Stage::Doubted if packet.kind == Kind::Reset => self.discard(packet, Reason::StrayReset, outlet),
+            Stage::Doubted => {
+                self.remove(now, place.key, slot);
+                self.meet(now, place, target, packet, outlet);
+            }
             Stage::Probing => self.answer_probe(now, place, slot, target, packet, outlet),
             _ if entry.target != target => self.answer_wrong(now, place, slot, &entry, target, packet, outlet),
             Stage::Pending => self.answer_opening(now, place, slot, &entry, packet, outlet),
@@ -40,6 +45,7 @@
     /// Handles a packet of a flow without entry: any but a reset proves the binding.
     fn meet(&mut self, now: Time, place: &Place, target: Ipv4Addr, packet: &View<'_>, outlet: &mut dyn Outlet) {
         if packet.kind == Kind::Reset {
+            self.doubt(now, place, target, &packet.flow);
             return self.discard(packet, Reason::StrayReset, outlet);
         }
         if let Some(slot) = self.learn(now, place, target, packet) {
@@ -48,6 +54,14 @@
         self.send_caller(packet, outlet);
     }
 
+    /// Notes that the entry of a former owner led to a target that does not know the flow. Asking the former owner again
+    /// would go on for ever.
+    fn doubt(&mut self, now: Time, place: &Place, target: Ipv4Addr, flow: &Flow) {
+        if !self.ownership.former(place).is_empty() && self.make_room(now) {
+            self.table.insert(Entry::new(*flow, Stage::Doubted, target, now));
+        }
+    }
+
     /// Adds an entry for a flow that `packet` of `target` proves; none when the table has no room.
     pub(super) fn learn(&mut self, now: Time, place: &Place, target: Ipv4Addr, packet: &View<'_>) -> Option<Slot> {
         if !self.make_room(now) {
@@ -111,9 +125,6 @@
             return self.meet(now, place, target, packet, outlet);
         }
         self.discard(packet, Reason::WrongTarget, outlet);
-        if packet.kind == Kind::Accept && entry.stage == Stage::Confirmed {
-            outlet.reset_target(target, &packet.flow, packet.acknowledgement);
-        }
     }
 
     /// Handles the answer of the target that got the opening.
--- a/crates/poplarpaddle/src/placement.rs
+++ b/crates/poplarpaddle/src/placement.rs
@@ -123,6 +123,12 @@
     found
 }
 
+/// Returns the number of hosts that serve or lately served the service of a flow.
+#[must_use]
+pub fn hosts(config: &Config, place: &Place) -> usize {
+    order(place, config.services[place.service.0 as usize].targets.iter()).len()
+}
+
 fn remove_repeated(hosts: &mut Candidates, own: usize) {
     let first: Candidates = hosts[..own].into();
     let mut number = 0;
--- a/crates/poplarpaddle/src/recovery.rs
+++ b/crates/poplarpaddle/src/recovery.rs
@@ -7,7 +7,7 @@
 //! use poplarpaddle::recovery::Probe;
 //!
 //! let host = std::net::Ipv4Addr::new(10, 0, 0, 1);
-//! let mut probe = Probe::new([host].into_iter().collect());
+//! let mut probe = Probe::new([host].into_iter().collect(), false);
 //! assert_eq!(probe.current(), Some(host));
 //! probe.advance(true);
 //! assert!(probe.is_unrecoverable());
@@ -18,7 +18,7 @@
 
 use std::net::Ipv4Addr;
 
-use crate::flow::{Entry, Stage};
+use crate::flow::{Entry, Flag, Stage};
 use crate::packet::View;
 use crate::placement::Candidates;
 
@@ -38,10 +38,10 @@
 }
 
 impl Probe {
-    /// Returns a probe that starts with the first candidate.
+    /// Returns a probe that starts with the first candidate. `is_partial` tells that a target is left out.
     #[must_use]
-    pub const fn new(candidates: Candidates) -> Self {
-        Self { candidates, next: 0, silent: false }
+    pub const fn new(candidates: Candidates, is_partial: bool) -> Self {
+        Self { candidates, next: 0, silent: is_partial }
     }
 
     /// Returns the candidate under probe, none after the last.
@@ -56,19 +56,25 @@
         self.next += 1;
     }
 
-    /// Returns true when every candidate denied the flow.
+    /// Returns true when every target of the service denied the flow.
     #[must_use]
     pub fn is_unrecoverable(&self) -> bool {
         self.current().is_none() && !self.silent
     }
 }
 
+/// Returns true unless the numbers of a caller's packet show that the connection has another target than the entry, or
+/// is not the one that the entry was made for.
+#[must_use]
+pub fn belongs(entry: &Entry, packet: &View<'_>) -> bool {
+    is_current(entry, packet) && confirms(entry, packet)
+}
+
 /// Returns true unless the acknowledgement of a caller's packet belongs to a connection with another target.
 ///
 /// Two owners with different views may place one opening on two targets. The caller completes the handshake with one;
 /// the owner that placed it on the other notices here and searches for the real target.
-#[must_use]
-pub fn confirms(entry: &Entry, packet: &View<'_>) -> bool {
+fn confirms(entry: &Entry, packet: &View<'_>) -> bool {
     if packet.acknowledgement == 0 {
         return true;
     }
@@ -77,14 +83,39 @@
             let first = entry.accept.wrapping_add(1);
             packet.acknowledgement.wrapping_sub(first) < ACCEPT_WINDOW
         }
-        Stage::Learned => {
-            let low = entry.accept.wrapping_sub(LEARN_WINDOW);
-            packet.acknowledgement.wrapping_sub(low) < 2 * LEARN_WINDOW
-        }
+        Stage::Learned => is_near(packet.acknowledgement, entry.accept),
         _ => true,
     }
 }
 
+/// Returns true unless the numbers of two packets show that caller and target talk about different connections.
+///
+/// A target that keeps an old connection of the same caller port answers a probe with the state of that one.
+#[must_use]
+pub const fn is_same_connection(caller: &View<'_>, target: &View<'_>) -> bool {
+    if caller.acknowledgement == 0 || target.acknowledgement == 0 {
+        return true;
+    }
+    is_near(caller.sequence, target.acknowledgement) && is_near(caller.acknowledgement, target.sequence)
+}
+
+/// Returns true unless the caller's sequence number shows that the entry is of an earlier connection.
+#[must_use]
+pub const fn is_current(entry: &Entry, packet: &View<'_>) -> bool {
+    packet.acknowledgement == 0 || entry.next == 0 || is_near(packet.sequence, entry.next)
+}
+
+/// Returns true when the caller's packet is of an earlier connection than the opening of the entry, and came late.
+#[must_use]
+pub const fn is_late(entry: &Entry, packet: &View<'_>) -> bool {
+    // A carrier that does not number its packets leaves 0.
+    entry.has(Flag::Opened) && packet.sequence != 0 && !is_near(packet.sequence, entry.opening)
+}
+
+const fn is_near(one: u32, other: u32) -> bool {
+    one.wrapping_sub(other.wrapping_sub(LEARN_WINDOW)) < 2 * LEARN_WINDOW
+}
+
 /// Returns true when a target's packet answers the opening of the entry.
 #[must_use]
 pub const fn answers_opening(entry: &Entry, packet: &View<'_>) -> bool {
--- /dev/null
+++ b/crates/poplarpaddle/tests/path/machine.rs
@@ -0,0 +1,118 @@
+//! Random changes of members, hosts and flows against several engines.
+
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed};
+use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
+
+use crate::world::World;
+
+/// Balancers that the fleet starts with.
+const START: [u64; 3] = [1, 2, 3];
+
+/// A change, or an act of a caller.
+#[derive(Debug, Clone, Copy)]
+enum Step {
+    Open(u16),
+    Send(u16),
+    Close(u16),
+    Deliver,
+    DeliverOne,
+    Lose,
+    Delay,
+    Wait(u64),
+    Join(u64),
+    Leave(u64),
+    Kill(u64),
+    Inform(u64),
+    Shed(u8, bool),
+    Misplace(u8, bool),
+    Settle,
+}
+
+/// The steps need no state of their own: a step that does not apply does nothing.
+#[derive(Debug)]
+struct Steps;
+
+impl ReferenceStateMachine for Steps {
+    type State = ();
+    type Transition = Step;
+
+    fn init_state() -> BoxedStrategy<()> {
+        Just(()).boxed()
+    }
+
+    fn transitions(_state: &()) -> BoxedStrategy<Step> {
+        prop_oneof![
+            5 => (0..12_u16).prop_map(Step::Open),
+            8 => (0..12_u16).prop_map(Step::Send),
+            1 => (0..12_u16).prop_map(Step::Close),
+            5 => Just(Step::Deliver),
+            4 => Just(Step::DeliverOne),
+            1 => Just(Step::Lose),
+            2 => Just(Step::Delay),
+            3 => (1..900_u64).prop_map(Step::Wait),
+            1 => (1..13_u64).prop_map(Step::Join),
+            1 => (1..13_u64).prop_map(Step::Leave),
+            1 => (1..13_u64).prop_map(Step::Kill),
+            2 => (1..13_u64).prop_map(Step::Inform),
+            1 => (0..4_u8, any::<bool>()).prop_map(|(host, on)| Step::Shed(host, on)),
+            1 => (0..4_u8, any::<bool>()).prop_map(|(host, on)| Step::Misplace(host, on)),
+            1 => Just(Step::Settle),
+        ]
+        .boxed()
+    }
+
+    fn apply((): (), _transition: &Step) {}
+}
+
+/// Runs the steps.
+#[derive(Debug)]
+struct Fleet;
+
+impl StateMachineTest for Fleet {
+    type SystemUnderTest = World;
+    type Reference = Steps;
+
+    fn init_test(_ref_state: &()) -> World {
+        World::new(&START)
+    }
+
+    fn apply(mut state: World, _ref_state: &(), transition: Step) -> World {
+        match transition {
+            Step::Open(flow) => state.open(flow),
+            Step::Send(flow) => state.send(flow),
+            Step::Close(flow) => state.close(flow),
+            Step::Deliver => state.deliver(),
+            Step::DeliverOne => state.deliver_one(),
+            Step::Lose => state.lose(),
+            Step::Delay => state.delay(),
+            Step::Wait(millis) => state.wait(millis),
+            Step::Join(id) => state.join(id),
+            Step::Leave(id) => state.leave(id),
+            Step::Kill(id) => state.kill(id),
+            Step::Inform(id) => state.inform(id),
+            Step::Shed(host, on) => state.shed(host, on),
+            Step::Misplace(host, on) => state.misplace(host, on),
+            Step::Settle => state.settle(),
+        }
+        state
+    }
+
+    fn teardown(mut state: World, _ref_state: ()) {
+        state.settle();
+    }
+}
+
+prop_state_machine! {
+    #![proptest_config(Config {
+        cases: 2_000,
+        rng_seed: RngSeed::Fixed(7),
+        failure_persistence: None,
+        ..Config::default()
+    })]
+
+    /// Guards against bound flows that break while their target lives, packets at a wrong service, refusals of flows
+    /// whose payload ran, and accounts with a gate that do not add up, under any order of member changes.
+    #[test]
+    fn flows_survive_member_changes(sequential 1..120 => Fleet);
+}
--- a/crates/poplarpaddle/tests/path/main.rs
+++ b/crates/poplarpaddle/tests/path/main.rs
@@ -2,3 +2,6 @@
 
 mod fleet;
 mod flows;
+mod gate;
+mod machine;
+mod world;
--- /dev/null
+++ b/crates/poplarpaddle/tests/path/world.rs
@@ -0,0 +1,509 @@
+//! Callers and targets that speak as much TCP as the data path sees, and a fabric between them and several engines.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::net::Ipv4Addr;
+use std::sync::Arc;
+
+use poplarpaddle::packet::{Kind, View};
+use poplarpaddle::path::{Bounds, Engine, Settings};
+use poplarpaddle::prelude::*;
+use poplarpaddle::view::{Config, HostState};
+
+use crate::fleet::{config, flow, host, members, service, view};
+use crate::gate::Narrow;
+
+/// Bytes of a request and of an answer.
+const SIZE: u32 = 10;
+
+/// Numbers of targets of the services.
+const TARGETS: [u8; 2] = [4, 2];
+
+/// Waits until a caller must have its answer.
+const SETTLE: usize = 150;
+
+/// Spreads initial sequence numbers, so that numbers of two connections never meet.
+const SPREAD: u32 = 0x1357_9bdf;
+
+/// A packet on its way: to a balancer, a target or a caller.
+#[derive(Debug, Clone, Copy)]
+enum Transit {
+    Balancer(u64, Source, View<'static>),
+    Target(Ipv4Addr, View<'static>),
+    Caller(View<'static>),
+}
+
+/// A connection as a target knows it.
+#[derive(Debug, Clone, Copy)]
+struct Connection {
+    first: u32,
+    received: u32,
+    sent: u32,
+    is_open: bool,
+    is_closed: bool,
+    payload: u32,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Phase {
+    Closed,
+    Opening,
+    Open,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Caller {
+    phase: Phase,
+    first: u32,
+    acknowledged: u32,
+    sent: u32,
+    received: u32,
+    answers: u32,
+}
+
+/// The whole system.
+#[derive(Debug)]
+pub struct World {
+    now: Time,
+    config: Config,
+    engines: BTreeMap<u64, Engine>,
+    joined: BTreeSet<u64>,
+    alive: BTreeSet<u64>,
+    leaving: BTreeSet<u64>,
+    misplaced: BTreeSet<Ipv4Addr>,
+    /// Misplaced hosts by the last view of each engine.
+    barred: BTreeMap<u64, BTreeSet<Ipv4Addr>>,
+    /// Engine, flow and first number of connections whose payload was forwarded.
+    forwarded: BTreeSet<(u64, Flow, u32)>,
+    connections: BTreeMap<(Ipv4Addr, Flow), Connection>,
+    callers: BTreeMap<Flow, Caller>,
+    transit: VecDeque<Transit>,
+    shedding: BTreeSet<Ipv4Addr>,
+    issued: u32,
+    chance: u64,
+}
+
+/// Collects what an engine sends.
+struct Wire<'a> {
+    world: &'a mut World,
+    engine: u64,
+}
+
+fn owned(packet: &View<'_>) -> View<'static> {
+    View { bytes: &[], ..*packet }
+}
+
+impl Outlet for Wire<'_> {
+    fn to_target(&mut self, target: Ipv4Addr, packet: &View<'_>) {
+        let numbers = 0..TARGETS[usize::from(packet.flow.service != service(0))];
+        let service = u8::from(packet.flow.service != service(0));
+        let mut own = numbers.map(|number| host(service, number));
+        assert!(own.any(|own| own == target), "{} reached {target} of another service", packet.flow);
+        let barred = &self.world.barred[&self.engine];
+        assert!(!barred.contains(&target), "{} reached the misplaced {target}", packet.flow);
+        if packet.has_payload() {
+            let first = self.world.callers[&packet.flow].first;
+            self.world.forwarded.insert((self.engine, packet.flow, first));
+        }
+        self.world.transit.push_back(Transit::Target(target, owned(packet)));
+    }
+    fn to_caller(&mut self, packet: &View<'_>) {
+        self.world.transit.push_back(Transit::Caller(owned(packet)));
+    }
+    fn relay(&mut self, member: MemberId, hop: Hop, packet: &View<'_>) {
+        let source = Source::Peer(MemberId(self.engine), hop);
+        self.world.transit.push_back(Transit::Balancer(member.0, source, owned(packet)));
+    }
+    fn refuse(&mut self, packet: &View<'_>, _reason: Reason) {
+        let key = (self.engine, packet.flow, packet.sequence);
+        assert!(!self.world.forwarded.contains(&key), "{} was refused after its payload", packet.flow);
+        self.world.refused(packet);
+    }
+    fn reset_caller(&mut self, packet: &View<'_>, reason: Reason) {
+        self.world.reset_caller(packet.flow, packet.acknowledgement, &reason.to_string());
+    }
+    fn reset_target(&mut self, target: Ipv4Addr, flow: &Flow, sequence: u32) {
+        let reset = View { sequence, ..View::new(*flow, Direction::FromCaller, Kind::Reset, &[]) };
+        self.world.transit.push_back(Transit::Target(target, reset));
+    }
+    fn discard(&mut self, _packet: &View<'_>, _reason: Reason) {}
+    fn event(&mut self, _event: Event) {}
+}
+
+impl World {
+    /// Returns a fleet of balancers with these ids.
+    pub fn new(ids: &[u64]) -> Self {
+        let mut world = Self {
+            now: Time::from_millis(1000),
+            config: config(&TARGETS, 2),
+            engines: BTreeMap::new(),
+            joined: ids.iter().copied().collect(),
+            alive: ids.iter().copied().collect(),
+            leaving: BTreeSet::new(),
+            misplaced: BTreeSet::new(),
+            barred: BTreeMap::new(),
+            forwarded: BTreeSet::new(),
+            connections: BTreeMap::new(),
+            callers: BTreeMap::new(),
+            transit: VecDeque::new(),
+            shedding: BTreeSet::new(),
+            issued: 0,
+            chance: 1,
+        };
+        for id in ids {
+            world.start(*id);
+        }
+        world
+    }
+
+    fn start(&mut self, id: u64) {
+        let bounds = Bounds { flows: 64, ..Default::default() };
+        let settings =
+            Settings { me: MemberId(id), seed: id, bounds, gates: Arc::new(Narrow { limit: 3 }), ..Default::default() };
+        self.engines.insert(id, Engine::new(settings));
+        self.inform(id);
+    }
+
+    /// Starts a balancer that only it knows of so far. Ids are not used again, as each process takes a new one.
+    pub fn join(&mut self, id: u64) {
+        if self.joined.insert(id) {
+            self.alive.insert(id);
+            self.start(id);
+        }
+    }
+
+    /// A balancer begins to leave.
+    pub fn leave(&mut self, id: u64) {
+        if self.alive.len() > 1 && self.alive.remove(&id) {
+            self.leaving.insert(id);
+            self.with(id, |engine, now, wire| engine.drain(now, wire));
+            self.inform(id);
+        }
+    }
+
+    /// A balancer dies, or ends its leave.
+    pub fn kill(&mut self, id: u64) {
+        if self.leaving.remove(&id) || (self.alive.len() > 1 && self.alive.remove(&id)) {
+            self.engines.remove(&id);
+        }
+    }
+
+    /// A host reports another service, or reports right again.
+    pub fn misplace(&mut self, number: u8, is_misplaced: bool) {
+        let host = host(0, number % TARGETS[0]);
+        if is_misplaced {
+            self.misplaced.insert(host)
+        } else {
+            self.misplaced.remove(&host)
+        };
+    }
+
+    /// A host begins or ends to refuse openings.
+    pub fn shed(&mut self, number: u8, is_shedding: bool) {
+        let host = host(0, number % TARGETS[0]);
+        if is_shedding {
+            self.shedding.insert(host)
+        } else {
+            self.shedding.remove(&host)
+        };
+    }
+
+    /// A balancer learns of all changes so far.
+    pub fn inform(&mut self, id: u64) {
+        let (alive, leaving): (Vec<u64>, Vec<u64>) =
+            (self.alive.iter().copied().collect(), self.leaving.iter().copied().collect());
+        let states: Vec<(Ipv4Addr, HostState)> =
+            self.misplaced.iter().map(|host| (*host, HostState::Misplaced)).collect();
+        let view = view(id, &self.config, &members(&alive, &leaving), &states);
+        self.barred.insert(id, self.misplaced.clone());
+        self.with(id, |engine, now, wire| engine.apply(now, &view, wire));
+    }
+
+    fn with(&mut self, id: u64, act: impl FnOnce(&mut Engine, Time, &mut Wire<'_>)) {
+        let Some(mut engine) = self.engines.remove(&id) else { return };
+        let now = self.now;
+        act(&mut engine, now, &mut Wire { world: self, engine: id });
+        self.engines.insert(id, engine);
+    }
+
+    /// Lets time pass; every balancer is informed within it, and callers repeat what has no answer.
+    pub fn wait(&mut self, millis: u64) {
+        let end = Time::from_millis(self.now.as_millis() + millis);
+        loop {
+            self.deliver();
+            let next = self.engines.iter().map(|(id, engine)| (engine.deadline(), *id)).min();
+            let Some((deadline, id)) = next.filter(|(deadline, _)| *deadline <= end) else { break };
+            self.now = self.now.max(deadline);
+            self.with(id, |engine, now, wire| engine.tick(now, wire));
+        }
+        self.now = end;
+        for id in self.engines.keys().copied().collect::<Vec<_>>() {
+            self.inform(id);
+        }
+        self.deliver();
+        for flow in self.callers.keys().copied().collect::<Vec<_>>() {
+            self.repeat(flow);
+        }
+        self.deliver();
+    }
+
+    /// Delivers every packet that is on its way.
+    pub fn deliver(&mut self) {
+        for count in 0.. {
+            assert!(count < 100_000, "packets go round: {:?}", self.transit.front());
+            let Some(transit) = self.transit.pop_front() else { return };
+            self.arrive(transit);
+        }
+    }
+
+    /// Loses the next packet on its way.
+    pub fn lose(&mut self) {
+        self.transit.pop_front();
+    }
+
+    /// Delays the next packet on its way behind the others.
+    pub fn delay(&mut self) {
+        if !self.transit.is_empty() {
+            self.transit.rotate_left(1);
+        }
+    }
+
+    /// Delivers the next packet on its way.
+    pub fn deliver_one(&mut self) {
+        if let Some(transit) = self.transit.pop_front() {
+            self.arrive(transit);
+        }
+    }
+
+    fn arrive(&mut self, transit: Transit) {
+        match transit {
+            Transit::Balancer(id, source, packet) => {
+                self.with(id, |engine, now, wire| engine.packet(now, source, &packet, wire));
+            }
+            Transit::Target(target, packet) => self.target(target, &packet),
+            Transit::Caller(packet) => self.caller(&packet),
+        }
+    }
+
+    /// Sprays a packet over the balancers.
+    fn spray(&mut self, packet: View<'static>) {
+        self.chance = self.chance.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+        let ids: Vec<u64> = self.alive.iter().copied().collect();
+        let position = usize::try_from(self.chance >> 33).unwrap_or(0) % ids.len();
+        self.transit.push_back(Transit::Balancer(ids[position], Source::Fabric, packet));
+    }
+
+    fn number(&mut self) -> u32 {
+        self.issued += 1;
+        self.issued.wrapping_mul(SPREAD)
+    }
+
+    /// A caller opens a connection unless it has one.
+    pub fn open(&mut self, number: u16) {
+        let flow = flow(number);
+        if self.callers.get(&flow).is_some_and(|caller| caller.phase != Phase::Closed) {
+            return;
+        }
+        let first = self.number();
+        let sent = first.wrapping_add(1);
+        let caller = Caller { phase: Phase::Opening, first, acknowledged: sent, sent, received: 0, answers: 0 };
+        self.callers.insert(flow, caller);
+        self.repeat(flow);
+    }
+
+    /// A caller sends a request, unless one is under way.
+    pub fn send(&mut self, number: u16) {
+        let flow = flow(number);
+        let Some(caller) = self.callers.get_mut(&flow) else { return };
+        if caller.phase == Phase::Open && caller.acknowledged == caller.sent {
+            caller.sent = caller.sent.wrapping_add(SIZE);
+            self.repeat(flow);
+        }
+    }
+
+    /// A caller closes an idle connection.
+    pub fn close(&mut self, number: u16) {
+        let flow = flow(number);
+        let Some(caller) = self.callers.get_mut(&flow) else { return };
+        if caller.phase == Phase::Open && caller.acknowledged == caller.sent {
+            caller.phase = Phase::Closed;
+            let packet = from_caller(flow, caller, Kind::Closing, caller.sent, 0);
+            self.spray(packet);
+        }
+    }
+
+    /// Sends what the caller waits for an answer to.
+    fn repeat(&mut self, flow: Flow) {
+        let caller = self.callers[&flow];
+        match caller.phase {
+            Phase::Opening => {
+                let opening = View::new(flow, Direction::FromCaller, Kind::Opening, &[]);
+                self.spray(View { sequence: caller.first, ..opening });
+            }
+            Phase::Open if caller.acknowledged != caller.sent => {
+                let payload = caller.sent.wrapping_sub(caller.acknowledged);
+                self.spray(from_caller(flow, &caller, Kind::Data, caller.acknowledged, payload));
+            }
+            _ => {}
+        }
+    }
+
+    fn caller(&mut self, packet: &View<'_>) {
+        let flow = packet.flow;
+        let Some(caller) = self.callers.get_mut(&flow) else { return };
+        match (packet.kind, caller.phase) {
+            (Kind::Reset, _) => return self.reset_caller(flow, packet.sequence, "the target's reset"),
+            (_, Phase::Closed) => return,
+            (Kind::Accept, Phase::Opening) if packet.acknowledgement == caller.first.wrapping_add(1) => {
+                caller.phase = Phase::Open;
+                caller.received = packet.sequence.wrapping_add(1);
+            }
+            (_, Phase::Opening) => {
+                let reset = View::new(flow, Direction::FromCaller, Kind::Reset, &[]);
+                return self.spray(View { sequence: packet.acknowledgement, ..reset });
+            }
+            (Kind::Data, _) if packet.sequence == caller.received => {
+                caller.received = caller.received.wrapping_add(packet.payload);
+                if packet.payload == 0 {
+                    return;
+                }
+                assert_eq!(packet.acknowledgement, caller.sent, "the answer belongs to the request");
+                caller.acknowledged = packet.acknowledgement;
+                caller.answers += 1;
+            }
+            _ => {}
+        }
+        let acknowledgement = from_caller(flow, caller, Kind::Data, caller.sent, 0);
+        self.spray(acknowledgement);
+    }
+
+    /// A reset reaches a caller; it breaks the flow when its number is the expected one.
+    fn reset_caller(&mut self, flow: Flow, sequence: u32, cause: &str) {
+        let Some(caller) = self.callers.get(&flow) else { return };
+        let is_broken = caller.phase == Phase::Open && caller.received == sequence;
+        assert!(!is_broken, "{flow} broke by {cause} while its target lives: {caller:?}");
+    }
+
+    fn refused(&mut self, packet: &View<'_>) {
+        let Some(caller) = self.callers.get_mut(&packet.flow) else { return };
+        // An open caller ignores a refusal: its sequence number 0 is not the expected one.
+        let first = packet.sequence;
+        if caller.phase != Phase::Opening || caller.first != first {
+            return;
+        }
+        caller.phase = Phase::Closed;
+        let ran = self.connections.iter().find(|((_, flow), connection)| {
+            *flow == packet.flow && connection.payload > 0 && connection.first == first
+        });
+        assert!(ran.is_none(), "{} was refused although its payload ran", packet.flow);
+    }
+
+    fn target(&mut self, target: Ipv4Addr, packet: &View<'_>) {
+        let key = (target, packet.flow);
+        let fresh = self.number();
+        let is_shedding = self.shedding.contains(&target);
+        let known = self.connections.get_mut(&key);
+        let to_caller = View::new(packet.flow, Direction::FromTarget(target), Kind::Data, &[]);
+        let reset = View { kind: Kind::Reset, sequence: packet.acknowledgement, ..to_caller };
+        let answer = match (packet.kind, known) {
+            (Kind::Reset, Some(connection)) => {
+                if packet.sequence == connection.received {
+                    self.connections.remove(&key);
+                }
+                return;
+            }
+            (Kind::Reset, None) => return,
+            (Kind::Opening, Some(connection)) if connection.is_open && !connection.is_closed => {
+                View { sequence: connection.sent, acknowledgement: connection.received, ..to_caller }
+            }
+            (Kind::Opening, None) if is_shedding => View { acknowledgement: packet.sequence.wrapping_add(1), ..reset },
+            (Kind::Opening, known) => {
+                let received = packet.sequence.wrapping_add(1);
+                let connection = Connection {
+                    first: packet.sequence,
+                    received,
+                    sent: fresh,
+                    is_open: false,
+                    is_closed: false,
+                    payload: 0,
+                };
+                let connection = match known {
+                    Some(known) if known.first == packet.sequence && !known.is_closed => *known,
+                    _ => connection,
+                };
+                self.connections.insert(key, connection);
+                View { kind: Kind::Accept, sequence: connection.sent, acknowledgement: received, ..to_caller }
+            }
+            (_, None) => reset,
+            (_, Some(connection)) if connection.is_closed => return,
+            (_, Some(connection)) => match connection.take(packet) {
+                Some((sequence, payload)) => {
+                    View { sequence, payload, end: payload > 0, acknowledgement: connection.received, ..to_caller }
+                }
+                None if connection.is_open => return,
+                None => reset,
+            },
+        };
+        self.spray(answer);
+    }
+
+    /// Checks that every open connection still answers once all balancers know of all changes.
+    pub fn settle(&mut self) {
+        self.misplaced.clear();
+        self.shedding.clear();
+        for _ in 0..4 {
+            self.wait(600);
+        }
+        let flows: Vec<Flow> = self.callers.keys().copied().collect();
+        let before: Vec<Caller> = self.callers.values().copied().collect();
+        for (flow, before) in flows.iter().zip(before) {
+            if before.phase == Phase::Open {
+                self.send(flow.caller.port() - 20_000);
+                self.deliver();
+                // Work of lost packets holds its slot until it expires.
+                for _ in 0..SETTLE {
+                    if self.callers[flow].answers == before.answers {
+                        self.wait(600);
+                    }
+                }
+                let after = self.callers[flow];
+                assert!(after.answers > before.answers, "{flow} got no answer: {after:?}");
+            }
+        }
+    }
+}
+
+impl Connection {
+    /// Takes a segment of the caller and returns the sequence number and payload of the answer, if any.
+    fn take(&mut self, packet: &View<'_>) -> Option<(u32, u32)> {
+        if !self.is_open {
+            if packet.acknowledgement != self.sent.wrapping_add(1) {
+                return None;
+            }
+            self.is_open = true;
+            self.sent = self.sent.wrapping_add(1);
+        }
+        let is_next = packet.sequence == self.received;
+        let is_repeat = self.payload > 0 && packet.sequence.wrapping_add(packet.payload) == self.received;
+        match (packet.kind, packet.payload) {
+            (Kind::Closing, _) if is_next => {
+                self.is_closed = true;
+                None
+            }
+            (_, 0) if is_next => None,
+            (Kind::Data, _) if is_next => {
+                self.received = self.received.wrapping_add(packet.payload);
+                self.payload += packet.payload;
+                self.sent = self.sent.wrapping_add(SIZE);
+                Some((self.sent.wrapping_sub(SIZE), SIZE))
+            }
+            (Kind::Data, SIZE) if is_repeat => Some((self.sent.wrapping_sub(SIZE), SIZE)),
+            // A segment outside the window gets the state of the connection.
+            _ => Some((self.sent, 0)),
+        }
+    }
+}
+
+fn from_caller(flow: Flow, caller: &Caller, kind: Kind, sequence: u32, payload: u32) -> View<'static> {
+    let view = View::new(flow, Direction::FromCaller, kind, &[]);
+    View { sequence, acknowledgement: caller.received, payload, end: payload > 0, ..view }
+}
