Pause openings until one is accepted, whatever payload answers say

A host that sheds openings goes on answering its established flows. Those answers reset its failures and raised its limit, so it kept drawing openings and the retry budget ran out. Failures in a row now pause openings until an opening is accepted, and one opening per pause tries the host.

The test of the limit states the new rule for the pause: it begins with the second signal instead of the lowest limit, and answers must not end it.

--- a/crates/poplarpaddle/src/admission/host.rs
+++ b/crates/poplarpaddle/src/admission/host.rs
@@ -119,6 +119,7 @@
     pub(super) fn connect(&mut self, host: Ipv4Addr, settings: &Settings) {
         let account = self.ensure(host, settings);
         account.connections = account.connections.saturating_add(1);
+        account.limit.accept();
     }
 
     pub(super) fn disconnect(&mut self, host: Ipv4Addr) {
--- a/crates/poplarpaddle/src/admission/queue.rs
+++ b/crates/poplarpaddle/src/admission/queue.rs
@@ -100,13 +100,19 @@
         priority.min(self.lanes.len() - 1)
     }
 
-    fn start(&mut self, host: Ipv4Addr, first_opening: bool) {
-        self.hosts.ensure(host, &self.settings).in_flight += 1;
-        if first_opening {
+    fn start_opening(&mut self, now: Time, host: Ipv4Addr, retried: bool) {
+        let account = self.hosts.ensure(host, &self.settings);
+        account.in_flight += 1;
+        account.limit.open(now);
+        if !retried {
             self.budget.deposit();
         }
     }
 
+    fn start_payload(&mut self, host: Ipv4Addr) {
+        self.hosts.ensure(host, &self.settings).in_flight += 1;
+    }
+
     fn offer_opening(&mut self, now: Time, ticket: &Ticket<'_>) -> Decision {
         if now.reached(ticket.deadline) {
             return Decision::Refuse(Reason::Deadline);
@@ -117,7 +123,7 @@
         // Waiting openings go first; the ticket joins them and `next` decides.
         let idle = self.lanes.iter().all(|lane| lane.openings.is_empty());
         if idle && let Some(host) = self.hosts.choose(now, ticket.candidates, self.settings.preferred) {
-            self.start(host, true);
+            self.start_opening(now, host, false);
             return Decision::Start(host);
         }
         if self.expected_start(now, self.lane(ticket.priority)) >= ticket.deadline {
@@ -133,7 +139,7 @@
         let queued = self.lanes.iter().any(|lane| lane.bound.contains_key(&host));
         let room = self.hosts.ensure(host, &self.settings).takes_payload();
         if room && !queued && !now.reached(ticket.deadline) {
-            self.start(host, false);
+            self.start_payload(host);
             return Decision::Start(host);
         }
         self.wait(ticket, now, false)
@@ -290,7 +296,7 @@
 
     fn adopt(&mut self, now: Time, host: Ipv4Addr) {
         self.now = now;
-        self.hosts.ensure(host, &self.settings).in_flight += 1;
+        self.start_payload(host);
     }
 
     fn finish(&mut self, now: Time, host: Ipv4Addr, priority: usize, end: End) {
@@ -343,7 +349,11 @@
         self.end_backoff(now);
         let Startable { key, host, .. } = self.choose(now)?;
         let entry = self.remove(key.id)?;
-        self.start(host, entry.opening && !entry.retried);
+        if entry.opening {
+            self.start_opening(now, host, entry.retried);
+        } else {
+            self.start_payload(host);
+        }
         Some(Departure::Start(key.id, host))
     }
 
--- a/crates/poplarpaddle/src/limit.rs
+++ b/crates/poplarpaddle/src/limit.rs
@@ -21,6 +21,9 @@
 /// Limits are kept in thousandths, so that an answer can raise them by less than one.
 const UNIT: u32 = 1_000;
 
+/// Failures without an accepted opening after which openings pause. The first one may be a short burst.
+const PAUSE_AFTER: u32 = 2;
+
 /// Largest exponent of the pause; keeps the shift in range.
 const MAX_PAUSE_STEPS: u32 = 10;
 
@@ -34,7 +37,7 @@
     pub backlog: u16,
     /// Shortest time between two cuts. Openings of one burst that are shed together count as one signal.
     pub cut_interval: Duration,
-    /// Pause of openings after a failure at the lowest limit; doubles with each further failure.
+    /// Pause of openings after failures in a row; doubles with each further one.
     pub pause: Duration,
     /// Longest pause.
     pub max_pause: Duration,
@@ -115,30 +118,43 @@
 
     /// Accounts for an answer in time: one more piece of work for each round of answers.
     pub fn raise(&mut self, now: Time) {
-        self.failures = 0;
         self.trusted_until = now + self.settings.trust;
         let step = UNIT / self.allowed();
         self.thousandths = self.thousandths.saturating_add(step).min(self.ceiling());
     }
 
+    /// Accounts for an opening that starts. While the host fails, one opening per pause tries it.
+    pub fn open(&mut self, now: Time) {
+        if self.failures >= PAUSE_AFTER {
+            self.paused_until = now + self.pause();
+        }
+    }
+
+    /// Accounts for an accepted opening, which ends a pause.
+    ///
+    /// Answers do not end it: a host that sheds openings goes on answering its established flows.
+    pub const fn accept(&mut self) {
+        self.failures = 0;
+        self.paused_until = Time::from_nanos(0);
+    }
+
     /// Accounts for a shed or unanswered opening.
     pub fn cut(&mut self, now: Time) {
         if !now.reached(self.next_cut) {
             return;
         }
         self.next_cut = now + self.settings.cut_interval;
-        if self.allowed() == 1 {
-            self.pause(now);
-        }
         self.thousandths = (self.thousandths / 2).max(UNIT);
+        self.failures = self.failures.saturating_add(1);
+        // A host that sheds everything always has room, so the least-loaded choice would send every opening there first.
+        if self.failures >= PAUSE_AFTER {
+            self.paused_until = now + self.pause();
+        }
     }
 
-    // A host that sheds everything always has room, so the least-loaded choice would send every opening there first.
-    fn pause(&mut self, now: Time) {
-        let steps = self.failures.min(MAX_PAUSE_STEPS);
-        let pause = self.settings.pause.saturating_mul(1 << steps).min(self.settings.max_pause);
-        self.paused_until = now + pause;
-        self.failures = self.failures.saturating_add(1);
+    fn pause(&self) -> Duration {
+        let steps = self.failures.saturating_sub(PAUSE_AFTER).min(MAX_PAUSE_STEPS);
+        self.settings.pause.saturating_mul(1 << steps).min(self.settings.max_pause)
     }
 
     fn ceiling(&self) -> u32 {
--- a/crates/poplarpaddle/tests/admission.rs
+++ b/crates/poplarpaddle/tests/admission.rs
@@ -231,16 +231,22 @@
     assert_eq!(limit.allowed(), 2);
     limit.cut(ms(101));
     assert_eq!(limit.allowed(), 2, "one burst of sheds is one signal");
+    assert!(limit.paused_until() <= ms(101), "the first signal does not pause");
     limit.cut(ms(200));
-    limit.cut(ms(300));
     assert_eq!(limit.allowed(), 1);
-    assert_eq!(limit.paused_until(), ms(300) + settings.pause);
-    limit.cut(ms(500));
-    assert_eq!(limit.paused_until(), ms(500) + settings.pause * 2, "the pause grows with each failure");
+    assert_eq!(limit.paused_until(), ms(200) + settings.pause);
+    limit.cut(ms(400));
+    assert_eq!(limit.allowed(), 1);
+    assert_eq!(limit.paused_until(), ms(400) + settings.pause * 2, "the pause grows with each failure");
+    limit.open(ms(700));
+    assert_eq!(limit.paused_until(), ms(700) + settings.pause * 2, "one opening per pause tries the host");
     for step in 0..20 {
         limit.raise(ms(1_000 + step));
     }
     assert_eq!(limit.allowed(), ROOM);
+    assert!(limit.paused_until() > ms(700), "answers to established flows ended the pause of openings");
+    limit.accept();
+    assert!(limit.paused_until() <= ms(700));
 }
 
 /// Guards against a burst of openings on a cold host, and against a report that throttles a host which answers in time.
