Repair lost updates and bound the gossip of large fleets

When 500 members start at once, updates outrun the bounded messages: the members did not know each other after 20 s, and the backlog of updates kept the rate at 10 KB/s for minutes, against a budget of 4 KB/s.

Messages carry a digest of the sender's table. A member whose table differs from those of all peers for 3 s reads a whole table page by page, and an update is carried for at most 10 s. A member that ends says so (Node::stop), so its peers need not find out.

--- a/crates/poplarpaddle/src/control.rs
+++ b/crates/poplarpaddle/src/control.rs
@@ -212,6 +212,12 @@
         self.settle(now);
     }
 
+    /// Tells several peers at once that this process ends now, after its drain deadline.
+    pub fn stop(&mut self, now: Time) {
+        self.membership.stop(now);
+        self.settle(now);
+    }
+
     /// Returns the manifest in force as it is served to peers.
     #[must_use]
     pub fn manifest(&self) -> Option<&[u8]> {
@@ -266,6 +272,7 @@
             sender: self.membership.me().clone(),
             generation: self.config.generation(),
             digest: self.config.digest(),
+            table: self.membership.digest(),
             updates,
             leaving: self.departures.share(now, self.membership.retransmissions()),
             ping: letter.ping,
@@ -276,6 +283,9 @@
 
     /// Turns the state after an input into actions.
     fn settle(&mut self, now: Time) {
+        if self.revision != self.membership.revision() {
+            self.members_changed();
+        }
         self.relay(now);
         self.spread(now);
         self.apply(now);
@@ -297,12 +307,6 @@
         if self.membership.condemned() {
             self.apply_condemned();
         }
-        if self.revision != self.membership.revision() {
-            self.revision = self.membership.revision();
-            let members = self.membership.reachable();
-            self.dirty |= self.members[..] != members[..];
-            self.members = members.into();
-        }
         self.hosts_changed |= self.departures.expire(now);
         if std::mem::take(&mut self.hosts_changed) {
             self.update_hosts();
@@ -313,6 +317,16 @@
         }
     }
 
+    /// Brings up to date what depends on the reachable members.
+    fn members_changed(&mut self) {
+        self.revision = self.membership.revision();
+        let members = self.membership.reachable();
+        self.dirty |= self.members[..] != members[..];
+        self.members = members.into();
+        self.relay.contender = self.is_contender();
+        self.forget_peers();
+    }
+
     /// Brings the states of hosts up to date. Load figures alone are no reason for a new view.
     fn update_hosts(&mut self) {
         let mut hosts = map::seeded(self.settings.seed);
--- a/crates/poplarpaddle/src/control/relay.rs
+++ b/crates/poplarpaddle/src/control/relay.rs
@@ -86,6 +86,8 @@
     reporter: Reporter,
     part_retry: Time,
     contend_from: Time,
+    /// True when this node is one of the contenders of its zone.
+    pub(super) contender: bool,
 }
 
 impl Relay {
@@ -102,6 +104,7 @@
             reporter: Reporter::default(),
             part_retry: Time::default(),
             contend_from: now + millis(settings.contend_ms),
+            contender: false,
         }
     }
 
@@ -175,9 +178,9 @@
     }
 
     /// Returns true when this node is one of the members of its zone with the highest weight.
-    fn is_contender(&self) -> bool {
+    pub(super) fn is_contender(&self) -> bool {
         let me = self.membership.me();
-        if me.state == State::Leaving {
+        if me.state != State::Alive {
             return false;
         }
         let weight = |id: MemberId| Reverse((map::hash(WEIGHT_SEED, &id.0), id));
@@ -189,7 +192,7 @@
     /// Contends for one lease; a node that has one leaves the other to others.
     fn contend(&mut self, now: Time) {
         // A node that has just started does not know the members of its zone yet.
-        let contender = now.reached(self.relay.contend_from) && self.is_contender();
+        let contender = now.reached(self.relay.contend_from) && self.relay.contender;
         for n in 0..LEASES {
             let engaged = self.relay.leases[n].engaged();
             let other = (0..LEASES).any(|m| m != n && self.relay.leases[m].engaged());
--- a/crates/poplarpaddle/src/control/spread.rs
+++ b/crates/poplarpaddle/src/control/spread.rs
@@ -141,7 +141,6 @@
 impl Node {
     /// Starts and repeats fetches.
     pub(super) fn spread(&mut self, now: Time) {
-        self.forget_peers();
         self.expire_fetches(now);
         let generation = self.config.generation();
         self.spread.retry = None;
@@ -198,7 +197,8 @@
         self.spread.fail(now, peer, first, most);
     }
 
-    fn forget_peers(&mut self) {
+    /// Forgets the generations of dead members.
+    pub(super) fn forget_peers(&mut self) {
         let membership = &self.membership;
         let alive = |id: &MemberId| membership.record(*id).is_some_and(|record| record.state != State::Dead);
         self.spread.peers.retain(|id, _| alive(id));
--- a/crates/poplarpaddle/src/control/status.rs
+++ b/crates/poplarpaddle/src/control/status.rs
@@ -100,7 +100,7 @@
 
     /// Returns why this node takes no traffic, none when it does.
     fn reason(&self) -> Option<&'static str> {
-        if self.membership.me().state == State::Leaving {
+        if self.membership.me().state != State::Alive {
             return Some("leaving");
         }
         self.config.current().is_none().then_some("no configuration is in force yet")
--- a/crates/poplarpaddle/src/membership.rs
+++ b/crates/poplarpaddle/src/membership.rs
@@ -43,6 +43,7 @@
 use rand_pcg::Pcg64Mcg;
 
 use crate::event::Event;
+use crate::map;
 use crate::path::MemberId;
 use crate::time::Time;
 use crate::view::{self, Presence};
@@ -57,6 +58,7 @@
 pub use check::{MAX_COUNTER, MAX_LEAVING, MAX_TTL_MS, MAX_UPDATES, check};
 use probe::{Favour, Probe};
 use ring::Ring;
+use spread::Update;
 use table::Entry;
 
 /// Settings of [`Membership`]. Times are in milliseconds.
@@ -86,6 +88,8 @@
     pub seed_ms: u64,
     /// Period of the exchange of a page of the table, which repairs lost updates.
     pub page_ms: u64,
+    /// Time for which the table has to differ from the tables of all peers heard before a whole table is read.
+    pub differ_ms: u64,
     /// Shortest time between two pushes of changes.
     pub push_ms: u64,
     /// Members that get a push.
@@ -94,6 +98,8 @@
     pub leave_fanout: usize,
     /// Retransmissions of an update, times log2 of the members.
     pub retransmit: u32,
+    /// Longest time for which an update is carried.
+    pub update_ms: u64,
     /// Encoded updates in one message, in bytes.
     pub update_bytes: usize,
     /// Most members in the table.
@@ -121,10 +127,13 @@
             forget_left_ms: 60_000,
             seed_ms: 2000,
             page_ms: 10_000,
+            // Ordinary changes reach all members in less.
+            differ_ms: 3000,
             push_ms: 200,
             fanout: 3,
             leave_fanout: 6,
             retransmit: 3,
+            update_ms: 10_000,
             update_bytes: 1200,
             // A region of the target size has 2,500 members.
             limit: 4096,
@@ -166,8 +175,8 @@
     ring: Ring,
     probes: BTreeMap<MemberId, Probe>,
     favours: Vec<Favour>,
-    /// Records to spread, with the number of messages that carried them.
-    queue: BTreeMap<MemberId, u32>,
+    /// Records to spread.
+    queue: BTreeMap<MemberId, Update>,
     letters: Vec<Letter>,
     events: Vec<Event>,
     random: Pcg64Mcg,
@@ -185,6 +194,12 @@
     next_sync: Time,
     next_push: Time,
     urgent: bool,
+    /// Number of changes of the table, and the number that ring and digest contain.
+    changes: u64,
+    refreshed: u64,
+    /// Since when no peer with an equal table was heard.
+    differs: Option<Time>,
+    digest: u64,
     revision: u64,
     condemned: bool,
     /// Lowest incarnation at which a report of the own death is news.
@@ -222,13 +237,17 @@
             next_sync: now,
             next_push: now,
             urgent: false,
+            changes: 1,
+            refreshed: 0,
+            differs: None,
+            digest: 0,
             revision: 1,
             condemned: false,
             condemned_from: 0,
             settings,
             me,
         };
-        membership.rebuild();
+        membership.refresh();
         membership
     }
 
@@ -261,6 +280,12 @@
         self.ring.ids().iter().filter_map(|id| self.record(*id)).map(member).collect()
     }
 
+    /// Returns the digest of the members that can be reached, see [`Gossip::table`].
+    #[must_use]
+    pub const fn digest(&self) -> u64 {
+        self.digest
+    }
+
     /// Takes the letters that are due.
     pub fn letters(&mut self) -> Vec<Letter> {
         std::mem::take(&mut self.letters)
@@ -293,6 +318,17 @@
         self.changed(now, "member.leaving", self.me.id, true);
         let fanout = self.settings.leave_fanout;
         self.push_to(fanout);
+        self.refresh();
+    }
+
+    /// Tells several members at once that this one stops now, so that they need not find out.
+    pub fn stop(&mut self, now: Time) {
+        self.me.state = State::Dead;
+        self.me.incarnation += 1;
+        self.changed(now, "member.stopped", self.me.id, true);
+        let fanout = self.settings.leave_fanout;
+        self.push_to(fanout);
+        self.refresh();
     }
 
     /// Takes a checked message or answer: `gossip` was received from its sender just now.
@@ -306,6 +342,8 @@
         for record in &gossip.updates {
             self.apply(now, record, false);
         }
+        self.refresh();
+        self.compare(now, gossip);
         if let Some(member) = gossip.ping {
             self.favour(now, gossip.sender.id, member);
         }
@@ -320,9 +358,11 @@
         self.ping(now);
         self.check_probes(now);
         self.expire(now);
+        self.expire_updates(now);
         self.ping_dead(now);
         self.contact_seeds(now);
         self.push(now);
+        self.refresh();
     }
 
     /// Returns the time of the next tick.
@@ -358,19 +398,25 @@
 
     /// Spreads the record of `id`. `reach` tells whether [`Self::reachable`] changes.
     fn changed(&mut self, now: Time, name: &str, id: MemberId, reach: bool) {
-        self.queue.insert(id, 0);
+        self.queue.insert(id, Update { since: now, sent: 0 });
         self.urgent = true;
-        if reach {
-            self.rebuild();
-        }
+        self.changes += 1;
+        self.revision += u64::from(reach);
         let detail = self.record(id).map_or_else(String::new, |r| format!("{} at {}", r.name, r.peer));
         self.record_event(now, name, id, detail);
     }
 
-    fn rebuild(&mut self) {
-        self.revision += 1;
+    /// Brings ring and digest up to date, once for all the changes of an input.
+    fn refresh(&mut self) {
+        if self.refreshed == self.changes {
+            return;
+        }
+        self.refreshed = self.changes;
         let alive = self.table.values().filter(|entry| entry.record.state != State::Dead);
         self.ring.rebuild(self.me.id, alive.map(|entry| entry.record.id));
+        let mark = |record: &Record| map::hash(0, &(record.id.0, record.incarnation, record.state));
+        let marks = self.ring.ids().iter().filter_map(|id| self.record(*id)).map(mark);
+        self.digest = marks.fold(0, |digest, mark| digest ^ mark);
     }
 
     /// Returns up to `count` random members that are not dead.
@@ -384,8 +430,8 @@
 
 const fn member(record: &Record) -> view::Member {
     let presence = match record.state {
-        State::Leaving => Presence::Leaving,
-        State::Alive | State::Suspect | State::Dead => Presence::Alive,
+        State::Leaving | State::Dead => Presence::Leaving,
+        State::Alive | State::Suspect => Presence::Alive,
     };
     view::Member { id: record.id, presence, relay: record.relay }
 }
--- a/crates/poplarpaddle/src/membership/check.rs
+++ b/crates/poplarpaddle/src/membership/check.rs
@@ -1,7 +1,7 @@
 //! Checks of messages before any part of them takes effect.
 
 use crate::error::{Error, Kind, Result};
-use crate::wire::{Gossip, Record, State, VERSION};
+use crate::wire::{Gossip, Record, VERSION};
 
 /// Most updates in one message. The byte limit of a sender allows about 20.
 pub const MAX_UPDATES: usize = 64;
@@ -27,9 +27,6 @@
         return fault("version", &format!("{} is not {VERSION}", gossip.version));
     }
     check_record(me, &gossip.sender, "sender")?;
-    if gossip.sender.state == State::Dead {
-        return fault("sender.state", "a sender is not dead");
-    }
     check_count("generation", gossip.generation, MAX_COUNTER)?;
     check_count("updates", gossip.updates.len() as u64, MAX_UPDATES as u64)?;
     check_count("leaving", gossip.leaving.len() as u64, MAX_LEAVING as u64)?;
--- a/crates/poplarpaddle/src/membership/probe.rs
+++ b/crates/poplarpaddle/src/membership/probe.rs
@@ -85,6 +85,7 @@
         for id in replaced {
             self.declare_dead(now, id);
         }
+        self.refresh();
     }
 
     pub(super) fn check_probes(&mut self, now: Time) {
--- a/crates/poplarpaddle/src/membership/ring.rs
+++ b/crates/poplarpaddle/src/membership/ring.rs
@@ -11,7 +11,7 @@
 pub(super) struct Ring {
     ids: Vec<MemberId>,
     position: usize,
-    cycle: Option<u64>,
+    cycle: u64,
     distances: Vec<usize>,
 }
 
@@ -22,7 +22,6 @@
         self.ids.push(me);
         self.ids.sort_unstable();
         self.position = self.ids.binary_search(&me).unwrap_or(0);
-        self.cycle = None;
     }
 
     pub(super) fn ids(&self) -> &[MemberId] {
@@ -34,7 +33,7 @@
     pub(super) fn peer(&mut self, period: u64) -> Option<MemberId> {
         let peers = self.ids.len().checked_sub(1).filter(|peers| *peers > 0)?;
         let cycle = period / peers as u64;
-        if self.cycle != Some(cycle) {
+        if self.cycle != cycle || self.distances.len() != peers {
             self.shuffle(cycle, peers);
         }
         let step = usize::try_from(period % peers as u64).ok()?;
@@ -45,6 +44,6 @@
     fn shuffle(&mut self, cycle: u64, peers: usize) {
         self.distances = (1..=peers).collect();
         self.distances.shuffle(&mut Pcg64Mcg::seed_from_u64(cycle));
-        self.cycle = Some(cycle);
+        self.cycle = cycle;
     }
 }
--- a/crates/poplarpaddle/src/membership/spread.rs
+++ b/crates/poplarpaddle/src/membership/spread.rs
@@ -11,6 +11,14 @@
 /// Size that is assumed for a record that cannot be encoded, in bytes.
 const FALLBACK_SIZE: usize = 512;
 
+/// A record that is being spread.
+#[derive(Debug)]
+pub(super) struct Update {
+    pub(super) since: Time,
+    /// Messages that carried it.
+    pub(super) sent: u32,
+}
+
 /// Collects records up to a number of bytes.
 struct Page {
     records: Vec<Record>,
@@ -62,9 +70,16 @@
         self.urgent = true;
     }
 
+    /// Drops updates that have spread for long enough. Without this, the updates of 500 members that start together
+    /// take two minutes to run out; what is lost is repaired by [`Self::compare`].
+    pub(super) fn expire_updates(&mut self, now: Time) {
+        let longest = millis(self.settings.update_ms);
+        self.queue.retain(|_, update| now.since(update.since) < longest);
+    }
+
     fn add_changes(&mut self, out: &mut Page, to: Option<MemberId>) {
         let limit = self.retransmissions();
-        let mut order: Vec<_> = self.queue.iter().map(|(id, sent)| (*sent, *id)).collect();
+        let mut order: Vec<_> = self.queue.iter().map(|(id, update)| (update.sent, *id)).collect();
         order.sort_unstable();
         for (sent, id) in order {
             // The sender's own record is in every message, and the receiver knows itself.
@@ -76,8 +91,8 @@
             }
             if sent + 1 >= limit {
                 self.queue.remove(&id);
-            } else {
-                self.queue.insert(id, sent + 1);
+            } else if let Some(update) = self.queue.get_mut(&id) {
+                update.sent += 1;
             }
         }
     }
--- a/crates/poplarpaddle/src/membership/table.rs
+++ b/crates/poplarpaddle/src/membership/table.rs
@@ -5,7 +5,7 @@
 use super::{Letter, Membership, millis};
 use crate::path::MemberId;
 use crate::time::Time;
-use crate::wire::{Record, State};
+use crate::wire::{Gossip, Record, State};
 
 /// What is known of another member.
 #[derive(Debug)]
@@ -183,6 +183,20 @@
         }
     }
 
+    /// Reads the whole table of the sender when updates were lost: the tables have differed for longer than changes
+    /// take to spread. Many members that start at once outrun the updates.
+    pub(super) fn compare(&mut self, now: Time, gossip: &Gossip) {
+        if gossip.table == self.digest {
+            self.differs = None;
+            return;
+        }
+        let since = *self.differs.get_or_insert(now);
+        if now.reached(since + millis(self.settings.differ_ms)) {
+            self.differs = Some(now);
+            self.sync(now, &gossip.sender);
+        }
+    }
+
     /// Starts to read the whole table of `peer`, which saw other members than this one.
     fn sync(&mut self, now: Time, peer: &Record) {
         if !now.reached(self.next_sync) {
--- a/crates/poplarpaddle/src/wire.rs
+++ b/crates/poplarpaddle/src/wire.rs
@@ -70,6 +70,8 @@
     /// Digest of the manifest of that generation.
     #[serde(with = "serde_bytes")]
     pub digest: [u8; 32],
+    /// Digest of the records that are not dead; equal tables have equal digests.
+    pub table: u64,
     /// Latest changes of member records.
     pub updates: Vec<Record>,
     /// Target hosts that are leaving.
