--- a/crates/poplarpaddle/src/check.rs
+++ b/crates/poplarpaddle/src/check.rs
@@ -38,6 +38,9 @@
 /// Highest number of zones; the manifest lists them all.
 pub const MAX_ZONES: usize = 256;
 
+/// Highest number of services, about twice the size that the design aims at.
+pub const MAX_SERVICES: usize = 25_000;
+
 /// Highest number of targets, about twice the size that the design aims at.
 pub const MAX_TARGETS: usize = 150_000;
 
@@ -100,6 +103,7 @@
         let sizes = [
             ("number of zones", self.reading.set.zones.len(), MAX_ZONES),
             ("number of priorities", self.reading.set.priorities.len(), MAX_PRIORITIES),
+            ("number of services", self.reading.set.services.len(), MAX_SERVICES),
             ("number of targets", self.reading.set.targets.len(), MAX_TARGETS),
         ];
         for (field, count, max) in sizes {
--- a/crates/poplarpaddle/src/config/compile.rs
+++ b/crates/poplarpaddle/src/config/compile.rs
@@ -131,6 +131,9 @@
     /// Fills the look-ups from the services, which are in their final order now.
     fn index(&mut self) -> Result<()> {
         let services = std::mem::take(&mut self.services);
+        // Growing step by step would rehash every entry several times in each change.
+        self.addresses.reserve(services.iter().map(|service| service.ports.len()).sum());
+        self.endpoints.reserve(services.iter().map(|service| service.ports.len() * service.targets.len()).sum());
         for (index, pair) in services.windows(2).enumerate() {
             if pair[0].name == pair[1].name {
                 return Err(fault("service", &pair[0].name, "entry", &(index + 1), &"one for each name"));
