Show members, ages and the own record in poplarctl status

Cause: the reports of zones and balancers hold lists and a record of the balancer itself, which the table left out. Change: lists are shown as counts, the time of a report as its age, `me` as columns, and the members that a zone reports in a table of their own with a mark for those behind the published generation. Control characters become spaces.

--- a/crates/poplarpaddle-cli/src/status.rs
+++ b/crates/poplarpaddle-cli/src/status.rs
@@ -1,10 +1,11 @@
 //! The command `status`.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use poplarpaddle::error::{Error, Kind, Result};
+use poplarpaddle::time::Time;
 use poplarpaddle_io::peer::Client;
 use serde::Serialize;
 use serde_json::Value;
@@ -17,7 +18,10 @@
 const CALL_TIME: Duration = Duration::from_secs(2);
 
 /// Columns that come first when a report has them.
-const LEADING: [&str; 5] = ["name", "zone", "state", "generation", "epoch"];
+const LEADING: [&str; 6] = ["name", "zone", "state", "ready", "generation", "members"];
+
+/// Longest text in a cell; ids and digests are told apart by less.
+const MAX_CELL: usize = 24;
 
 /// A report of one zone or balancer.
 #[derive(Debug, Serialize)]
@@ -57,7 +61,7 @@
         console
             .print(&text.map_err(|error| Error::new(Kind::Internal, format!("status has no JSON form: {error}")))?)?;
     } else {
-        console.print(&text(&status))?;
+        console.print(&text(&status, remote.now()))?;
     }
     let silent: Vec<&str> = status.balancers.iter().filter_map(|report| report.error.as_deref()).collect();
     if silent.is_empty() {
@@ -94,59 +98,100 @@
     Ok(reports)
 }
 
-fn text(status: &Status) -> String {
+fn text(status: &Status, now: Time) -> String {
     let mut text = format!("fleet {}, generation {} in the store\n", status.fleet, status.generation);
     for (heading, reports) in [("ZONE", &status.zones), ("BALANCER", &status.balancers)] {
         if !reports.is_empty() {
             text.push('\n');
             text.push_str(&summary(heading, reports, status.generation));
-            text.push_str(&rows(heading, reports, status.generation));
+            text.push_str(&rows(heading, reports, status.generation, now));
         }
     }
+    let members = members(&status.zones, status.generation);
+    if members.len() > 1 {
+        text.push('\n');
+        text.push_str(&table::text(&members));
+    }
     text
 }
 
-fn generation(report: &Report) -> Option<u64> {
-    report.value.as_ref()?.get("generation")?.as_u64()
+fn generation(value: &Value) -> Option<u64> {
+    value.get("generation")?.as_u64()
+}
+
+/// Returns the mark of a zone or balancer whose generation is below the published one.
+fn mark(value: &Value, published: u64) -> String {
+    let behind = generation(value).is_some_and(|generation| generation < published);
+    if behind { "behind".to_owned() } else { String::new() }
 }
 
 fn summary(heading: &str, reports: &[Report], published: u64) -> String {
-    let current = reports.iter().filter(|report| generation(report) == Some(published)).count();
+    let values = reports.iter().filter_map(|report| report.value.as_ref());
+    let current = values.filter(|value| generation(value) == Some(published)).count();
     format!("{current} of {} {}S at generation {published}\n", reports.len(), heading).to_lowercase()
 }
 
-/// Returns a table with a column for each field of the reports that is not a list or an object.
-fn rows(heading: &str, reports: &[Report], published: u64) -> String {
-    let scalar = |value: &Value| !value.is_array() && !value.is_object();
-    let fields = |report: &Report| report.value.as_ref().and_then(Value::as_object).cloned().unwrap_or_default();
-    let names: BTreeSet<String> = reports
-        .iter()
-        .flat_map(|report| fields(report).into_iter().filter(|(_, value)| scalar(value)).map(|(name, _)| name))
-        .filter(|name| !name.eq_ignore_ascii_case(heading))
-        .collect();
+/// Returns a table with a column for each field of the reports.
+fn rows(heading: &str, reports: &[Report], published: u64, now: Time) -> String {
+    let fields: Vec<BTreeMap<String, String>> = reports.iter().map(|report| fields(report, now)).collect();
+    let names: BTreeSet<&String> =
+        fields.iter().flat_map(BTreeMap::keys).filter(|name| !name.eq_ignore_ascii_case(heading)).collect();
     let leading = LEADING.iter().map(|name| (*name).to_owned()).filter(|name| names.contains(name));
-    let others = names.iter().filter(|name| !LEADING.contains(&name.as_str())).cloned();
+    let others = names.iter().filter(|name| !LEADING.contains(&name.as_str())).map(|name| (*name).clone());
     let columns: Vec<String> = leading.chain(others).collect();
     let mut rows = vec![vec![heading.to_owned()]];
     rows[0].extend(columns.iter().map(|name| name.to_uppercase()));
-    for report in reports {
-        let fields = fields(report);
+    for (report, fields) in reports.iter().zip(&fields) {
         let mut row = vec![report.source.clone()];
-        row.extend(columns.iter().map(|name| cell(fields.get(name))));
-        if let Some(error) = &report.error {
-            row.push(error.clone());
-        } else if generation(report).is_some_and(|generation| generation < published) {
-            row.push("behind".to_owned());
-        }
+        row.extend(columns.iter().map(|name| fields.get(name).cloned().unwrap_or_else(|| "-".to_owned())));
+        row.push(match (&report.value, &report.error) {
+            (_, Some(error)) => error.clone(),
+            (Some(value), None) => mark(value, published),
+            (None, None) => String::new(),
+        });
         rows.push(row);
     }
     table::text(&rows)
 }
 
-fn cell(value: Option<&Value>) -> String {
-    match value {
-        None | Some(Value::Null | Value::Array(_) | Value::Object(_)) => "-".to_owned(),
-        Some(Value::String(text)) => text.clone(),
-        Some(other) => other.to_string(),
+/// Returns the fields of a report as text: lists as their lengths, the time as an age. Of the objects in it only `me`,
+/// the balancer itself, is shown.
+fn fields(report: &Report, now: Time) -> BTreeMap<String, String> {
+    let Some(value) = report.value.as_ref().and_then(Value::as_object) else {
+        return BTreeMap::new();
+    };
+    let me = value.get("me").and_then(Value::as_object);
+    let mut fields = BTreeMap::new();
+    for (name, value) in me.into_iter().flatten().chain(value) {
+        let (name, text) = match value {
+            Value::Null | Value::Object(_) => continue,
+            Value::Array(items) => (name.clone(), items.len().to_string()),
+            Value::String(text) => (name.clone(), text.chars().take(MAX_CELL).collect()),
+            Value::Number(number) if name == "time_ms" => {
+                let age = now.since(Time::from_millis(number.as_u64().unwrap_or(0)));
+                ("age_s".to_owned(), age.as_secs().to_string())
+            }
+            other => (name.clone(), other.to_string()),
+        };
+        fields.insert(name, text);
+    }
+    fields
+}
+
+/// Returns a row for each member that a zone reports.
+fn members(zones: &[Report], published: u64) -> Vec<Vec<String>> {
+    let mut rows = vec![["ZONE", "MEMBER", "STATE", "GENERATION"].map(str::to_owned).to_vec()];
+    for zone in zones {
+        let members = zone.value.as_ref().and_then(|value| value.get("members")).and_then(Value::as_array);
+        for member in members.into_iter().flatten().filter(|member| member.is_object()) {
+            let cell = |name: &str| match member.get(name) {
+                None | Some(Value::Null) => "-".to_owned(),
+                Some(Value::String(text)) => text.chars().take(MAX_CELL).collect(),
+                Some(other) => other.to_string(),
+            };
+            let mark = mark(member, published);
+            rows.push(vec![zone.source.clone(), cell("name"), cell("state"), cell("generation"), mark]);
+        }
     }
+    rows
 }
--- a/crates/poplarpaddle-cli/src/table.rs
+++ b/crates/poplarpaddle-cli/src/table.rs
@@ -1,6 +1,7 @@
 //! Tables of text.
 
-/// Returns rows with aligned columns; the first row is the heading.
+/// Returns rows with aligned columns; the first row is the heading. Control characters become spaces, since the cells come
+/// from other processes and must not steer the terminal.
 pub(crate) fn text(rows: &[Vec<String>]) -> String {
     let columns = rows.iter().map(Vec::len).max().unwrap_or(0);
     let width = |column: usize| {
@@ -11,7 +12,7 @@
     for row in rows {
         let cells = row.iter().zip(&widths).map(|(cell, width)| format!("{cell:<width$}"));
         let line = cells.collect::<Vec<_>>().join("  ");
-        text.push_str(line.trim_end());
+        text.extend(line.trim_end().chars().map(|c| if c.is_control() { ' ' } else { c }));
         text.push('\n');
     }
     text
