--- a/crates/poplarpaddle/src/publish.rs
+++ b/crates/poplarpaddle/src/publish.rs
@@ -16,7 +16,7 @@
 //!
 //! The manifest is read before the objects. Its version guards the final write, so a generation never holds objects
 //! older than the generation before it. Not-before times are compared with the clock of the publisher, so the clocks of
-//! operators' machines have to agree to within seconds for a released endpoint to rest for its whole time. Calls go out one at a time; parallel part writes would be faster for the first
+//! operators' machines have to agree to within seconds for a released endpoint to stay reserved for its whole time. Calls go out one at a time; parallel part writes would be faster for the first
 //! publish of a large fleet and gain nothing for a single change.
 
 mod draft;
