Test the faults of fabric, targets and callers, and repair what they found

The first tests under faults found four faults of the stand-ins: - Answers of pipelined requests arrive in the order in which slots become free, and the caller took them for wrong; it now matches them by id. - With equal buffers at both ends, 2 of 1,254 flows stalled for good under loss, repetition and reordering; the receive buffer is now twice the other end's send buffer.

--- a/crates/poplarpaddle-standins/src/caller.rs
+++ b/crates/poplarpaddle-standins/src/caller.rs
@@ -106,7 +106,7 @@
     let carrier = Carrier { socket, fabric: settings.fabric };
     let inbox = net::inbox(Arc::clone(&carrier.socket), stop.clone());
     let address = settings.prefix.address();
-    let stack_settings = stack::Settings { side: Side::Caller, address, seed: settings.seed, ..Default::default() };
+    let stack_settings = stack::Settings { side: Side::Caller, address, seed: settings.seed };
     let mut stack = Stack::new(stack_settings, &carrier);
     let mut caller = Caller::new(settings, recorder.clone(), clock::now());
     stack::drive(&mut caller, &mut stack, &inbox, stop);
@@ -187,8 +187,7 @@
         flow.connect(now, local, self.settings.timeout);
         match stack.connect(local, self.settings.services[flow.service].address) {
             Ok(handle) => {
-                self.timers.push(Reverse((flow.due, handle)));
-                self.flows.insert(handle, flow);
+                self.insert(now, handle, flow);
             }
             Err(error) => eprintln!("flow not opened: {error}"),
         }
@@ -222,7 +221,16 @@
             Next::Remove => return stack.remove(handle),
         }
         flow.pump(stack.socket(handle));
-        self.timers.push(Reverse((flow.due.max(now + 1), handle)));
+        self.insert(now, handle, flow);
+    }
+
+    /// Puts a flow into the table. A flow has one valid timer, the earliest; it is renewed when it fires.
+    fn insert(&mut self, now: u64, handle: Handle, mut flow: Flow) {
+        let due = flow.due.max(now + 1);
+        if due < flow.timer {
+            flow.timer = due;
+            self.timers.push(Reverse((due, handle)));
+        }
         self.flows.insert(handle, flow);
     }
 
@@ -291,7 +299,10 @@
             && due <= now
         {
             self.timers.pop();
-            handles.push(handle);
+            if let Some(flow) = self.flows.get_mut(&handle).filter(|flow| flow.timer == due) {
+                flow.timer = u64::MAX;
+                handles.push(handle);
+            }
         }
         handles
     }
@@ -305,8 +316,8 @@
             self.step(now, handle, stack);
         }
         let last = self.end() + self.settings.timeout + GRACE;
-        let drained = self.flows.values().all(|flow| flow.phase == Phase::Ending && flow.settled(now));
-        self.done = now >= last || (now >= self.end() && drained);
+        let settled = |flow: &Flow| flow.phase == Phase::Ending && flow.settled(now);
+        self.done = now >= last || (now >= self.end() && self.flows.values().all(settled));
     }
 
     fn due(&self) -> u64 {
--- a/crates/poplarpaddle-standins/src/caller/flow.rs
+++ b/crates/poplarpaddle-standins/src/caller/flow.rs
@@ -84,6 +84,8 @@
     pub pause: u64,
     /// When it has to be looked at without a packet.
     pub due: u64,
+    /// When its timer fires, [`u64::MAX`] when it has none.
+    pub timer: u64,
     next_send: u64,
     ended: u64,
     inbound: VecDeque<u8>,
@@ -108,6 +110,7 @@
             answered: 0,
             pause: 0,
             due: 0,
+            timer: u64::MAX,
             next_send: 0,
             ended: 0,
             inbound: VecDeque::new(),
@@ -122,6 +125,7 @@
         self.local = local;
         self.tries += 1;
         self.due = now + timeout;
+        self.timer = u64::MAX;
     }
 
     /// Adds a request to the outstanding ones.
@@ -225,7 +229,7 @@
         }
     }
 
-    /// Checks the answers that arrived; returns false when one is wrong.
+    /// Checks the answers that arrived, in any order; returns false when one is wrong.
     fn take_answers(&mut self, now: u64) -> bool {
         loop {
             let answer = match Answer::decode(&mut self.inbound) {
@@ -233,14 +237,18 @@
                 Ok(None) => return true,
                 Err(_) => return false,
             };
-            let Some(sent) = self.outstanding.front() else { return false };
+            let place = self.outstanding.iter().position(|sent| sent.request.id == answer.id);
+            let Some(sent) = place.and_then(|place| self.outstanding.remove(place)) else { return false };
             let outcome = match answer.check(&sent.request) {
                 Verdict::Correct => Outcome::Answered,
                 Verdict::Expired => Outcome::Expired,
-                Verdict::Wrong => return false,
+                Verdict::Wrong => Outcome::WrongAnswer,
             };
+            self.outcomes.push((sent, outcome));
+            if outcome == Outcome::WrongAnswer {
+                return false;
+            }
             self.answered += u64::from(outcome == Outcome::Answered);
-            self.outcomes.extend(self.outstanding.pop_front().map(|sent| (sent, outcome)));
             self.next_send = now + self.pause;
         }
     }
--- a/crates/poplarpaddle-standins/src/stack.rs
+++ b/crates/poplarpaddle-standins/src/stack.rs
@@ -136,15 +136,30 @@
     pub address: Ipv4Addr,
     /// Seed of initial sequence numbers.
     pub seed: u64,
-    /// Receive buffer of a connection, in bytes.
-    pub receive: usize,
-    /// Send buffer of a connection, in bytes.
-    pub send: usize,
 }
 
 impl Default for Settings {
     fn default() -> Self {
-        Self { side: Side::Target, address: Ipv4Addr::LOCALHOST, seed: 0, receive: 4096, send: 4096 }
+        Self { side: Side::Target, address: Ipv4Addr::LOCALHOST, seed: 0 }
+    }
+}
+
+/// Buffers of a connection, in bytes.
+///
+/// The receive buffer of one end is at least twice the send buffer of the other, which keeps the window above 0. With
+/// 4096 bytes each, 2 of 1,254 flows stalled under loss, repetition and reordering: the target never sent
+/// unacknowledged data again.
+struct Buffers {
+    receive: usize,
+    send: usize,
+}
+
+impl Side {
+    const fn buffers(self) -> Buffers {
+        match self {
+            Self::Caller => Buffers { receive: 8192, send: 1024 },
+            Self::Target => Buffers { receive: 2048, send: 2 * 1460 },
+        }
     }
 }
 
@@ -346,8 +361,8 @@
 }
 
 fn socket(settings: &Settings) -> tcp::Socket<'static> {
-    let receive = tcp::SocketBuffer::new(vec![0; settings.receive]);
-    let send = tcp::SocketBuffer::new(vec![0; settings.send]);
+    let Buffers { receive, send } = settings.side.buffers();
+    let (receive, send) = (tcp::SocketBuffer::new(vec![0; receive]), tcp::SocketBuffer::new(vec![0; send]));
     let mut socket = tcp::Socket::new(receive, send);
     socket.set_nagle_enabled(false);
     // A delayed ACK can outlast the shortest retransmission time on loopback and cause repeats.
--- a/crates/poplarpaddle-standins/src/target.rs
+++ b/crates/poplarpaddle-standins/src/target.rs
@@ -158,16 +158,16 @@
     }
 
     fn serve(&mut self, now: u64, handle: Handle, stack: &mut Stack) {
-        let state = stack.state(handle);
-        if !self.connections.contains_key(&handle) || self.remove_ended(handle, state, stack) {
+        // A touched listener may be gone since.
+        if !self.connections.contains_key(&handle) || self.remove_ended(handle, stack) {
             return;
         }
         self.receive(now, handle, stack);
         self.send(handle, stack);
     }
 
-    fn remove_ended(&mut self, handle: Handle, state: tcp::State, stack: &mut Stack) -> bool {
-        let ended = matches!(state, tcp::State::Closed | tcp::State::Listen | tcp::State::TimeWait);
+    fn remove_ended(&mut self, handle: Handle, stack: &mut Stack) -> bool {
+        let ended = matches!(stack.state(handle), tcp::State::Closed | tcp::State::Listen | tcp::State::TimeWait);
         if ended && let Some(connection) = self.connections.remove(&handle) {
             self.work.cancel(Origin { handle, serial: connection.serial });
             stack.remove(handle);
@@ -268,7 +268,7 @@
             if since.is_some_and(|since| now > since + UNSETTLED) {
                 stack.socket(handle).abort();
             }
-            self.remove_ended(handle, stack.state(handle), stack);
+            self.remove_ended(handle, stack);
         }
     }
 
--- a/crates/poplarpaddle-standins/tests/common/mod.rs
+++ b/crates/poplarpaddle-standins/tests/common/mod.rs
@@ -11,8 +11,9 @@
 use etherparse::{Ipv4Header, TcpHeader};
 use poplarpaddle_standins::caller::{self, Service};
 use poplarpaddle_standins::fabric::{self, Balancer, CallerRoute, Engine, Routes, Shared};
+use poplarpaddle_standins::judge::{Judge, Report};
 use poplarpaddle_standins::net::{self, Stop};
-use poplarpaddle_standins::record::{Record, Recorder, Summary};
+use poplarpaddle_standins::record::{Recorder, Summary};
 use poplarpaddle_standins::{clock, target};
 
 pub const SERVICE: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(127, 30, 0, 1), 8000);
@@ -36,10 +37,6 @@
     pub fn text(&self) -> String {
         String::from_utf8(self.0.lock().unwrap().clone()).unwrap()
     }
-
-    pub fn records(&self) -> Vec<Record> {
-        self.text().lines().map(|line| serde_json::from_str(line).unwrap()).collect()
-    }
 }
 
 /// A running network with targets `127.10.0.1` and up.
@@ -90,8 +87,8 @@
 }
 
 impl Net {
-    /// Starts the network; `adjust` changes the settings of each target.
-    pub fn start(targets: u8, adjust: impl Fn(&mut target::Settings)) -> Self {
+    /// Starts the network; `adjust` changes the settings of each target, `damage` the payload of its packets.
+    pub fn start(targets: u8, adjust: impl Fn(&mut target::Settings), damage: fn(&mut [u8])) -> Self {
         let (stop, lines) = (Stop::default(), Lines::default());
         let bind = || net::bind(LOOPBACK.parse().unwrap()).unwrap();
         let (fabric_socket, caller, rewriter) = (bind(), bind(), bind());
@@ -124,7 +121,7 @@
         }));
         threads.push(thread::spawn({
             let stop = stop.clone();
-            move || rewrite(&rewriter, fabric, &addresses, &stop)
+            move || rewrite(&rewriter, fabric, &addresses, damage, &stop)
         }));
         Self { engine, lines, states, fabric, caller, stop, threads }
     }
@@ -134,30 +131,34 @@
         caller::run(settings, Arc::clone(&self.caller), &Recorder::new(self.lines.clone()), &Stop::default())
     }
 
-    /// Stops everything and returns the records.
-    pub fn finish(self) -> Vec<Record> {
+    /// Stops everything and returns the judge's report.
+    pub fn finish(self) -> Report {
         self.stop.set();
         for thread in self.threads {
             thread.join().unwrap();
         }
-        self.lines.records()
+        let mut judge = Judge::new(7);
+        judge.read(&self.lines.text());
+        judge.report()
     }
 }
 
-/// Sends the packets of a caller endpoint always to the same target.
-fn rewrite(socket: &std::net::UdpSocket, fabric: SocketAddr, targets: &[Ipv4Addr], stop: &Stop) {
+/// Sends the packets of a caller endpoint always to the same target, with right checksums.
+fn rewrite(socket: &std::net::UdpSocket, fabric: SocketAddr, targets: &[Ipv4Addr], damage: fn(&mut [u8]), stop: &Stop) {
     let mut buffer = [0; 2048];
     while !stop.is_set() {
         let Ok((length, _)) = socket.recv_from(&mut buffer) else { continue };
         let (mut ip, rest) = Ipv4Header::from_slice(&buffer[..length]).unwrap();
         let (mut tcp, payload) = TcpHeader::from_slice(rest).unwrap();
+        let mut payload = payload.to_vec();
         if ip.destination == SERVICE.ip().octets() {
             ip.destination = targets[usize::from(tcp.source_port) % targets.len()].octets();
         } else {
             ip.source = SERVICE.ip().octets();
+            damage(&mut payload);
         }
         ip.header_checksum = ip.calc_header_checksum();
-        tcp.checksum = tcp.calc_checksum_ipv4(&ip, payload).unwrap();
+        tcp.checksum = tcp.calc_checksum_ipv4(&ip, &payload).unwrap();
         let mut packet = Vec::new();
         ip.write(&mut packet).unwrap();
         tcp.write(&mut packet).unwrap();
