Encode store values by config::encode before they are verified

Cause: the relay used serde_json's text of a value, which equals the digested bytes only without its preserve_order feature.

--- a/crates/poplarpaddle/src/control/relay.rs
+++ b/crates/poplarpaddle/src/control/relay.rs
@@ -8,6 +8,7 @@
 use super::departure::TTL_MS;
 use super::spread::Source;
 use super::{Action, CallId, Digest, Node, Offer};
+use crate::config;
 use crate::lease::Lease;
 use crate::map;
 use crate::membership::millis;
@@ -302,7 +303,8 @@
     }
 }
 
-/// Returns the bytes of a manifest or part: its JSON value without white space, with keys in order.
+/// Returns the bytes of a manifest or part that its digest stands for. A value that cannot be encoded gives no bytes,
+/// which no digest matches.
 fn encoded(object: &Object) -> Vec<u8> {
-    object.value.to_string().into_bytes()
+    config::encode(&object.value).unwrap_or_default()
 }
