--- a/crates/poplarpaddle-standins/src/bin/standin-fabric.rs
+++ b/crates/poplarpaddle-standins/src/bin/standin-fabric.rs
@@ -34,6 +34,8 @@
     engine.faults.delay_ms = options.value("delay-ms", 0)?;
     let interval = Duration::from_millis(options.value::<u64>("health-ms", 200)?.max(1));
     let engine = Shared::new(engine);
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let listener = runtime.block_on(poplarpaddle_standins::http::listen(options.required("http")?))?;
     let socket = net::bind(options.required("listen")?)?;
     let stop = Stop::default();
     let inbox = net::inbox(Arc::clone(&socket), stop.clone());
@@ -41,8 +43,7 @@
         let (engine, stop) = (engine.clone(), stop.clone());
         move || fabric::run(&engine, &socket, &inbox, &stop)
     });
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    let served = runtime.block_on(http::serve(options.required("http")?, interval, engine));
+    let served = runtime.block_on(http::serve(listener, interval, engine));
     stop.set();
     packets.join().map_err(|_panic| eyre::eyre!("the packet thread panicked"))?;
     served
--- a/crates/poplarpaddle-standins/src/bin/standin-target.rs
+++ b/crates/poplarpaddle-standins/src/bin/standin-target.rs
@@ -38,12 +38,14 @@
     let state = State::default();
     let stop = Stop::default();
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let load = SocketAddr::from((settings.address, options.value("load-port", 9900)?));
+    let listener = runtime.block_on(poplarpaddle_standins::http::listen(load))?;
     let socket = net::bind(options.required("listen")?)?;
     let tcp = std::thread::spawn({
         let (state, stop) = (State::clone(&state), stop.clone());
         move || target::run(settings, socket, state, &Recorder::stdout(), &stop)
     });
-    let served = runtime.block_on(http::serve(report, state));
+    let served = runtime.block_on(http::serve(listener, report, state));
     stop.set();
     tcp.join().map_err(|_panic| eyre::eyre!("the TCP thread panicked"))?;
     served
@@ -77,7 +79,6 @@
         state: options.optional("load-state")?,
     };
     Ok(http::Settings {
-        listen: SocketAddr::from((settings.address, options.value("load-port", 9900)?)),
         service: settings.service.clone(),
         slots: settings.slots,
         warm_at,
--- a/crates/poplarpaddle-standins/src/fabric/http.rs
+++ b/crates/poplarpaddle-standins/src/fabric/http.rs
@@ -11,6 +11,7 @@
 use axum::{Json, Router};
 use serde::Deserialize;
 use serde_json::json;
+use tokio::net::TcpListener;
 use tokio::task::JoinSet;
 
 use super::flows::Key;
@@ -44,9 +45,8 @@
 ///
 /// # Errors
 ///
-/// Fails when the address cannot be bound.
-pub async fn serve(listen: SocketAddr, interval: Duration, engine: Shared) -> eyre::Result<()> {
-    let listener = http::listen(listen).await?;
+/// Fails when the listener fails.
+pub async fn serve(listener: TcpListener, interval: Duration, engine: Shared) -> eyre::Result<()> {
     let router = Router::new().route("/admin", get(counts).post(admin)).with_state(engine.clone());
     tokio::select! {
         result = async { axum::serve(listener, router).await } => result?,
--- a/crates/poplarpaddle-standins/src/target/http.rs
+++ b/crates/poplarpaddle-standins/src/target/http.rs
@@ -1,7 +1,6 @@
 //! Load report and admin interface of a target.
 
 use std::collections::VecDeque;
-use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -12,6 +11,7 @@
 use axum::{Json, Router};
 use serde::{Deserialize, Serialize};
 use serde_json::json;
+use tokio::net::TcpListener;
 
 use super::{Shared, State};
 use crate::clock;
@@ -52,8 +52,6 @@
 /// Settings of the report.
 #[derive(Debug, Clone)]
 pub struct Settings {
-    /// HTTP address.
-    pub listen: SocketAddr,
     /// True service name.
     pub service: String,
     /// True number of slots.
@@ -90,11 +88,12 @@
 ///
 /// # Errors
 ///
-/// Fails when the address cannot be bound.
-pub async fn serve(settings: Settings, state: State) -> eyre::Result<()> {
-    let listener = http::listen(settings.listen).await?;
+/// Fails when the listener fails.
+pub async fn serve(listener: TcpListener, settings: Settings, state: State) -> eyre::Result<()> {
     let report = Arc::new(Mutex::new(Report { settings, samples: VecDeque::new() }));
     let server = Server { state, report };
+    // A report that lags needs a sample from before the first change.
+    server.report().sample(clock::now(), &server.shared());
     let router =
         Router::new().route("/load", get(load)).route("/admin", get(counts).post(admin)).with_state(server.clone());
     tokio::select! {
--- a/crates/poplarpaddle-standins/tests/platform.rs
+++ b/crates/poplarpaddle-standins/tests/platform.rs
@@ -8,6 +8,10 @@
 use poplarpaddle_standins::platform::{MAX_VALUE, Switches};
 use reqwest::{Client, RequestBuilder};
 use serde_json::{Value, json};
+use tokio::time::timeout;
+
+/// Longest wait for a change, so that a fault ends the test instead of hanging it.
+const LIMIT: Duration = Duration::from_secs(10);
 
 struct Api {
     client: Client,
@@ -45,6 +49,12 @@
         vms.iter().map(|vm| vm["name"].as_str().unwrap().to_owned()).collect()
     }
 
+    /// Waits until the VM list is empty or not.
+    async fn until_empty(&self, empty: bool) {
+        let changed = async { while self.names().await.is_empty() != empty {} };
+        timeout(LIMIT, changed).await.unwrap();
+    }
+
     async fn waiting(&self) -> u64 {
         let counts: Value = self.get("/admin").send().await.unwrap().json().await.unwrap();
         counts["counts"]["waiting_watches"].as_u64().unwrap()
@@ -107,7 +117,7 @@
     let watch = "/objects/manifest/kauri/watch?timeout_ms=";
     assert_eq!(outcome(api.get(&format!("{watch}20&after=0"))).await.0, 404);
     let waiting = tokio::spawn(api.get(&format!("{watch}9000&after=0")).send());
-    while api.waiting().await == 0 {}
+    timeout(LIMIT, async { while api.waiting().await == 0 {} }).await.unwrap();
     outcome(api.put("/objects/zone/other?if_version=0", &json!({}))).await;
     assert_eq!(api.waiting().await, 1, "a change of another object ends no watch");
     outcome(api.put("/objects/manifest/kauri?if_version=0", &json!(1))).await;
@@ -144,10 +154,10 @@
     let vm = json!({"name": "b1", "role": "balancer", "zone": "kitami", "address": "127.0.0.1:1", "state": "live"});
     let start = Instant::now();
     api.post("/vms", &vm).await;
-    while api.names().await.is_empty() {}
+    api.until_empty(false).await;
     assert!(start.elapsed() >= Duration::from_millis(300));
     let start = Instant::now();
     assert_eq!(api.delete("/vms/b1").send().await.unwrap().status(), 200);
-    while !api.names().await.is_empty() {}
+    api.until_empty(true).await;
     assert!(start.elapsed() >= Duration::from_millis(300));
 }
