--- a/crates/poplarpaddle/src/flow.rs
+++ b/crates/poplarpaddle/src/flow.rs
@@ -79,6 +79,8 @@
     Opened = 128,
     /// The running work was learned from packets, so that it may have ended already.
     Adopted = 256,
+    /// The host answered others shortly before it got the last payload of the flow.
+    Awake = 512,
 }
 
 /// What the owner knows of one flow.
--- a/crates/poplarpaddle/src/path/caller.rs
+++ b/crates/poplarpaddle/src/path/caller.rs
@@ -12,6 +12,9 @@
 use crate::recovery;
 use crate::time::Time;
 
+/// A host that sent a packet within this part of `answer_due` is taken to answer.
+const AWAKE_PART: u32 = 4;
+
 impl Engine {
     pub(super) fn caller_packet(
         &mut self,
@@ -169,8 +172,10 @@
         let is_owner = place.owner == Some(self.me);
         let is_due = entry.silent != Time::NEVER && now.reached(entry.silent + self.timings.answer_due);
         let is_repeat = packet.sequence.wrapping_sub(entry.unanswered).cast_signed() <= 0;
-        let host_answers = || self.heard.get(&entry.target).is_some_and(|heard| *heard > entry.silent);
-        is_owner && is_due && is_repeat && host_answers()
+        // A host that was paused answers again; only one that answered others before and after it got the last copy of
+        // the payload has lost the connection.
+        let answers_others = || self.heard.get(&entry.target).is_some_and(|heard| *heard > entry.active);
+        is_owner && is_due && is_repeat && entry.has(Flag::Awake) && answers_others()
     }
 
     fn give_up(
@@ -244,6 +249,10 @@
         let Some(entry) = self.table.at_mut(slot) else { return };
         let target = entry.target;
         note(now, answer_due, entry, packet);
+        if packet.has_payload() {
+            let is_awake = self.heard.get(&target).is_some_and(|heard| !now.reached(*heard + answer_due / AWAKE_PART));
+            if is_awake { entry.set(Flag::Awake) } else { entry.clear(Flag::Awake) }
+        }
         let is_over = entry.is_finished();
         self.send_target(target, packet, outlet);
         if is_over {
--- /dev/null
+++ b/crates/poplarpaddle/tests/path/accounts.rs
@@ -0,0 +1,125 @@
+//! Work and held packets at the gate. The gate of these tests fails on work that finishes twice or never started.
+
+use std::sync::Arc;
+
+use poplarpaddle::packet::Kind;
+use poplarpaddle::path::{Bounds, Reason, Settings};
+
+use crate::fleet::{Act, Node, answer, config, data, flow, host, members, reset, syn, syn_ack, view};
+use crate::gate::Narrow;
+
+/// Returns an engine with one target that runs one piece of work at a time.
+fn node(bounds: Bounds) -> Node {
+    let settings = Settings { gates: Arc::new(Narrow { limit: 1 }), bounds, ..Default::default() };
+    Node::new(settings, &view(1, &config(&[1, 1], 1), &members(&[1], &[]), &[]))
+}
+
+fn target(caller: u16, kind: Kind, sequence: u32) -> Act {
+    let _ = caller;
+    Act::Target(host(0, 0), kind, sequence)
+}
+
+/// Ends the work that the opening of a flow reserved.
+fn first_answer(node: &mut Node, caller: u16) -> Vec<Act> {
+    node.fabric(&answer(flow(caller), host(0, 0), 501, 101, 9))
+}
+
+/// Guards against payload that overtakes payload of its flow, and against work that starts while the host is full.
+#[test]
+fn payload_waits_in_order() {
+    let mut node = node(Bounds::default());
+    node.open(flow(1));
+    first_answer(&mut node, 1);
+    node.open(flow(2));
+    assert_eq!(node.fabric(&data(flow(1), 101, 510, 10)), [], "the host is full");
+    assert_eq!(node.fabric(&data(flow(1), 111, 510, 10)), [], "behind the first segment");
+    assert_eq!(node.fabric(&data(flow(1), 121, 510, 0)), [target(1, Kind::Data, 121)], "no payload to overtake");
+    let acts = first_answer(&mut node, 2);
+    assert_eq!(acts, [Act::Caller(Kind::Data), target(1, Kind::Data, 101), target(1, Kind::Data, 111)]);
+}
+
+/// Guards against payload of an established flow that is refused, and against held bytes that stay.
+#[test]
+fn payload_that_waits_too_long_is_dropped() {
+    let mut node = node(Bounds::default());
+    node.open(flow(1));
+    first_answer(&mut node, 1);
+    node.open(flow(2));
+    node.fabric(&data(flow(1), 101, 510, 10));
+    assert_eq!(node.wait(300), [Act::Discard(Reason::Deadline)]);
+    assert_eq!(node.engine.counters().held_bytes, 0);
+}
+
+/// Guards against a refusal that is not true: the opening that waited was never forwarded, and only it is refused.
+#[test]
+fn opening_that_waits_too_long_is_refused() {
+    let mut node = node(Bounds::default());
+    node.open(flow(1));
+    assert_eq!(node.fabric(&syn(flow(2), 100)), []);
+    assert_eq!(node.fabric(&syn(flow(2), 100)), [], "a repeat waits with the first copy");
+    assert_eq!(node.wait(300), [Act::Refuse(Reason::Deadline)]);
+    assert_eq!(node.engine.counters().flows, 1);
+}
+
+/// Guards against a slot that an opening without request, a lost answer or a reset keeps for ever.
+#[test]
+fn work_ends_without_an_answer() {
+    for (name, millis) in [("opening without payload", 3_100), ("payload without answer", 61_100)] {
+        let mut node = node(Bounds::default());
+        node.open(flow(1));
+        if millis > 10_000 {
+            node.fabric(&data(flow(1), 101, 501, 10));
+        }
+        node.wait(millis);
+        assert_eq!(node.fabric(&syn(flow(2), 100)), [target(2, Kind::Opening, 100)], "{name}");
+    }
+    let mut node = node(Bounds::default());
+    node.open(flow(1));
+    node.fabric(&reset(flow(1), host(0, 0), 101));
+    assert_eq!(node.fabric(&syn(flow(2), 100)), [target(2, Kind::Opening, 100)], "reset");
+}
+
+/// Guards against a shed opening that is neither tried again nor refused, and against one that is refused twice.
+#[test]
+fn opening_without_another_target_is_refused_once() {
+    let mut node = node(Bounds::default());
+    node.fabric(&syn(flow(1), 100));
+    let acts = node.fabric(&reset(flow(1), host(0, 0), 101));
+    assert_eq!(acts, [Act::Discard(Reason::StrayReset), Act::Refuse(Reason::NoTarget)]);
+    assert_eq!(node.wait(5000), []);
+    node.fabric(&syn(flow(1), 100));
+    assert_eq!(node.wait(600), [Act::Refuse(Reason::NoTarget)], "unanswered");
+}
+
+/// Guards against a new connection that is taken for a repeat of the old one, and the other way round.
+#[test]
+fn repeated_and_new_openings() {
+    let mut node = node(Bounds::default());
+    node.fabric(&syn(flow(1), 100));
+    assert_eq!(node.fabric(&syn(flow(1), 100)), [target(1, Kind::Opening, 100)], "repeat while pending");
+    node.fabric(&syn_ack(flow(1), host(0, 0), 500, 101));
+    assert_eq!(node.fabric(&syn(flow(1), 100)), [target(1, Kind::Opening, 100)], "repeat while accepted");
+    node.fabric(&data(flow(1), 101, 501, 0));
+    let placed = node.engine.counters().placed;
+    node.fabric(&reset(flow(1), host(0, 0), 101));
+    assert_eq!(node.fabric(&syn(flow(1), 77_000)), [target(1, Kind::Opening, 77_000)], "new after the end");
+    assert_eq!(node.engine.counters().placed, placed + 1);
+}
+
+/// Guards against tables that callers fill: flows and held bytes are bounded, and known flows go on.
+#[test]
+fn tables_are_bounded() {
+    let bounds = Bounds { flows: 16, held_bytes: 1000, held_packets: 2 };
+    let mut node =
+        Node::new(Settings { bounds, ..Default::default() }, &view(1, &config(&[3], 1), &members(&[1], &[]), &[]));
+    for caller in 0..200 {
+        node.fabric(&syn(flow(caller), 100));
+        node.fabric(&data(flow(1000 + caller), 100, 7, 5));
+        let counters = node.engine.counters();
+        assert!(counters.flows <= 16 && counters.held_bytes <= 1000, "{counters:?}");
+    }
+    assert!(node.engine.counters().evicted > 0);
+    node.wait(20_000);
+    assert_eq!(node.engine.counters().held, 0, "nothing is held for ever");
+    node.open(flow(1));
+}
--- a/crates/poplarpaddle/tests/path/main.rs
+++ b/crates/poplarpaddle/tests/path/main.rs
@@ -1,7 +1,10 @@
 //! Tests of the data path.
 
+mod accounts;
 mod fleet;
 mod flows;
 mod gate;
 mod machine;
+mod ownership;
+mod recovery;
 mod world;
--- /dev/null
+++ b/crates/poplarpaddle/tests/path/ownership.rs
@@ -0,0 +1,185 @@
+//! Changes of ownership and configuration between engines.
+
+use poplarpaddle::map;
+use poplarpaddle::ownership::Ownership;
+use poplarpaddle::packet::Kind;
+use poplarpaddle::path::{Hop, MemberId, Settings, Source};
+use poplarpaddle::view::Config;
+
+use crate::fleet::{Act, Node, answer, config, data, flow, members, reset, syn, syn_ack, view};
+
+fn node(id: u64, config: &Config, alive: &[u64], leaving: &[u64]) -> Node {
+    let settings = Settings { me: MemberId(id), ..Default::default() };
+    Node::new(settings, &view(id, config, &members(alive, leaving), &[]))
+}
+
+/// Returns the owner of flow 1 among members.
+fn owner(config: &Config, alive: &[u64]) -> u64 {
+    let mut ownership = Ownership::default();
+    ownership.set_members(&members(alive, &[]));
+    ownership.set_config(config);
+    ownership.locate(config, &flow(1)).expect("a service").owner.expect("an owner").0
+}
+
+/// Guards against flows that break when their owner leaves: the former owner forwards until the new one has learned.
+#[test]
+fn former_owner_that_lives_forwards() {
+    let config = config(&[4, 2], 1);
+    let old = owner(&config, &[1, 2, 3]);
+    let rest: Vec<u64> = [1, 2, 3].into_iter().filter(|id| *id != old).collect();
+    let new = owner(&config, &rest);
+    let mut former = node(old, &config, &[1, 2, 3], &[]);
+    let mut owner = node(new, &config, &[1, 2, 3], &[]);
+    let target = former.open(flow(1));
+    let view_of = |id| view(id, &config, &members(&rest, &[old]), &[]);
+    former.apply(&view_of(old));
+    owner.apply(&view_of(new));
+    let segment = data(flow(1), 101, 501, 10);
+    assert_eq!(owner.fabric(&segment), [Act::Relay(MemberId(old), Hop::Previous)]);
+    let relayed = Source::Peer(MemberId(new), Hop::Previous);
+    assert_eq!(former.packet(relayed, &segment), [Act::Target(target, Kind::Data, 101)]);
+    assert_eq!(owner.fabric(&answer(flow(1), target, 501, 111, 5)), [Act::Caller(Kind::Data)]);
+    assert_eq!(owner.fabric(&data(flow(1), 111, 506, 10)), [Act::Target(target, Kind::Data, 111)], "learned");
+    assert_eq!(former.packet(relayed, &data(flow(2), 9, 9, 1)), [Act::Relay(MemberId(new), Hop::Unknown)]);
+}
+
+/// Guards against flows that break when their owner dies: the new owner probes.
+#[test]
+fn former_owner_that_died_is_not_asked() {
+    let config = config(&[4, 2], 1);
+    let old = owner(&config, &[1, 2]);
+    let new = 3 - old;
+    let mut owner = node(new, &config, &[1, 2], &[]);
+    owner.apply(&view(new, &config, &members(&[new], &[]), &[]));
+    assert!(matches!(owner.fabric(&data(flow(1), 101, 501, 10))[..], [Act::Target(..)]));
+}
+
+/// Guards against an entry of an earlier ownership that another owner has replaced in the meantime.
+#[test]
+fn regained_shard_starts_without_entries() {
+    let config = config(&[4, 2], 1);
+    let me = owner(&config, &[1, 2]);
+    let other = 3 - me;
+    let mut node = node(me, &config, &[1, 2], &[]);
+    node.open(flow(1));
+    node.apply(&view(me, &config, &members(&[other], &[me]), &[]));
+    assert_eq!(node.engine.counters().flows, 1, "the former owner still serves the flow");
+    node.apply(&view(me, &config, &members(&[1, 2], &[]), &[]));
+    assert_eq!(node.engine.counters().flows, 0);
+    assert_eq!(node.fabric(&data(flow(1), 101, 501, 10)), [Act::Relay(MemberId(other), Hop::Previous)]);
+}
+
+/// Guards against packets that go round between balancers with different views.
+#[test]
+fn redirected_packet_is_handled_in_any_case() {
+    let config = config(&[4, 2], 1);
+    let owner = owner(&config, &[1, 2]);
+    let mut other = node(3 - owner, &config, &[1, 2], &[]);
+    let sender = MemberId(9);
+    let opening = syn(flow(1), 100);
+    assert_eq!(other.packet(Source::Peer(sender, Hop::Owner), &opening), [Act::Relay(MemberId(owner), Hop::Redirect)]);
+    assert!(matches!(other.packet(Source::Peer(sender, Hop::Redirect), &opening)[..], [Act::Target(..)]));
+}
+
+/// Guards against flows that lose their target when targets come and go or the number of shards changes.
+#[test]
+fn entries_survive_configurations() {
+    let mut node = node(1, &config(&[6, 2], 2), &[1], &[]);
+    let flows: Vec<_> = (0..40).map(flow).collect();
+    let targets: Vec<_> = flows.iter().map(|flow| node.open(*flow)).collect();
+    for (size, shards) in [(6, 3), (8, 1), (6, 4)] {
+        node.apply(&view(1, &config(&[size, 2], shards), &members(&[1], &[]), &[]));
+        for (flow, target) in flows.iter().zip(&targets) {
+            let acts = node.fabric(&data(*flow, 101, 501, 0));
+            assert_eq!(acts, [Act::Target(*target, Kind::Data, 101)], "{size} targets, {shards} shards");
+        }
+    }
+}
+
+/// Guards against openings that are cut off at a planned stop: what waits goes to the new owner.
+#[test]
+fn leaving_owner_passes_held_packets_on() {
+    use std::sync::Arc;
+    let config = config(&[1, 2], 1);
+    let me = owner(&config, &[1, 2]);
+    let gates = Arc::new(crate::gate::Narrow { limit: 1 });
+    let settings = Settings { me: MemberId(me), gates, ..Default::default() };
+    let mut node = Node::new(settings, &view(me, &config, &members(&[1, 2], &[]), &[]));
+    assert!(matches!(node.fabric(&syn(flow(1), 100))[..], [Act::Target(..)]));
+    assert_eq!(node.fabric(&syn(flow(2), 100)), [], "the second opening waits");
+    let mut record = crate::fleet::Record::default();
+    node.engine.drain(node.now, &mut record);
+    assert_eq!(record.0, [Act::Relay(MemberId(3 - me), Hop::Owner)]);
+    assert_eq!(node.engine.counters().held, 0);
+}
+
+/// Guards against a wide reshuffle when one member changes, and against an update that differs from a fresh start.
+#[test]
+fn only_the_shards_of_a_changed_member_move() {
+    let config = config(&[200, 2], 64);
+    let mut ids: Vec<u64> = (1..=10).collect();
+    let mut ownership = Ownership::default();
+    ownership.set_members(&members(&ids, &[]));
+    ownership.set_config(&config);
+    for (leaving, joining) in [(3, 11), (7, 12), (11, 13), (1, 14)] {
+        let before = owners(&ownership);
+        ids.retain(|id| *id != leaving);
+        ownership.set_members(&members(&ids, &[leaving]));
+        for (key, owner) in &owners(&ownership) {
+            assert!(before[key] == MemberId(leaving) || before[key] == *owner);
+        }
+        let between = owners(&ownership);
+        ids.push(joining);
+        ownership.set_members(&members(&ids, &[]));
+        for (key, owner) in &owners(&ownership) {
+            assert!(*owner == MemberId(joining) || between[key] == *owner);
+        }
+        let mut fresh = Ownership::default();
+        fresh.set_members(&members(&ids, &[]));
+        fresh.set_config(&config);
+        assert_eq!(owners(&fresh), owners(&ownership));
+    }
+}
+
+/// Guards against a flow that is not found after several changes in a row: each earlier owner is still named.
+#[test]
+fn former_owners_are_remembered() {
+    let config = config(&[4, 2], 1);
+    let mut ids: Vec<u64> = (1..=8).collect();
+    let mut ownership = Ownership::default();
+    ownership.set_members(&members(&ids, &[]));
+    ownership.set_config(&config);
+    let mut gone = Vec::new();
+    for _ in 0..3 {
+        let place = ownership.locate(&config, &flow(1)).expect("a service");
+        let owner = place.owner.expect("an owner");
+        gone.insert(0, owner.0);
+        ids.retain(|id| *id != owner.0);
+        ownership.set_members(&members(&ids, &gone));
+        let place = ownership.locate(&config, &flow(1)).expect("a service");
+        let former: Vec<u64> = ownership.former(&place).iter().map(|id| id.0).collect();
+        assert_eq!(former[..gone.len()], gone);
+    }
+}
+
+fn owners(ownership: &Ownership) -> std::collections::BTreeMap<u64, MemberId> {
+    let owned = (1..=14).flat_map(|id| ownership.owned_by(MemberId(id)));
+    owned.map(|(_, _, shard)| (shard.key, shard.owner.expect("an owner"))).collect()
+}
+
+/// Guards against a balancer that knows nothing: no configuration, and no members.
+#[test]
+fn engine_without_a_view_drops_packets() {
+    use poplarpaddle::path::{Engine, Reason};
+    let mut node = Node { engine: Engine::new(Settings::default()), now: poplarpaddle::time::Time::from_millis(1) };
+    assert_eq!(node.fabric(&syn(flow(1), 1)), [Act::Discard(Reason::NoConfiguration)]);
+    let mut unknown = flow(1);
+    unknown.service.set_port(81);
+    node.apply(&view(1, &config(&[1], 1), &members(&[], &[]), &[]));
+    assert_eq!(node.fabric(&syn(unknown, 1)), [Act::Discard(Reason::UnknownService)]);
+    assert_eq!(node.fabric(&syn(flow(1), 1)), [Act::Discard(Reason::NoOwner)]);
+    let target = crate::fleet::host(0, 0);
+    assert_eq!(node.fabric(&syn_ack(flow(1), target, 1, 2)), [Act::Discard(Reason::NoOwner)]);
+    assert_eq!(node.fabric(&reset(flow(1), target, 2)), [Act::Discard(Reason::NoOwner)]);
+    let _ = map::seeded::<u8, u8>(1);
+}
--- /dev/null
+++ b/crates/poplarpaddle/tests/path/recovery.rs
@@ -0,0 +1,190 @@
+//! Flows without an entry, wrong targets and silent targets.
+
+use std::net::Ipv4Addr;
+
+use poplarpaddle::packet::{Kind, View};
+use poplarpaddle::path::{Hop, MemberId, Reason, Settings, Source};
+use poplarpaddle::view::HostState;
+
+use crate::fleet::{Act, Node, answer, config, data, flow, host, members, reset, syn, syn_ack, view};
+
+fn node() -> Node {
+    Node::new(Settings::default(), &view(1, &config(&[4, 2], 1), &members(&[1], &[]), &[]))
+}
+
+fn probed(acts: &[Act]) -> Ipv4Addr {
+    let found = acts.iter().find_map(|act| if let Act::Target(target, ..) = act { Some(*target) } else { None });
+    found.unwrap_or_else(|| panic!("no probe: {acts:?}"))
+}
+
+/// Guards against a flow that is lost with its owner: all but the right candidate answer the probe with a reset.
+#[test]
+fn probe_finds_the_target_and_swallows_resets() {
+    let mut node = node();
+    let segment = data(flow(1), 700, 900, 10);
+    let mut target = probed(&node.fabric(&segment));
+    assert_eq!(node.fabric(&data(flow(1), 710, 900, 10)), [], "a later segment waits behind the probe");
+    for _ in 0..2 {
+        let acts = node.fabric(&reset(flow(1), target, 0));
+        assert_eq!(acts[0], Act::Discard(Reason::StrayReset));
+        target = probed(&acts);
+    }
+    let acts = node.fabric(&answer(flow(1), target, 900, 710, 20));
+    assert_eq!(acts, [Act::Caller(Kind::Data), Act::Target(target, Kind::Data, 710)]);
+    assert_eq!(node.engine.target(&flow(1)), Some(target));
+}
+
+/// Guards against a caller that waits for ever for a connection that no target knows.
+#[test]
+fn caller_is_reset_after_the_last_candidate() {
+    let mut node = node();
+    let mut acts = node.fabric(&data(flow(1), 700, 900, 10));
+    for _ in 0..4 {
+        let target = probed(&acts);
+        acts = node.fabric(&reset(flow(1), target, 0));
+    }
+    assert_eq!(acts[1..], [Act::ResetCaller(Reason::Unrecoverable)]);
+    assert_eq!(node.engine.counters().held, 0);
+}
+
+/// Guards against a reset of a flow whose target is only slow: a candidate that did not answer may hold the connection.
+#[test]
+fn slow_candidate_does_not_cost_the_flow() {
+    let mut node = node();
+    let first = probed(&node.fabric(&data(flow(1), 700, 900, 10)));
+    let mut acts = node.wait(200);
+    assert_ne!(probed(&acts), first, "the next candidate follows");
+    for _ in 0..3 {
+        let target = probed(&acts);
+        acts = node.fabric(&reset(flow(1), target, 0));
+    }
+    assert_eq!(acts[1..], [Act::Discard(Reason::UnknownFlow)]);
+}
+
+/// Guards against a claim that a flow is lost when the misplaced target was not asked.
+#[test]
+fn misplaced_target_gets_no_packet() {
+    let (config, members) = (config(&[4, 2], 1), members(&[1], &[]));
+    let mut node = Node::new(Settings::default(), &view(1, &config, &members, &[]));
+    let target = node.open(flow(1));
+    let states = [(target, HostState::Misplaced)];
+    node.apply(&view(1, &config, &members, &states));
+    let segment = data(flow(1), 101, 501, 10);
+    assert_eq!(node.fabric(&segment), [Act::Discard(Reason::WrongTarget)]);
+    assert_eq!(node.fabric(&answer(flow(1), target, 501, 101, 9)), [Act::Discard(Reason::WrongTarget)]);
+    let mut acts = node.fabric(&data(flow(2), 700, 900, 10));
+    for _ in 0..3 {
+        let asked = probed(&acts);
+        assert_ne!(asked, target);
+        acts = node.fabric(&reset(flow(2), asked, 0));
+    }
+    assert_eq!(acts[1..], [Act::Discard(Reason::UnknownFlow)]);
+    node.apply(&view(1, &config, &members, &[]));
+    assert_eq!(node.fabric(&segment), [Act::Target(target, Kind::Data, 101)], "a report that was wrong costs no flow");
+}
+
+/// Guards against packets at another service after an endpoint moved there.
+#[test]
+fn endpoint_of_another_service_gets_no_packet() {
+    let (mut config, members) = (config(&[4, 2], 1), members(&[1], &[]));
+    let mut node = Node::new(Settings::default(), &view(1, &config, &members, &[]));
+    let target = node.open(flow(1));
+    for index in config.endpoints.values_mut() {
+        index.0 = 1;
+    }
+    node.apply(&view(1, &config, &members, &[]));
+    assert_eq!(node.fabric(&data(flow(1), 101, 501, 10)), [Act::ResetCaller(Reason::WrongTarget)]);
+    assert_eq!(node.fabric(&syn(flow(2), 7)), [Act::Refuse(Reason::NoTarget)]);
+    let _ = target;
+}
+
+/// Guards against a second target that disturbs a bound flow, as after one opening at two owners.
+#[test]
+fn packets_of_a_wrong_target_are_dropped() {
+    let mut node = node();
+    let target = node.open(flow(1));
+    let wrong = (0..4).map(|number| host(0, number)).find(|host| *host != target).expect("four targets");
+    let cases: [(View<'static>, Reason); 3] = [
+        (syn_ack(flow(1), wrong, 9000, 101), Reason::WrongTarget),
+        (reset(flow(1), wrong, 101), Reason::WrongTarget),
+        (answer(flow(1), wrong, 9000, 101, 5), Reason::WrongTarget),
+    ];
+    for (packet, reason) in cases {
+        assert_eq!(node.fabric(&packet), [Act::Discard(reason)], "{packet:?}");
+    }
+    assert_eq!(node.fabric(&reset(flow(1), target, 101)), [Act::Caller(Kind::Reset)], "the right target may reset");
+}
+
+/// Guards against a flow that stays with the target whose SYN-ACK the caller did not take, because another owner had
+/// placed the opening too and was faster.
+#[test]
+fn opening_at_two_owners() {
+    let mut node = node();
+    let acts = node.fabric(&syn(flow(1), 100));
+    let ours = probed(&acts);
+    node.fabric(&syn_ack(flow(1), ours, 500, 101));
+    let taken = data(flow(1), 101, 80_000_001, 10);
+    let acts = node.fabric(&taken);
+    assert_eq!(acts[0], Act::ResetTarget(ours), "the connection that the caller did not take is closed");
+    let mut asked = probed(&acts);
+    if asked == ours {
+        asked = probed(&node.fabric(&reset(flow(1), ours, 0)));
+    }
+    assert_eq!(node.fabric(&answer(flow(1), asked, 80_000_001, 111, 5)), [Act::Caller(Kind::Data)]);
+    assert_eq!(node.engine.target(&flow(1)), Some(asked));
+}
+
+/// Guards against callers that wait for ever on a connection that a middlebox forgot.
+#[test]
+fn silent_connection_is_reset_at_both_ends() {
+    let mut node = node();
+    let target = node.open(flow(1));
+    let request = data(flow(1), 101, 501, 10);
+    node.fabric(&request);
+    node.wait(6000);
+    node.fabric(&answer(flow(2), target, 4, 5, 6));
+    assert_eq!(node.fabric(&request), [Act::Target(target, Kind::Data, 101)], "not due yet");
+    node.wait(6000);
+    node.fabric(&answer(flow(2), target, 10, 5, 6));
+    assert_eq!(node.fabric(&request), [Act::ResetTarget(target), Act::ResetCaller(Reason::Silent)]);
+}
+
+/// Guards against resets of all flows of a host that was paused for longer than the deadline.
+#[test]
+fn paused_host_keeps_its_flows() {
+    let mut node = node();
+    let target = node.open(flow(1));
+    let request = data(flow(1), 101, 501, 10);
+    node.fabric(&request);
+    for _ in 0..3 {
+        node.wait(6000);
+        assert_eq!(node.fabric(&request), [Act::Target(target, Kind::Data, 101)]);
+    }
+    node.wait(1000);
+    node.fabric(&answer(flow(2), target, 4, 5, 6));
+    assert_eq!(node.fabric(&request), [Act::Target(target, Kind::Data, 101)], "the host has just come back");
+    assert_eq!(node.fabric(&answer(flow(1), target, 501, 111, 6)), [Act::Caller(Kind::Data)]);
+}
+
+/// Guards against a former owner's stale entry that leads to a target without the connection, again and again.
+#[test]
+fn reset_by_way_of_a_former_owner_leads_to_a_probe() {
+    let config = config(&[4, 2], 1);
+    let all = members(&[1, 2], &[]);
+    let flow = flow(1);
+    let owner = if Node::new(Settings::default(), &view(1, &config, &all, &[])).fabric(&syn(flow, 1))
+        == [Act::Relay(MemberId(2), Hop::Owner)]
+    {
+        2
+    } else {
+        1
+    };
+    let other = MemberId(3 - owner);
+    let mut node = Node::new(Settings { me: MemberId(owner), ..Default::default() }, &view(owner, &config, &all, &[]));
+    let segment = data(flow, 700, 900, 10);
+    assert_eq!(node.fabric(&segment), [Act::Relay(other, Hop::Previous)]);
+    assert_eq!(node.fabric(&reset(flow, host(0, 0), 0)), [Act::Discard(Reason::StrayReset)]);
+    probed(&node.fabric(&segment));
+    let unknown = Source::Peer(other, Hop::Unknown);
+    probed(&node.packet(unknown, &data(crate::fleet::flow(2), 700, 900, 10)));
+}
