--- a/crates/poplarpaddle-bench/src/fleet.rs
+++ b/crates/poplarpaddle-bench/src/fleet.rs
@@ -10,7 +10,7 @@
 
 use crate::driver::Setup;
 use crate::scenario::Fault;
-use crate::target::Target;
+use crate::target::{Report, Target};
 
 /// Polls between a report and the moment when the balancers see it, so that reports lag by 3 s.
 const LAG: usize = 3;
@@ -49,7 +49,7 @@
     fault: Fault,
     targets: Vec<Vec<Target>>,
     /// Reports on their way, the oldest first, for each service.
-    reports: VecDeque<Vec<Vec<(HostState, u16)>>>,
+    reports: VecDeque<Vec<Vec<Report>>>,
     rng: Pcg64Mcg,
 }
 
@@ -128,7 +128,11 @@
         let rng = &mut self.rng;
         let mut report = |target: &Target| {
             let lies = misleading && rng.random_range(0..MISLEADING_ONE_IN) == 0;
-            if lies { (HostState::Cold, rng.random_range(0..=target.slots)) } else { target.report() }
+            if lies {
+                Report { state: HostState::Cold, busy: rng.random_range(0..=target.slots) }
+            } else {
+                target.report()
+            }
         };
         let reports = self.targets.iter().map(|targets| targets.iter().map(&mut report).collect()).collect();
         self.reports.push_back(reports);
@@ -145,8 +149,8 @@
             address: Place { service, host }.address(),
             slots: target.slots,
             connections: target.max_connections,
-            state: if target.state == HostState::Draining { target.state } else { report.0 },
-            busy: Some(report.1),
+            state: if target.state == HostState::Draining { target.state } else { report.state },
+            busy: Some(report.busy),
         });
         hosts.collect()
     }
--- a/crates/poplarpaddle-bench/src/target.rs
+++ b/crates/poplarpaddle-bench/src/target.rs
@@ -14,6 +14,15 @@
 /// Service time of the first request on a cold target, as a multiple.
 const COLD_FACTOR: u32 = 5;
 
+/// Load report of a host.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Report {
+    /// State.
+    pub state: HostState,
+    /// Busy slots.
+    pub busy: u16,
+}
+
 /// A host.
 #[derive(Debug)]
 pub struct Target {
@@ -63,11 +72,11 @@
         self.cold = WARM_AFTER;
     }
 
-    /// Returns what the load report says: state and busy slots.
+    /// Returns the load report.
     #[must_use]
-    pub fn report(&self) -> (HostState, u16) {
+    pub fn report(&self) -> Report {
         let state = if self.state == HostState::Serving && self.cold > 0 { HostState::Cold } else { self.state };
-        (state, self.busy)
+        Report { state, busy: self.busy }
     }
 
     /// Returns true when an opening is accepted; it then counts as a connection.
--- a/crates/poplarpaddle/src/admission/queue.rs
+++ b/crates/poplarpaddle/src/admission/queue.rs
@@ -34,9 +34,9 @@
     hosts: Accounts,
     lanes: Vec<Lane>,
     entries: BTreeMap<TicketId, Entry>,
-    expiry: BTreeSet<(Time, TicketId)>,
+    expiry: BTreeSet<Due>,
     /// Retries that back off, by the time at which they may start.
-    backing_off: BTreeSet<(Time, TicketId)>,
+    backing_off: BTreeSet<Due>,
     budget: Budget,
     /// Mean time from start to answer.
     service: Mean,
@@ -56,6 +56,13 @@
     }
 }
 
+/// A ticket and the time at which something is due for it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct Due {
+    time: Time,
+    id: TicketId,
+}
+
 /// A ticket that can start now.
 #[derive(Debug, Clone, Copy)]
 struct Startable {
@@ -194,9 +201,9 @@
             bytes: ticket.bytes,
         };
         self.lanes[priority].admit(entry.bytes);
-        self.expiry.insert((entry.deadline, id));
+        self.expiry.insert(Due { time: entry.deadline, id });
         if retried {
-            self.backing_off.insert((ready, id));
+            self.backing_off.insert(Due { time: ready, id });
         } else {
             self.lanes[priority].insert(&entry);
         }
@@ -207,14 +214,14 @@
     fn remove(&mut self, id: TicketId) -> Option<Entry> {
         let entry = self.entries.remove(&id)?;
         self.lanes[entry.priority].remove(&entry);
-        self.expiry.remove(&(entry.deadline, id));
-        self.backing_off.remove(&(entry.ready, id));
+        self.expiry.remove(&Due { time: entry.deadline, id });
+        self.backing_off.remove(&Due { time: entry.ready, id });
         Some(entry)
     }
 
     fn expire(&mut self, now: Time) -> Option<TicketId> {
-        let &(deadline, id) = self.expiry.first()?;
-        if !now.reached(deadline) {
+        let &Due { time, id } = self.expiry.first()?;
+        if !now.reached(time) {
             return None;
         }
         self.remove(id);
@@ -222,8 +229,8 @@
     }
 
     fn end_backoff(&mut self, now: Time) {
-        while let Some(&(ready, id)) = self.backing_off.first()
-            && now.reached(ready)
+        while let Some(&Due { time, id }) = self.backing_off.first()
+            && now.reached(time)
         {
             self.backing_off.pop_first();
             if let Some(entry) = self.entries.get(&id) {
@@ -365,8 +372,8 @@
     }
 
     fn deadline(&self) -> Time {
-        let expiry = self.expiry.first().map_or(Time::NEVER, |&(deadline, _)| deadline);
-        let ready = self.backing_off.first().map_or(Time::NEVER, |&(ready, _)| ready);
+        let expiry = self.expiry.first().map_or(Time::NEVER, |due| due.time);
+        let ready = self.backing_off.first().map_or(Time::NEVER, |due| due.time);
         let waiting = self.lanes.iter().any(|lane| !lane.openings.is_empty());
         let resume = if waiting { self.hosts.next_resume(self.now) } else { Time::NEVER };
         expiry.min(ready).min(resume)
