Let misleading reports also say that hosts are down

The scenario gave the same figures as the calm one, because lies about cold hosts are outweighed by answers in time. One report of five now says cold, down or serving at random with any number of busy slots.

--- a/crates/poplarpaddle-bench/src/fleet.rs
+++ b/crates/poplarpaddle-bench/src/fleet.rs
@@ -18,6 +18,9 @@
 /// One of this many reports misleads.
 const MISLEADING_ONE_IN: u32 = 5;
 
+/// What misleading reports say of hosts that serve.
+const MISLEADING: [HostState; 3] = [HostState::Cold, HostState::Down, HostState::Serving];
+
 /// Index of a host: service and number within it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Place {
@@ -129,7 +132,8 @@
         let mut report = |target: &Target| {
             let lies = misleading && rng.random_range(0..MISLEADING_ONE_IN) == 0;
             if lies {
-                Report { state: HostState::Cold, busy: rng.random_range(0..=target.slots) }
+                let state = MISLEADING[rng.random_range(0..MISLEADING.len())];
+                Report { state, busy: rng.random_range(0..=target.slots) }
             } else {
                 target.report()
             }
--- a/crates/poplarpaddle-bench/src/report.rs
+++ b/crates/poplarpaddle-bench/src/report.rs
@@ -47,7 +47,7 @@
     pub broken_causes: BTreeMap<&'static str, u64>,
     /// Most over mean; hosts that the scenario takes work from are left out.
     pub imbalance_max: Balance,
-    /// 99th percentile over mean, with the same hosts.
+    /// 99th percentile over mean, with the same hosts. For work it equals the maximum, as each host gives one value.
     pub imbalance_p99: Balance,
     /// Share of the steady work that was answered in time.
     pub in_time: f64,
--- a/crates/poplarpaddle-bench/src/scenario.rs
+++ b/crates/poplarpaddle-bench/src/scenario.rs
@@ -103,7 +103,7 @@
 pub enum Fault {
     /// Nothing.
     None,
-    /// Reports say cold or idle at random.
+    /// Reports say cold, down or any number of busy slots at random.
     Misleading,
     /// The first host of each service has just started.
     Cold,
