Bound the saved-up share of a priority

Shares that add up to more than 100 per cent let the credit of a waiting priority grow until it overflows. It is now capped at ten starts.

--- a/crates/poplarpaddle/src/admission/lane.rs
+++ b/crates/poplarpaddle/src/admission/lane.rs
@@ -9,6 +9,9 @@
 /// Credit that buys one start ahead of more urgent work, in per cent of a start.
 pub(super) const CREDIT_START: u32 = 100;
 
+/// Most credit that a priority saves up. Shares that add up to more than 100 per cent would let it grow without bound.
+const MAX_CREDIT: u32 = 10 * CREDIT_START;
+
 /// Unit of the observed portion of starts.
 pub(super) const WHOLE: u64 = 1 << 16;
 
@@ -132,7 +135,7 @@
 
     /// Accounts for a start that this priority competed for and that `winner` got.
     pub(super) fn contest(&mut self, winner: Winner) {
-        self.credit += self.share;
+        self.credit = (self.credit + self.share).min(MAX_CREDIT);
         if winner != Winner::Other {
             self.credit = self.credit.saturating_sub(CREDIT_START);
         }
--- a/crates/poplarpaddle/src/admission/queue.rs
+++ b/crates/poplarpaddle/src/admission/queue.rs
@@ -23,6 +23,9 @@
 
 /// A gate with one queue for each priority.
 ///
+/// Call [`Gate::next`] until it returns none after every call that changes hosts, work or connections, and after an offer
+/// that waits: a ticket that joins others may start at once.
+///
 /// # Trade-offs
 ///
 /// The expected wait is estimated from the mean service time, the limits, and the portion of starts that the priority
