--- a/crates/poplarpaddle/src/control/action.rs
+++ b/crates/poplarpaddle/src/control/action.rs
@@ -14,7 +14,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct CallId(pub u64);
 
-/// What the caller of a [`Node`] has to do.
+/// What the caller of a [`Node`](super::Node) has to do.
 #[derive(Debug, Clone)]
 pub enum Action {
     /// Sends a message; the outcome comes back as [`Answer::Gossip`].
--- a/crates/poplarpaddle/src/control/settings.rs
+++ b/crates/poplarpaddle/src/control/settings.rs
@@ -5,7 +5,7 @@
 use crate::path::MemberId;
 use crate::{health, lease, membership};
 
-/// Settings of [`Node`]. Times are in milliseconds.
+/// Settings of [`Node`](super::Node). Times are in milliseconds.
 #[derive(Debug, Clone)]
 pub struct Settings {
     /// Identifies this process; random for each start.
--- a/crates/poplarpaddle/tests/control.rs
+++ b/crates/poplarpaddle/tests/control.rs
@@ -26,6 +26,17 @@
     }
 }
 
+/// Guards against members that are declared dead because of lost messages.
+#[test]
+fn lost_messages_kill_nobody() {
+    let mut net = Net::fleet(3, 16, 5_000);
+    net.loss = 0.1;
+    net.run(120_000);
+    let count = |name: &str| net.hosts.values().flat_map(|host| &host.events).filter(|e| e.name == name).count();
+    assert!(count("member.suspect") > 0, "too few losses to say anything");
+    assert_eq!(count("member.dead"), 0);
+}
+
 /// Guards against false deaths that a resumed process derives from timers that ran while it was frozen.
 #[test]
 fn resumed_observer_declares_nobody_dead() {
