Count a refused answer as a failed message, test leaving at random

A peer whose answers fail the check was not probed through others, and the random events had no planned stop.

--- a/crates/poplarpaddle/src/control.rs
+++ b/crates/poplarpaddle/src/control.rs
@@ -263,7 +263,10 @@
             self.membership.failed(now, to);
             return Ok(());
         };
-        membership::check(self.membership.me(), gossip)?;
+        if let Err(error) = membership::check(self.membership.me(), gossip) {
+            self.membership.failed(now, to);
+            return Err(error);
+        }
         self.membership.answered(now, to, gossip.sender.id);
         self.gossip(now, gossip);
         self.membership.paged(gossip);
--- a/crates/poplarpaddle/tests/control_untrusted.rs
+++ b/crates/poplarpaddle/tests/control_untrusted.rs
@@ -154,6 +154,7 @@
 #[derive(Debug, Clone)]
 enum Change {
     Kill(u16),
+    Leave(u16),
     Start,
     Pause(u16, u64),
     Cut(u16, bool),
@@ -168,6 +169,7 @@
 fn change() -> impl Strategy<Value = Change> {
     prop_oneof![
         (0..12_u16).prop_map(Change::Kill),
+        (0..12_u16).prop_map(Change::Leave),
         Just(Change::Start),
         (0..12_u16, 500..30_000_u64).prop_map(|(n, ms)| Change::Pause(n, ms)),
         (0..3_u16, any::<bool>()).prop_map(|(zone, store)| Change::Cut(zone, store)),
@@ -189,7 +191,16 @@
             let at = nth(net, *n);
             net.remove(at);
         }
-        Change::Kill(_) => {}
+        Change::Leave(n) if net.hosts.len() > 4 => {
+            let (at, now) = (nth(net, *n), net.now);
+            net.hosts.get_mut(&at).unwrap().node.leave(now);
+            net.run(500);
+            net.assert_single_holders();
+            net.hosts.get_mut(&at).unwrap().node.stop(net.now);
+            net.run(10);
+            net.remove(at);
+        }
+        Change::Kill(_) | Change::Leave(_) => {}
         Change::Start => {
             let seeds: Vec<_> = net.hosts.keys().copied().take(2).collect();
             net.start(100 + serial, &seeds);
