--- a/crates/poplarpaddle/tests/control.rs
+++ b/crates/poplarpaddle/tests/control.rs
@@ -26,6 +26,17 @@
     }
 }
 
+/// Guards against members that are declared dead because of lost messages.
+#[test]
+fn lost_messages_kill_nobody() {
+    let mut net = Net::fleet(3, 16, 5_000);
+    net.loss = 0.1;
+    net.run(120_000);
+    let count = |name: &str| net.hosts.values().flat_map(|host| &host.events).filter(|e| e.name == name).count();
+    assert!(count("member.suspect") > 0, "too few losses to say anything");
+    assert_eq!(count("member.dead"), 0);
+}
+
 /// Guards against false deaths that a resumed process derives from timers that ran while it was frozen.
 #[test]
 fn resumed_observer_declares_nobody_dead() {
@@ -203,6 +214,7 @@
 #[test]
 fn each_zone_has_two_holders() {
     let mut net = Net::fleet(5, 18, 20_000);
+    net.assert_single_holders();
     for zone in ["zone-0", "zone-1", "zone-2"] {
         assert_eq!(net.holders(zone).len(), 2, "{zone}");
     }
@@ -245,7 +257,7 @@
         Vm { name, role, zone, address: address.into(), state }
     };
     let leaving = "10.1.0.1".parse().unwrap();
-    net.store.vms = vec![vm("10.1.0.1", VmState::Leaving), vm("10.1.0.2", VmState::Live)];
+    net.store.vms.extend([vm("10.1.0.1", VmState::Leaving), vm("10.1.0.2", VmState::Live)]);
     let state =
         |net: &Net, n: u16, host| net.hosts[&address(n)].view.as_ref().unwrap().hosts.get(&host).map(|h| h.state);
     let all = |net: &Net| (0..16).all(|n| state(net, n, leaving) == Some(HostState::Draining));
