Bound the cost of a new view and of the candidates of a flow

Cause: each view of hosts cloned the ownership, the targets of a shard were counted anew for each target, and members were searched linearly. Change: a view that changes only hosts goes to the gates alone, targets are dealt by position, members are sorted. The state machine test pauses hosts and reuses fewer caller ports.

--- a/crates/poplarpaddle/src/ownership.rs
+++ b/crates/poplarpaddle/src/ownership.rs
@@ -76,8 +76,9 @@
     /// Takes over new members.
     pub fn set_members(&mut self, members: &[Member]) {
         let owners = owners_of(members);
-        let joined: Vec<MemberId> = owners.iter().copied().filter(|id| !self.owners.contains(id)).collect();
-        self.reachable = members.iter().map(|member| member.id).collect();
+        let is_new = |id: &MemberId| self.owners.binary_search(id).is_err();
+        let joined: Vec<MemberId> = owners.iter().copied().filter(is_new).collect();
+        self.reachable = sorted(members.iter().map(|member| member.id));
         let first = self.owners.is_empty();
         self.owners = owners;
         let (owners, reachable) = (&self.owners, &self.reachable);
@@ -150,7 +151,7 @@
     /// Returns true when `member` can be reached.
     #[must_use]
     pub fn reaches(&self, member: MemberId) -> bool {
-        self.reachable.contains(&member)
+        self.reachable.binary_search(&member).is_ok()
     }
 
     fn compile(&self, name: &str, count: u16, known: Service) -> Service {
@@ -191,7 +192,7 @@
     /// Follows a change of members.
     fn update(&mut self, owners: &[MemberId], joined: &[MemberId]) {
         let before = self.owner;
-        if before.is_none_or(|owner| !owners.contains(&owner)) {
+        if before.is_none_or(|owner| owners.binary_search(&owner).is_err()) {
             self.choose(owners);
         } else {
             for member in joined {
@@ -230,8 +231,14 @@
 
 fn owners_of(members: &[Member]) -> Vec<MemberId> {
     let alive = members.iter().filter(|member| member.presence == Presence::Alive);
-    let owners: Vec<MemberId> = alive.map(|member| member.id).collect();
-    if owners.is_empty() { members.iter().map(|member| member.id).collect() } else { owners }
+    let owners = sorted(alive.map(|member| member.id));
+    if owners.is_empty() { sorted(members.iter().map(|member| member.id)) } else { owners }
+}
+
+fn sorted(members: impl Iterator<Item = MemberId>) -> Vec<MemberId> {
+    let mut members: Vec<MemberId> = members.collect();
+    members.sort_unstable();
+    members
 }
 
 fn weight(key: u64, member: MemberId) -> u64 {
--- a/crates/poplarpaddle/src/path/account.rs
+++ b/crates/poplarpaddle/src/path/account.rs
@@ -18,13 +18,17 @@
 pub(super) struct Shard {
     pub(super) gate: Box<dyn Gate>,
     pub(super) tickets: Map<TicketId, Slot>,
+    /// Index of the service in the configuration in force.
+    pub(super) service: ServiceIndex,
+    /// Index of the shard in its service.
+    index: u16,
     /// Room was made in the gate since the queue was looked at.
     freed: bool,
 }
 
 impl Shard {
-    pub(super) fn new(gate: Box<dyn Gate>) -> Self {
-        Self { gate, tickets: map::seeded(0), freed: false }
+    pub(super) fn new(gate: Box<dyn Gate>, service: ServiceIndex, index: u16) -> Self {
+        Self { gate, tickets: map::seeded(0), service, index, freed: false }
     }
 
     pub(super) fn finish(&mut self, now: Time, entry: &mut Entry, end: End) {
@@ -94,10 +98,20 @@
         self.shards.get_mut(place.key)
     }
 
+    /// Tells the gates what is known of the hosts now.
+    pub(super) fn refresh_hosts(&mut self, now: Time) {
+        let mut shards = std::mem::take(&mut self.shards);
+        for shard in shards.0.values_mut() {
+            let hosts = self.hosts_of(shard.service, shard.index);
+            shard.gate.set_hosts(now, &hosts);
+        }
+        self.shards = shards;
+    }
+
     pub(super) fn make_shard(&self, now: Time, service: ServiceIndex, index: u16) -> Option<Shard> {
         let config = self.config.as_ref()?;
         let name = &config.services.get(service.0 as usize)?.name;
-        let mut shard = Shard::new(self.gates.gate(name, index, &config.priorities));
+        let mut shard = Shard::new(self.gates.gate(name, index, &config.priorities), service, index);
         shard.gate.set_hosts(now, &self.hosts_of(service, index));
         Some(shard)
     }
--- a/crates/poplarpaddle/src/path/assign.rs
+++ b/crates/poplarpaddle/src/path/assign.rs
@@ -1,6 +1,7 @@
 //! Changes of ownership and configuration.
 
 use std::collections::BTreeMap;
+use std::net::Ipv4Addr;
 use std::sync::Arc;
 
 use super::account::{Shard, Shards};
@@ -9,6 +10,7 @@
 use super::{Engine, Outlet, Source};
 use crate::admission::End;
 use crate::flow::{Flag, Slot, Stage};
+use crate::map;
 use crate::ownership::{Ownership, Place};
 use crate::time::Time;
 use crate::view::{Config, ServiceIndex};
@@ -46,15 +48,11 @@
 
     fn take_config(&mut self, config: Option<&Arc<Config>>) {
         let Some(config) = config else { return };
-        if self.config.as_ref().is_some_and(|current| Arc::ptr_eq(current, config)) {
-            return;
-        }
         self.ownership.set_config(config);
         self.config = Some(Arc::clone(config));
-        self.heard.retain(|host, _| {
-            let targets = config.services.iter().flat_map(|service| &service.targets);
-            targets.into_iter().any(|target| target.address == *host)
-        });
+        let mut hosts: map::Set<Ipv4Addr> = map::Set::with_hasher(map::state(config.seed));
+        hosts.extend(config.services.iter().flat_map(|service| &service.targets).map(|target| target.address));
+        self.heard.retain(|host, _| hosts.contains(host));
     }
 
     /// Keeps the gates of shards that stay, and makes new ones for the others.
@@ -80,6 +78,7 @@
 
     fn keep_or_make(&self, now: Time, kept: Option<Shard>, service: ServiceIndex, index: u16) -> Option<Shard> {
         let Some(mut shard) = kept else { return self.make_shard(now, service, index) };
+        shard.service = service;
         shard.gate.set_hosts(now, &self.hosts_of(service, index));
         Some(shard)
     }
--- a/crates/poplarpaddle/src/path/engine.rs
+++ b/crates/poplarpaddle/src/path/engine.rs
@@ -98,10 +98,15 @@
 
     /// Takes over a new view of the fleet. Entries of flows stay; shards and their gates follow the view.
     pub fn apply(&mut self, now: Time, view: &view::View, outlet: &mut dyn Outlet) {
+        let is_same = self.me == view.me && self.members == view.members && self.has_config(view.config.as_ref());
         self.me = view.me;
         self.members = Arc::clone(&view.members);
         self.hosts = Arc::clone(&view.hosts);
-        self.reassign(now, view.config.as_ref(), outlet);
+        if is_same {
+            self.refresh_hosts(now);
+        } else {
+            self.reassign(now, view.config.as_ref(), outlet);
+        }
         self.start_all(now, outlet);
     }
 
@@ -131,6 +136,14 @@
         entry.stage.is_bound().then_some(entry.target)
     }
 
+    fn has_config(&self, config: Option<&Arc<Config>>) -> bool {
+        match (&self.config, config) {
+            (Some(current), Some(offered)) => Arc::ptr_eq(current, offered),
+            (current, None) => current.is_some(),
+            (None, Some(_)) => false,
+        }
+    }
+
     pub(super) fn locate(&self, flow: &Flow) -> Result<Place, Reason> {
         let config = self.config.as_ref().ok_or(Reason::NoConfiguration)?;
         self.ownership.locate(config, flow).ok_or(Reason::UnknownService)
--- a/crates/poplarpaddle/src/path/probing.rs
+++ b/crates/poplarpaddle/src/path/probing.rs
@@ -22,7 +22,7 @@
             return self.discard(packet, Reason::NoTarget, outlet);
         }
         // A misplaced target may hold the connection, and its report may be wrong.
-        let is_partial = candidates.len() < placement::hosts(config, place);
+        let is_partial = candidates.len() < config.services[place.service.0 as usize].targets.len();
         if !self.holds.has_room(packet) || !self.make_room(now) {
             return self.discard(packet, Reason::HoldFull, outlet);
         }
--- a/crates/poplarpaddle/src/placement.rs
+++ b/crates/poplarpaddle/src/placement.rs
@@ -61,22 +61,16 @@
     u128::from(one.used) * u128::from(other.limit) < u128::from(other.used) * u128::from(one.limit)
 }
 
-/// Returns true when `target` belongs to the shard with this index.
-///
-/// Targets are dealt to the shards in the order of their names, so that shards differ by one target at most.
-#[must_use]
-pub fn is_dealt(service: &Service, number: usize, shard: u16) -> bool {
-    let configured = service.targets.iter().filter(|target| !target.released).count();
-    let shards = usize::from(service.shards.max(1));
-    let shard = usize::from(shard);
-    // With fewer targets than shards, some shards share a target.
-    number % shards == shard || (configured > 0 && shard >= configured && number == shard % configured)
-}
-
 /// Returns the targets of one shard.
+///
+/// Targets are dealt to the shards in the order of their names, so that shards differ by one target at most. With fewer
+/// targets than shards, some shards share a target.
 pub fn dealt(service: &Service, shard: u16) -> impl Iterator<Item = &Target> {
-    let configured = service.targets.iter().filter(|target| !target.released);
-    configured.enumerate().filter(move |(number, _)| is_dealt(service, *number, shard)).map(|(_, target)| target)
+    let configured = service.targets.partition_point(|target| !target.released);
+    let shard = usize::from(shard);
+    let first = if shard < configured { shard } else { shard % configured.max(1) };
+    let step = if shard < configured { usize::from(service.shards.max(1)) } else { configured.max(1) };
+    service.targets[..configured].iter().skip(first).step_by(step)
 }
 
 /// Returns true when packets of `service` may go to `address` at `port`.
@@ -123,12 +117,6 @@
     found
 }
 
-/// Returns the number of hosts that serve or lately served the service of a flow.
-#[must_use]
-pub fn hosts(config: &Config, place: &Place) -> usize {
-    order(place, config.services[place.service.0 as usize].targets.iter()).len()
-}
-
 fn remove_repeated(hosts: &mut Candidates, own: usize) {
     let first: Candidates = hosts[..own].into();
     let mut number = 0;
--- a/crates/poplarpaddle/tests/path/machine.rs
+++ b/crates/poplarpaddle/tests/path/machine.rs
@@ -9,6 +9,9 @@
 /// Balancers that the fleet starts with.
 const START: [u64; 3] = [1, 2, 3];
 
+/// Caller ports. Few, so that they are often used again.
+const FLOWS: u16 = 6;
+
 /// A change, or an act of a caller.
 #[derive(Debug, Clone, Copy)]
 enum Step {
@@ -26,6 +29,7 @@
     Inform(u64),
     Shed(u8, bool),
     Misplace(u8, bool),
+    Pause(u8, bool),
     Settle,
 }
 
@@ -43,20 +47,21 @@
 
     fn transitions(_state: &()) -> BoxedStrategy<Step> {
         prop_oneof![
-            5 => (0..12_u16).prop_map(Step::Open),
-            8 => (0..12_u16).prop_map(Step::Send),
-            1 => (0..12_u16).prop_map(Step::Close),
+            5 => (0..FLOWS).prop_map(Step::Open),
+            8 => (0..FLOWS).prop_map(Step::Send),
+            3 => (0..FLOWS).prop_map(Step::Close),
             5 => Just(Step::Deliver),
             4 => Just(Step::DeliverOne),
             1 => Just(Step::Lose),
             2 => Just(Step::Delay),
-            3 => (1..900_u64).prop_map(Step::Wait),
+            3 => (1..1500_u64).prop_map(Step::Wait),
             1 => (1..13_u64).prop_map(Step::Join),
             1 => (1..13_u64).prop_map(Step::Leave),
             1 => (1..13_u64).prop_map(Step::Kill),
             2 => (1..13_u64).prop_map(Step::Inform),
             1 => (0..4_u8, any::<bool>()).prop_map(|(host, on)| Step::Shed(host, on)),
             1 => (0..4_u8, any::<bool>()).prop_map(|(host, on)| Step::Misplace(host, on)),
+            1 => (0..4_u8, any::<bool>()).prop_map(|(host, on)| Step::Pause(host, on)),
             1 => Just(Step::Settle),
         ]
         .boxed()
@@ -93,6 +98,7 @@
             Step::Inform(id) => state.inform(id),
             Step::Shed(host, on) => state.shed(host, on),
             Step::Misplace(host, on) => state.misplace(host, on),
+            Step::Pause(host, on) => state.pause(host, on),
             Step::Settle => state.settle(),
         }
         state
--- a/crates/poplarpaddle/tests/path/recovery.rs
+++ b/crates/poplarpaddle/tests/path/recovery.rs
@@ -134,6 +134,18 @@
     assert_eq!(node.engine.target(&flow(1)), Some(asked));
 }
 
+/// Guards against a late packet of an earlier connection that tears down a new one on the same port.
+#[test]
+fn late_packet_does_not_disturb_a_new_opening() {
+    let mut node = node();
+    let late = data(flow(1), 900_000_000, 77, 10);
+    let target = probed(&node.fabric(&syn(flow(1), 100)));
+    assert_eq!(node.fabric(&late), [Act::Discard(Reason::UnknownFlow)], "pending");
+    assert_eq!(node.fabric(&syn_ack(flow(1), target, 500, 101)), [Act::Caller(Kind::Accept)]);
+    assert_eq!(node.fabric(&late), [Act::Discard(Reason::UnknownFlow)], "accepted");
+    assert_eq!(node.fabric(&data(flow(1), 101, 501, 0)), [Act::Target(target, Kind::Data, 101)]);
+}
+
 /// Guards against callers that wait for ever on a connection that a middlebox forgot.
 #[test]
 fn silent_connection_is_reset_at_both_ends() {
--- a/crates/poplarpaddle/tests/path/world.rs
+++ b/crates/poplarpaddle/tests/path/world.rs
@@ -78,6 +78,7 @@
     callers: BTreeMap<Flow, Caller>,
     transit: VecDeque<Transit>,
     shedding: BTreeSet<Ipv4Addr>,
+    paused: BTreeSet<Ipv4Addr>,
     issued: u32,
     chance: u64,
 }
@@ -146,6 +147,7 @@
             callers: BTreeMap::new(),
             transit: VecDeque::new(),
             shedding: BTreeSet::new(),
+            paused: BTreeSet::new(),
             issued: 0,
             chance: 1,
         };
@@ -207,6 +209,16 @@
         };
     }
 
+    /// A host stops to take packets, or goes on.
+    pub fn pause(&mut self, number: u8, is_paused: bool) {
+        let host = host(0, number % TARGETS[0]);
+        if is_paused {
+            self.paused.insert(host)
+        } else {
+            self.paused.remove(&host)
+        };
+    }
+
     /// A balancer learns of all changes so far.
     pub fn inform(&mut self, id: u64) {
         let (alive, leaving): (Vec<u64>, Vec<u64>) =
@@ -279,6 +291,7 @@
             Transit::Balancer(id, source, packet) => {
                 self.with(id, |engine, now, wire| engine.packet(now, source, &packet, wire));
             }
+            Transit::Target(target, _) if self.paused.contains(&target) => {}
             Transit::Target(target, packet) => self.target(target, &packet),
             Transit::Caller(packet) => self.caller(&packet),
         }
@@ -450,6 +463,7 @@
     pub fn settle(&mut self) {
         self.misplaced.clear();
         self.shedding.clear();
+        self.paused.clear();
         for _ in 0..4 {
             self.wait(600);
         }
