Move flows whenever the number of shards changes

Cause: when a service got another number of shards and this balancer kept the same shards, flows were not moved, and their work was finished at a gate where it had not started. The state machine test found it once it published configurations. Change: a changed layout always moves flows. Reply deadlines are at least 1 ms, since 0 would not end a tick.

--- a/crates/poplarpaddle/src/ownership.rs
+++ b/crates/poplarpaddle/src/ownership.rs
@@ -121,6 +121,14 @@
         map::hash(self.seed, flow)
     }
 
+    /// Returns true when both have the same services with the same numbers of shards.
+    #[must_use]
+    pub fn has_layout_of(&self, other: &Self) -> bool {
+        let same =
+            |(one, other): (&Service, &Service)| one.name == other.name && one.shards.len() == other.shards.len();
+        self.services.len() == other.services.len() && self.services.iter().zip(&other.services).all(same)
+    }
+
     /// Returns true when both hash flows alike.
     #[must_use]
     pub const fn hashes_as(&self, other: &Self) -> bool {
--- a/crates/poplarpaddle/src/path/assign.rs
+++ b/crates/poplarpaddle/src/path/assign.rs
@@ -45,6 +45,8 @@
         self.ownership.set_members(&members);
         self.take_shards(now, &mut before, outlet);
         let is_same = before.shards.0.is_empty() && before.keys.len() == self.shards.0.len();
+        // Another number of shards moves flows even between shards that stay here.
+        let is_same = is_same && self.ownership.has_layout_of(&before.ownership);
         if !is_same {
             let displaced = self.move_flows(now, &mut before);
             self.report_lost(now, &before, outlet);
--- a/crates/poplarpaddle/src/path/engine.rs
+++ b/crates/poplarpaddle/src/path/engine.rs
@@ -2,6 +2,7 @@
 
 use std::net::Ipv4Addr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use super::account::Shards;
 use super::hold::Holds;
@@ -18,6 +19,9 @@
 use crate::time::Time;
 use crate::view::{self, Config, Host, Presence};
 
+/// Shortest time for a reply. A deadline that is due at once would be set again without end in one tick.
+const SHORTEST: Duration = Duration::from_millis(1);
+
 /// Decides about each packet of one balancer.
 #[derive(Debug)]
 pub struct Engine {
@@ -42,7 +46,9 @@
     /// Returns an engine without configuration and flows.
     #[must_use]
     pub fn new(settings: Settings) -> Self {
-        let Settings { me, seed, bounds, timings, gates } = settings;
+        let Settings { me, seed, bounds, mut timings, gates } = settings;
+        timings.opening_reply = timings.opening_reply.max(SHORTEST);
+        timings.probe_reply = timings.probe_reply.max(SHORTEST);
         Self {
             timings,
             gates,
--- a/crates/poplarpaddle/tests/path/accounts.rs
+++ b/crates/poplarpaddle/tests/path/accounts.rs
@@ -14,8 +14,7 @@
     Node::new(settings, &view(1, &config(&[1, 1], 1), &members(&[1], &[]), &[]))
 }
 
-fn target(caller: u16, kind: Kind, sequence: u32) -> Act {
-    let _ = caller;
+fn target(kind: Kind, sequence: u32) -> Act {
     Act::Target(host(0, 0), kind, sequence)
 }
 
@@ -33,9 +32,9 @@
     node.open(flow(2));
     assert_eq!(node.fabric(&data(flow(1), 101, 510, 10)), [], "the host is full");
     assert_eq!(node.fabric(&data(flow(1), 111, 510, 10)), [], "behind the first segment");
-    assert_eq!(node.fabric(&data(flow(1), 121, 510, 0)), [target(1, Kind::Data, 121)], "no payload to overtake");
+    assert_eq!(node.fabric(&data(flow(1), 121, 510, 0)), [target(Kind::Data, 121)], "no payload to overtake");
     let acts = first_answer(&mut node, 2);
-    assert_eq!(acts, [Act::Caller(Kind::Data), target(1, Kind::Data, 101), target(1, Kind::Data, 111)]);
+    assert_eq!(acts, [Act::Caller(Kind::Data), target(Kind::Data, 101), target(Kind::Data, 111)]);
 }
 
 /// Guards against payload of an established flow that is refused, and against held bytes that stay.
@@ -71,12 +70,12 @@
             node.fabric(&data(flow(1), 101, 501, 10));
         }
         node.wait(millis);
-        assert_eq!(node.fabric(&syn(flow(2), 100)), [target(2, Kind::Opening, 100)], "{name}");
+        assert_eq!(node.fabric(&syn(flow(2), 100)), [target(Kind::Opening, 100)], "{name}");
     }
     let mut node = node(Bounds::default());
     node.open(flow(1));
     node.fabric(&reset(flow(1), host(0, 0), 101));
-    assert_eq!(node.fabric(&syn(flow(2), 100)), [target(2, Kind::Opening, 100)], "reset");
+    assert_eq!(node.fabric(&syn(flow(2), 100)), [target(Kind::Opening, 100)], "reset");
 }
 
 /// Guards against a shed opening that is neither tried again nor refused, and against one that is refused twice.
@@ -96,13 +95,13 @@
 fn repeated_and_new_openings() {
     let mut node = node(Bounds::default());
     node.fabric(&syn(flow(1), 100));
-    assert_eq!(node.fabric(&syn(flow(1), 100)), [target(1, Kind::Opening, 100)], "repeat while pending");
+    assert_eq!(node.fabric(&syn(flow(1), 100)), [target(Kind::Opening, 100)], "repeat while pending");
     node.fabric(&syn_ack(flow(1), host(0, 0), 500, 101));
-    assert_eq!(node.fabric(&syn(flow(1), 100)), [target(1, Kind::Opening, 100)], "repeat while accepted");
+    assert_eq!(node.fabric(&syn(flow(1), 100)), [target(Kind::Opening, 100)], "repeat while accepted");
     node.fabric(&data(flow(1), 101, 501, 0));
     let placed = node.engine.counters().placed;
     node.fabric(&reset(flow(1), host(0, 0), 101));
-    assert_eq!(node.fabric(&syn(flow(1), 77_000)), [target(1, Kind::Opening, 77_000)], "new after the end");
+    assert_eq!(node.fabric(&syn(flow(1), 77_000)), [target(Kind::Opening, 77_000)], "new after the end");
     assert_eq!(node.engine.counters().placed, placed + 1);
 }
 
--- a/crates/poplarpaddle/tests/path/fleet.rs
+++ b/crates/poplarpaddle/tests/path/fleet.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use poplarpaddle::map;
+use poplarpaddle::ownership::Ownership;
 use poplarpaddle::packet::{Kind, View};
 use poplarpaddle::path::{Engine, Settings};
 use poplarpaddle::prelude::*;
@@ -68,6 +69,14 @@
     }
 }
 
+/// Returns the owner of flow 1 among members.
+pub fn owner(config: &Config, alive: &[u64]) -> u64 {
+    let mut ownership = Ownership::default();
+    ownership.set_members(&members(alive, &[]));
+    ownership.set_config(config);
+    ownership.locate(config, &flow(1)).expect("a service").owner.expect("an owner").0
+}
+
 /// Returns members with these ids.
 pub fn members(alive: &[u64], leaving: &[u64]) -> Arc<[Member]> {
     let alive = alive.iter().map(|id| (*id, Presence::Alive));
--- a/crates/poplarpaddle/tests/path/machine.rs
+++ b/crates/poplarpaddle/tests/path/machine.rs
@@ -1,4 +1,4 @@
-//! Random changes of members, hosts and flows against several engines.
+//! Random changes of members, configuration, hosts and flows against several engines.
 
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
@@ -30,6 +30,7 @@
     Shed(u8, bool),
     Misplace(u8, bool),
     Pause(u8, bool),
+    Configure(u16, usize),
     Settle,
 }
 
@@ -62,6 +63,7 @@
             1 => (0..4_u8, any::<bool>()).prop_map(|(host, on)| Step::Shed(host, on)),
             1 => (0..4_u8, any::<bool>()).prop_map(|(host, on)| Step::Misplace(host, on)),
             1 => (0..4_u8, any::<bool>()).prop_map(|(host, on)| Step::Pause(host, on)),
+            1 => (1..4_u16, 0..3_usize).prop_map(|(shards, released)| Step::Configure(shards, released)),
             1 => Just(Step::Settle),
         ]
         .boxed()
@@ -99,6 +101,7 @@
             Step::Shed(host, on) => state.shed(host, on),
             Step::Misplace(host, on) => state.misplace(host, on),
             Step::Pause(host, on) => state.pause(host, on),
+            Step::Configure(shards, released) => state.configure(shards, released),
             Step::Settle => state.settle(),
         }
         state
--- a/crates/poplarpaddle/tests/path/ownership.rs
+++ b/crates/poplarpaddle/tests/path/ownership.rs
@@ -1,26 +1,17 @@
 //! Changes of ownership and configuration between engines.
 
-use poplarpaddle::map;
 use poplarpaddle::ownership::Ownership;
 use poplarpaddle::packet::Kind;
 use poplarpaddle::path::{Hop, MemberId, Settings, Source};
 use poplarpaddle::view::Config;
 
-use crate::fleet::{Act, Node, answer, config, data, flow, members, reset, syn, syn_ack, view};
+use crate::fleet::{Act, Node, answer, config, data, flow, members, owner, reset, syn, syn_ack, view};
 
 fn node(id: u64, config: &Config, alive: &[u64], leaving: &[u64]) -> Node {
     let settings = Settings { me: MemberId(id), ..Default::default() };
     Node::new(settings, &view(id, config, &members(alive, leaving), &[]))
 }
 
-/// Returns the owner of flow 1 among members.
-fn owner(config: &Config, alive: &[u64]) -> u64 {
-    let mut ownership = Ownership::default();
-    ownership.set_members(&members(alive, &[]));
-    ownership.set_config(config);
-    ownership.locate(config, &flow(1)).expect("a service").owner.expect("an owner").0
-}
-
 /// Guards against flows that break when their owner leaves: the former owner forwards until the new one has learned.
 #[test]
 fn former_owner_that_lives_forwards() {
@@ -181,5 +172,4 @@
     let target = crate::fleet::host(0, 0);
     assert_eq!(node.fabric(&syn_ack(flow(1), target, 1, 2)), [Act::Discard(Reason::NoOwner)]);
     assert_eq!(node.fabric(&reset(flow(1), target, 2)), [Act::Discard(Reason::NoOwner)]);
-    let _ = map::seeded::<u8, u8>(1);
 }
--- a/crates/poplarpaddle/tests/path/recovery.rs
+++ b/crates/poplarpaddle/tests/path/recovery.rs
@@ -6,7 +6,7 @@
 use poplarpaddle::path::{Hop, MemberId, Reason, Settings, Source};
 use poplarpaddle::view::HostState;
 
-use crate::fleet::{Act, Node, answer, config, data, flow, host, members, reset, syn, syn_ack, view};
+use crate::fleet::{Act, Node, answer, config, data, flow, host, members, owner, reset, syn, syn_ack, view};
 
 fn node() -> Node {
     Node::new(Settings::default(), &view(1, &config(&[4, 2], 1), &members(&[1], &[]), &[]))
@@ -88,14 +88,13 @@
 fn endpoint_of_another_service_gets_no_packet() {
     let (mut config, members) = (config(&[4, 2], 1), members(&[1], &[]));
     let mut node = Node::new(Settings::default(), &view(1, &config, &members, &[]));
-    let target = node.open(flow(1));
+    node.open(flow(1));
     for index in config.endpoints.values_mut() {
         index.0 = 1;
     }
     node.apply(&view(1, &config, &members, &[]));
     assert_eq!(node.fabric(&data(flow(1), 101, 501, 10)), [Act::ResetCaller(Reason::WrongTarget)]);
     assert_eq!(node.fabric(&syn(flow(2), 7)), [Act::Refuse(Reason::NoTarget)]);
-    let _ = target;
 }
 
 /// Guards against a second target that disturbs a bound flow, as after one opening at two owners.
@@ -184,13 +183,7 @@
     let config = config(&[4, 2], 1);
     let all = members(&[1, 2], &[]);
     let flow = flow(1);
-    let owner = if Node::new(Settings::default(), &view(1, &config, &all, &[])).fabric(&syn(flow, 1))
-        == [Act::Relay(MemberId(2), Hop::Owner)]
-    {
-        2
-    } else {
-        1
-    };
+    let owner = owner(&config, &[1, 2]);
     let other = MemberId(3 - owner);
     let mut node = Node::new(Settings { me: MemberId(owner), ..Default::default() }, &view(owner, &config, &all, &[]));
     let segment = data(flow, 700, 900, 10);
--- a/crates/poplarpaddle/tests/path/world.rs
+++ b/crates/poplarpaddle/tests/path/world.rs
@@ -7,9 +7,9 @@
 use poplarpaddle::packet::{Kind, View};
 use poplarpaddle::path::{Bounds, Engine, Settings};
 use poplarpaddle::prelude::*;
-use poplarpaddle::view::{Config, HostState};
+use poplarpaddle::view::{self, Config, HostState};
 
-use crate::fleet::{config, flow, host, members, service, view};
+use crate::fleet::{config, flow, host, members, service, view as view_of};
 use crate::gate::Narrow;
 
 /// Bytes of a request and of an answer.
@@ -64,7 +64,7 @@
 #[derive(Debug)]
 pub struct World {
     now: Time,
-    config: Config,
+    config: Arc<Config>,
     engines: BTreeMap<u64, Engine>,
     joined: BTreeSet<u64>,
     alive: BTreeSet<u64>,
@@ -135,7 +135,7 @@
     pub fn new(ids: &[u64]) -> Self {
         let mut world = Self {
             now: Time::from_millis(1000),
-            config: config(&TARGETS, 2),
+            config: Arc::new(config(&TARGETS, 2)),
             engines: BTreeMap::new(),
             joined: ids.iter().copied().collect(),
             alive: ids.iter().copied().collect(),
@@ -192,31 +192,29 @@
     /// A host reports another service, or reports right again.
     pub fn misplace(&mut self, number: u8, is_misplaced: bool) {
         let host = host(0, number % TARGETS[0]);
-        if is_misplaced {
-            self.misplaced.insert(host)
-        } else {
-            self.misplaced.remove(&host)
-        };
+        toggle(&mut self.misplaced, host, is_misplaced);
     }
 
     /// A host begins or ends to refuse openings.
     pub fn shed(&mut self, number: u8, is_shedding: bool) {
         let host = host(0, number % TARGETS[0]);
-        if is_shedding {
-            self.shedding.insert(host)
-        } else {
-            self.shedding.remove(&host)
-        };
+        toggle(&mut self.shedding, host, is_shedding);
+    }
+
+    /// A configuration with another number of shards is published, in which the last targets have left the service.
+    pub fn configure(&mut self, shards: u16, released: usize) {
+        let config = Arc::make_mut(&mut self.config);
+        config.generation += 1;
+        config.services[0].shards = shards;
+        for (number, target) in config.services[0].targets.iter_mut().rev().enumerate() {
+            target.released = number < released;
+        }
     }
 
     /// A host stops to take packets, or goes on.
     pub fn pause(&mut self, number: u8, is_paused: bool) {
         let host = host(0, number % TARGETS[0]);
-        if is_paused {
-            self.paused.insert(host)
-        } else {
-            self.paused.remove(&host)
-        };
+        toggle(&mut self.paused, host, is_paused);
     }
 
     /// A balancer learns of all changes so far.
@@ -225,7 +223,8 @@
             (self.alive.iter().copied().collect(), self.leaving.iter().copied().collect());
         let states: Vec<(Ipv4Addr, HostState)> =
             self.misplaced.iter().map(|host| (*host, HostState::Misplaced)).collect();
-        let view = view(id, &self.config, &members(&alive, &leaving), &states);
+        let config = Some(Arc::clone(&self.config));
+        let view = view::View { config, ..view_of(id, &self.config, &members(&alive, &leaving), &states) };
         self.barred.insert(id, self.misplaced.clone());
         self.with(id, |engine, now, wire| engine.apply(now, &view, wire));
     }
@@ -517,6 +516,11 @@
     }
 }
 
+fn toggle(hosts: &mut BTreeSet<Ipv4Addr>, host: Ipv4Addr, is_in: bool) {
+    hosts.retain(|other| *other != host);
+    hosts.extend(is_in.then_some(host));
+}
+
 fn from_caller(flow: Flow, caller: &Caller, kind: Kind, sequence: u32, payload: u32) -> View<'static> {
     let view = View::new(flow, Direction::FromCaller, kind, &[]);
     View { sequence, acknowledgement: caller.received, payload, end: payload > 0, ..view }
