--- a/crates/poplarpaddle/src/ownership.rs
+++ b/crates/poplarpaddle/src/ownership.rs
@@ -76,8 +76,9 @@
     /// Takes over new members.
     pub fn set_members(&mut self, members: &[Member]) {
         let owners = owners_of(members);
-        let joined: Vec<MemberId> = owners.iter().copied().filter(|id| !self.owners.contains(id)).collect();
-        self.reachable = members.iter().map(|member| member.id).collect();
+        let is_new = |id: &MemberId| self.owners.binary_search(id).is_err();
+        let joined: Vec<MemberId> = owners.iter().copied().filter(is_new).collect();
+        self.reachable = sorted(members.iter().map(|member| member.id));
         let first = self.owners.is_empty();
         self.owners = owners;
         let (owners, reachable) = (&self.owners, &self.reachable);
@@ -111,8 +112,33 @@
     #[must_use]
     pub fn locate(&self, config: &Config, flow: &Flow) -> Option<Place> {
         let service = *config.addresses.get(&flow.service)?;
+        self.locate_in(service, self.hash(flow))
+    }
+
+    /// Returns the hash of a flow, equal on every balancer.
+    #[must_use]
+    pub fn hash(&self, flow: &Flow) -> u64 {
+        map::hash(self.seed, flow)
+    }
+
+    /// Returns true when both have the same services with the same numbers of shards.
+    #[must_use]
+    pub fn has_layout_of(&self, other: &Self) -> bool {
+        let same =
+            |(one, other): (&Service, &Service)| one.name == other.name && one.shards.len() == other.shards.len();
+        self.services.len() == other.services.len() && self.services.iter().zip(&other.services).all(same)
+    }
+
+    /// Returns true when both hash flows alike.
+    #[must_use]
+    pub const fn hashes_as(&self, other: &Self) -> bool {
+        self.seed == other.seed
+    }
+
+    /// Returns where a flow of `service` with this hash belongs.
+    #[must_use]
+    pub fn locate_in(&self, service: ServiceIndex, hash: u64) -> Option<Place> {
         let shards = &self.services.get(service.0 as usize)?.shards;
-        let hash = map::hash(self.seed, flow);
         let shard = position(hash, shards.len());
         let Shard { key, owner, .. } = shards[shard];
         Some(Place { service, hash, shard: u16::try_from(shard).unwrap_or(u16::MAX), key, owner })
@@ -150,7 +176,7 @@
     /// Returns true when `member` can be reached.
     #[must_use]
     pub fn reaches(&self, member: MemberId) -> bool {
-        self.reachable.contains(&member)
+        self.reachable.binary_search(&member).is_ok()
     }
 
     fn compile(&self, name: &str, count: u16, known: Service) -> Service {
@@ -191,7 +217,7 @@
     /// Follows a change of members.
     fn update(&mut self, owners: &[MemberId], joined: &[MemberId]) {
         let before = self.owner;
-        if before.is_none_or(|owner| !owners.contains(&owner)) {
+        if before.is_none_or(|owner| owners.binary_search(&owner).is_err()) {
             self.choose(owners);
         } else {
             for member in joined {
@@ -230,8 +256,14 @@
 
 fn owners_of(members: &[Member]) -> Vec<MemberId> {
     let alive = members.iter().filter(|member| member.presence == Presence::Alive);
-    let owners: Vec<MemberId> = alive.map(|member| member.id).collect();
-    if owners.is_empty() { members.iter().map(|member| member.id).collect() } else { owners }
+    let owners = sorted(alive.map(|member| member.id));
+    if owners.is_empty() { sorted(members.iter().map(|member| member.id)) } else { owners }
+}
+
+fn sorted(members: impl Iterator<Item = MemberId>) -> Vec<MemberId> {
+    let mut members: Vec<MemberId> = members.collect();
+    members.sort_unstable();
+    members
 }
 
 fn weight(key: u64, member: MemberId) -> u64 {
--- a/crates/poplarpaddle/src/path/assign.rs
+++ b/crates/poplarpaddle/src/path/assign.rs
@@ -1,6 +1,7 @@
 //! Changes of ownership and configuration.
 
 use std::collections::BTreeMap;
+use std::net::Ipv4Addr;
 use std::sync::Arc;
 
 use super::account::{Shard, Shards};
@@ -9,7 +10,9 @@
 use super::{Engine, Outlet, Source};
 use crate::admission::End;
 use crate::flow::{Flag, Slot, Stage};
+use crate::map;
 use crate::ownership::{Ownership, Place};
+use crate::packet::Flow;
 use crate::time::Time;
 use crate::view::{Config, ServiceIndex};
 
@@ -21,6 +24,13 @@
     shards: Shards,
 }
 
+impl Before {
+    fn locate(&self, flow: &Flow, hash: u64) -> Option<Place> {
+        let service = *self.config.as_ref()?.addresses.get(&flow.service)?;
+        self.ownership.locate_in(service, hash)
+    }
+}
+
 impl Engine {
     /// Follows a change of members, configuration or hosts.
     pub(super) fn reassign(&mut self, now: Time, config: Option<&Arc<Config>>, outlet: &mut dyn Outlet) {
@@ -35,6 +45,8 @@
         self.ownership.set_members(&members);
         self.take_shards(now, &mut before, outlet);
         let is_same = before.shards.0.is_empty() && before.keys.len() == self.shards.0.len();
+        // Another number of shards moves flows even between shards that stay here.
+        let is_same = is_same && self.ownership.has_layout_of(&before.ownership);
         if !is_same {
             let displaced = self.move_flows(now, &mut before);
             self.report_lost(now, &before, outlet);
@@ -46,15 +58,11 @@
 
     fn take_config(&mut self, config: Option<&Arc<Config>>) {
         let Some(config) = config else { return };
-        if self.config.as_ref().is_some_and(|current| Arc::ptr_eq(current, config)) {
-            return;
-        }
         self.ownership.set_config(config);
         self.config = Some(Arc::clone(config));
-        self.heard.retain(|host, _| {
-            let targets = config.services.iter().flat_map(|service| &service.targets);
-            targets.into_iter().any(|target| target.address == *host)
-        });
+        let mut hosts: map::Set<Ipv4Addr> = map::Set::with_hasher(map::state(config.seed));
+        hosts.extend(config.services.iter().flat_map(|service| &service.targets).map(|target| target.address));
+        self.heard.retain(|host, _| hosts.contains(host));
     }
 
     /// Keeps the gates of shards that stay, and makes new ones for the others.
@@ -80,6 +88,7 @@
 
     fn keep_or_make(&self, now: Time, kept: Option<Shard>, service: ServiceIndex, index: u16) -> Option<Shard> {
         let Some(mut shard) = kept else { return self.make_shard(now, service, index) };
+        shard.service = service;
         shard.gate.set_hosts(now, &self.hosts_of(service, index));
         Some(shard)
     }
@@ -94,12 +103,14 @@
     /// Moves every flow to the gate of its shard and returns the held packets that have to be handled anew.
     fn move_flows(&mut self, now: Time, before: &mut Before) -> Vec<Held> {
         let mut displaced = Vec::new();
+        let same_hash = self.ownership.hashes_as(&before.ownership);
         for slot in (0..self.table.slots()).map(Slot) {
             let Some(entry) = self.table.at(slot) else { continue };
             let flow = entry.flow;
-            let old = before.config.as_ref().and_then(|config| before.ownership.locate(config, &flow));
-            let old = old.filter(|place| before.keys.contains(&place.key));
-            let new = self.locate(&flow).ok().filter(|place| self.shards.0.contains_key(&place.key));
+            let new = self.locate(&flow).ok();
+            let hash = new.filter(|_| same_hash).map_or_else(|| before.ownership.hash(&flow), |place| place.hash);
+            let old = before.locate(&flow, hash).filter(|place| before.keys.contains(&place.key));
+            let new = new.filter(|place| self.shards.0.contains_key(&place.key));
             match (old, new) {
                 (Some(old), Some(new)) if old.key == new.key && !before.shards.0.contains_key(&old.key) => {}
                 (Some(old), Some(new)) => self.move_flow(now, before, slot, old.key, &new, &mut displaced),
--- a/crates/poplarpaddle/src/path/engine.rs
+++ b/crates/poplarpaddle/src/path/engine.rs
@@ -2,6 +2,7 @@
 
 use std::net::Ipv4Addr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use super::account::Shards;
 use super::hold::Holds;
@@ -18,6 +19,9 @@
 use crate::time::Time;
 use crate::view::{self, Config, Host, Presence};
 
+/// Shortest time for a reply. A deadline that is due at once would be set again without end in one tick.
+const SHORTEST: Duration = Duration::from_millis(1);
+
 /// Decides about each packet of one balancer.
 #[derive(Debug)]
 pub struct Engine {
@@ -42,7 +46,9 @@
     /// Returns an engine without configuration and flows.
     #[must_use]
     pub fn new(settings: Settings) -> Self {
-        let Settings { me, seed, bounds, timings, gates } = settings;
+        let Settings { me, seed, bounds, mut timings, gates } = settings;
+        timings.opening_reply = timings.opening_reply.max(SHORTEST);
+        timings.probe_reply = timings.probe_reply.max(SHORTEST);
         Self {
             timings,
             gates,
@@ -98,10 +104,15 @@
 
     /// Takes over a new view of the fleet. Entries of flows stay; shards and their gates follow the view.
     pub fn apply(&mut self, now: Time, view: &view::View, outlet: &mut dyn Outlet) {
+        let is_same = self.me == view.me && self.members == view.members && self.has_config(view.config.as_ref());
         self.me = view.me;
         self.members = Arc::clone(&view.members);
         self.hosts = Arc::clone(&view.hosts);
-        self.reassign(now, view.config.as_ref(), outlet);
+        if is_same {
+            self.refresh_hosts(now);
+        } else {
+            self.reassign(now, view.config.as_ref(), outlet);
+        }
         self.start_all(now, outlet);
     }
 
@@ -131,6 +142,14 @@
         entry.stage.is_bound().then_some(entry.target)
     }
 
+    fn has_config(&self, config: Option<&Arc<Config>>) -> bool {
+        match (&self.config, config) {
+            (Some(current), Some(offered)) => Arc::ptr_eq(current, offered),
+            (current, None) => current.is_some(),
+            (None, Some(_)) => false,
+        }
+    }
+
     pub(super) fn locate(&self, flow: &Flow) -> Result<Place, Reason> {
         let config = self.config.as_ref().ok_or(Reason::NoConfiguration)?;
         self.ownership.locate(config, flow).ok_or(Reason::UnknownService)
