Show a new generation in the zone status within 7 s; tell peers of the end of a balancer

Cause: the status was written every 10 s only, so poplarctl status showed zones as behind for up to 11 s after a change that was in force. Peers found the end of a leaving balancer by their pings. Change: a lease holder writes the status 2 s after a new generation; the daemon calls Node::stop after its drain time. config and control now share the types Digest and Offer.

--- a/crates/poplarpaddle-balancer/src/control.rs
+++ b/crates/poplarpaddle-balancer/src/control.rs
@@ -42,6 +42,8 @@
     Status(oneshot::Sender<Status>),
     /// Announces that this balancer leaves.
     Leave,
+    /// Announces that this balancer is gone from now on; answers once the messages are on their way.
+    Stop(oneshot::Sender<()>),
     /// Outcome of an action.
     Done(Outcome),
 }
@@ -123,9 +125,14 @@
         match request {
             Request::Gossip(message, answer) => drop(answer.send(self.node.message(now, &message))),
             Request::Manifest(answer) => drop(answer.send(self.node.manifest().map(<[u8]>::to_vec))),
-            Request::Part(digest, answer) => drop(answer.send(self.node.part(&digest.into()).map(<[u8]>::to_vec))),
+            Request::Part(digest, answer) => drop(answer.send(self.node.part(&digest).map(<[u8]>::to_vec))),
             Request::Status(answer) => drop(answer.send(self.node.status(now))),
             Request::Leave => self.node.leave(now),
+            Request::Stop(done) => {
+                self.node.stop(now);
+                self.act(now);
+                let _outcome: std::result::Result<(), ()> = done.send(());
+            }
             Request::Done(outcome) => self.done(now, &outcome),
         }
     }
@@ -136,7 +143,7 @@
             Outcome::Store(id, outcome) => Answer::Store { id: *id, outcome },
             Outcome::Manifest(peer, outcome) => Answer::Manifest { peer: *peer, outcome: outcome.as_deref() },
             Outcome::Part(peer, digest, outcome) => {
-                Answer::Part { peer: *peer, digest: (*digest).into(), outcome: outcome.as_deref() }
+                Answer::Part { peer: *peer, digest: *digest, outcome: outcome.as_deref() }
             }
             Outcome::Load(host, outcome) => Answer::Load { host: *host, outcome: outcome.as_deref() },
         };
@@ -220,7 +227,6 @@
                 Outcome::Manifest(peer, self.peer.fetch(peer, "/peer/manifest", fetch).await)
             }
             Action::FetchPart { peer, digest } => {
-                let digest = Digest::from(digest);
                 let path = format!("/peer/part/{digest}");
                 Outcome::Part(peer, digest, self.peer.fetch(peer, &path, fetch).await)
             }
--- a/crates/poplarpaddle-balancer/src/daemon.rs
+++ b/crates/poplarpaddle-balancer/src/daemon.rs
@@ -28,6 +28,9 @@
 /// Longest time for handing on held packets, in seconds.
 const DRAIN_SECONDS: u64 = 2;
 
+/// Time for the last messages to peers, in milliseconds.
+const FAREWELL_MS: u64 = 100;
+
 /// Runs a balancer until SIGTERM or SIGINT, then hands over and returns.
 ///
 /// # Errors
@@ -102,6 +105,11 @@
     let drained = tokio::time::timeout(Duration::from_secs(DRAIN_SECONDS), drained).await;
     drained.wrap_err("held packets were not handed on in time")?.wrap_err("the data path ended")?;
     tokio::time::sleep(clock.until(deadline)).await;
+    let (done, stopped) = oneshot::channel();
+    requests.send(Request::Stop(done))?;
+    stopped.await.wrap_err("the control task ended")?;
+    // Without this time the last messages would end with the process, and peers would find out by their pings only.
+    tokio::time::sleep(Duration::from_millis(FAREWELL_MS)).await;
     Ok(())
 }
 
--- a/crates/poplarpaddle/src/config.rs
+++ b/crates/poplarpaddle/src/config.rs
@@ -18,7 +18,6 @@
 //! field names to make up for it.
 
 mod compile;
-mod configuration;
 mod digest;
 mod manifest;
 mod part;
--- a/crates/poplarpaddle/src/config/state.rs
+++ b/crates/poplarpaddle/src/config/state.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use super::{Digest, MAX_TOTAL_BYTES, Manifest, Part, compile};
+use crate::control::Configuration;
 use crate::error::{Error, Kind, Result};
 use crate::map::{Map, seeded};
 use crate::view;
@@ -209,3 +210,33 @@
         Part::decode(bytes)
     }
 }
+
+impl Configuration for State {
+    fn offer(&mut self, manifest: &[u8]) -> Result<Offer> {
+        Self::offer(self, manifest)
+    }
+
+    fn supply(&mut self, part: &[u8]) -> Result<Offer> {
+        Self::supply(self, part)
+    }
+
+    fn generation(&self) -> u64 {
+        Self::generation(self)
+    }
+
+    fn digest(&self) -> Digest {
+        Self::digest(self)
+    }
+
+    fn manifest(&self) -> Option<&[u8]> {
+        Self::manifest(self)
+    }
+
+    fn part(&self, digest: &Digest) -> Option<&[u8]> {
+        Self::part(self, digest)
+    }
+
+    fn current(&self) -> Option<&Arc<view::Config>> {
+        Self::current(self)
+    }
+}
--- a/crates/poplarpaddle/src/control.rs
+++ b/crates/poplarpaddle/src/control.rs
@@ -27,6 +27,7 @@
 mod spread;
 mod status;
 
+pub use crate::config::{Digest, Offer};
 pub use action::{Action, Answer, CallId};
 use departure::Departures;
 use relay::Relay;
@@ -34,22 +35,6 @@
 use spread::Spread;
 pub use status::{Lease, Member, Status, Target};
 
-/// blake3 digest of a manifest or a part.
-pub type Digest = [u8; 32];
-
-/// What became of offered or supplied bytes.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Offer {
-    /// The generation is lower than the one in force.
-    Stale,
-    /// The generation is in force already.
-    Current,
-    /// These parts are needed first.
-    Missing(Vec<Digest>),
-    /// The generation is in force from now on.
-    Applied,
-}
-
 /// Configuration of a node. It verifies what peers and the store offer.
 pub trait Configuration: Send {
     /// Offers the bytes of a manifest.
@@ -234,7 +219,7 @@
         self.membership.receive(now, gossip);
         self.spread.heard(&gossip.sender, gossip.generation);
         let generation = self.config.generation();
-        let differs = gossip.generation == generation && gossip.digest != self.config.digest();
+        let differs = gossip.generation == generation && Digest::from(gossip.digest) != self.config.digest();
         if differs && generation > 0 && self.spread.conflicts(gossip.sender.id, generation) {
             // Publishing rules this out; it takes a restored store or two stores.
             self.event(now, "config.conflict", generation.to_string(), format!("differs at {}", gossip.sender.name));
@@ -280,7 +265,7 @@
             version: wire::VERSION,
             sender: self.membership.me().clone(),
             generation: self.config.generation(),
-            digest: self.config.digest(),
+            digest: self.config.digest().into(),
             table: self.membership.digest(),
             updates,
             leaving: self.departures.share(now, self.membership.retransmissions()),
--- a/crates/poplarpaddle/src/control/relay.rs
+++ b/crates/poplarpaddle/src/control/relay.rs
@@ -86,7 +86,7 @@
     watch: Repeated,
     manifest_version: u64,
     vms: Repeated,
-    reporter: Reporter,
+    pub(super) reporter: Reporter,
     part_retry: Time,
     contend_from: Time,
     /// True when this node is one of the contenders of its zone.
@@ -262,7 +262,7 @@
             return;
         }
         for digest in self.spread.start_parts(None, now + millis(self.settings.call_ms) + GRACE) {
-            let (kind, name) = ("part".to_owned(), blake3::Hash::from_bytes(digest).to_hex().to_string());
+            let (kind, name) = ("part".to_owned(), digest.to_string());
             self.call(now, Purpose::Part(digest), self.settings.call_ms, Call::Get { kind, name });
         }
     }
@@ -279,7 +279,7 @@
         };
         if let Err(text) = result {
             self.relay.part_retry = now + millis(self.settings.store_retry_ms);
-            let name = blake3::Hash::from_bytes(digest).to_hex().to_string();
+            let name = digest.to_string();
             self.event(now, "config.part-failed", name, text);
         }
     }
--- a/crates/poplarpaddle/src/control/relay/report.rs
+++ b/crates/poplarpaddle/src/control/relay/report.rs
@@ -14,6 +14,9 @@
 /// Kind of status objects in the store.
 const KIND: &str = "status";
 
+/// Time from a new generation to the next write, so that the members of the zone have it in force by then.
+const GENERATION_DELAY_MS: u64 = 2000;
+
 /// A member in the status of a zone.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 struct Member {
@@ -40,12 +43,19 @@
 
 /// State of the writing of the status.
 #[derive(Debug, Default)]
-pub(super) struct Reporter {
+pub(in crate::control) struct Reporter {
     pub(super) repeated: Repeated,
     /// Version at the last read.
     seen: u64,
 }
 
+impl Reporter {
+    /// Writes soon after a new generation, so that an operator need not wait for the period to see it in force.
+    pub(in crate::control) fn hasten(&mut self, now: Time) {
+        self.repeated.next = self.repeated.next.min(now + millis(GENERATION_DELAY_MS));
+    }
+}
+
 impl Node {
     pub(super) fn read_status(&mut self, now: Time) {
         self.relay.reporter.repeated.start(now);
@@ -63,7 +73,8 @@
         let old = object.as_ref().and_then(|object| serde_json::from_value::<Status>(object.value.clone()).ok());
         let fresh = std::mem::replace(&mut self.relay.reporter.seen, version) != version;
         let me = self.settings.id.to_string();
-        if fresh && old.as_ref().is_some_and(|old| old.writer != me && !self.is_old(now, old)) {
+        let is_current = |old: &Status| old.generation >= self.config.generation() && !self.is_old(now, old);
+        if fresh && old.as_ref().is_some_and(|old| old.writer != me && is_current(old)) {
             // The other holder wrote it within the period.
             return;
         }
--- a/crates/poplarpaddle/src/control/spread.rs
+++ b/crates/poplarpaddle/src/control/spread.rs
@@ -264,9 +264,9 @@
 
     /// Supplies the part `digest`.
     pub(super) fn supply(&mut self, now: Time, digest: Digest, bytes: &[u8]) -> Result<Offer> {
-        let found = blake3::hash(bytes);
-        if found != blake3::Hash::from_bytes(digest) {
-            let text = format!("part {} has the digest {found}", blake3::Hash::from_bytes(digest));
+        let found = Digest::of(bytes);
+        if found != digest {
+            let text = format!("part {digest} has the digest {found}");
             return Err(Error::new(crate::error::Kind::Digest, text));
         }
         let before = self.config.generation();
@@ -310,7 +310,8 @@
         }
         self.hosts_changed = true;
         self.membership.push_to(self.settings.fanout);
-        let digest = blake3::Hash::from_bytes(self.config.digest());
+        self.relay.reporter.hasten(now);
+        let digest = self.config.digest();
         self.event(now, "config.applied", generation.to_string(), digest.to_string());
     }
 }
--- a/crates/poplarpaddle/src/control/status.rs
+++ b/crates/poplarpaddle/src/control/status.rs
@@ -89,7 +89,7 @@
             region: me.region.clone(),
             fleet: self.settings.fleet.clone(),
             generation: self.config.generation(),
-            digest: blake3::Hash::from_bytes(self.config.digest()).to_hex().to_string(),
+            digest: self.config.digest().to_string(),
             members: self.membership.others().map(|record| self.member(record)).collect(),
             leases: leases.iter().map(|l| Lease { name: l.name().to_owned(), epoch: l.holds(now) }).collect(),
             hosts,
--- a/crates/poplarpaddle/tests/control.rs
+++ b/crates/poplarpaddle/tests/control.rs
@@ -210,6 +210,22 @@
     }
 }
 
+/// Guards against an operator who reads an old generation in the status after the 7 s in which the new one has to be in
+/// force.
+#[test]
+fn status_follows_a_new_generation() {
+    let mut net = Net::fleet(4, 18, 25_000);
+    for generation in 1..4 {
+        net.store.publish(generation, &["a"]);
+        let shows = |net: &Net, zone: &str| {
+            let status = net.store.get("status", zone).unwrap();
+            status.value["generation"].as_u64() == Some(generation)
+        };
+        let took = net.until(7_000, |net| ["zone-0", "zone-1", "zone-2"].iter().all(|zone| shows(net, zone)));
+        assert!(took.is_some(), "the status of a zone does not show generation {generation} after 7 s");
+    }
+}
+
 /// Guards against more or fewer than two holders in a zone, and against contenders beyond the three of highest weight.
 #[test]
 fn each_zone_has_two_holders() {
--- a/crates/poplarpaddle/tests/control/net.rs
+++ b/crates/poplarpaddle/tests/control/net.rs
@@ -46,7 +46,7 @@
     let bad = |_| Error::new(Kind::Object, "manifest");
     let value: serde_json::Value = serde_json::from_slice(manifest).map_err(bad)?;
     let parts = value["parts"].as_array().cloned().unwrap_or_default();
-    let digest = |v: &serde_json::Value| *blake3::Hash::from_hex(v.as_str().unwrap_or_default()).unwrap().as_bytes();
+    let digest = |v: &serde_json::Value| v.as_str().unwrap_or_default().parse::<Digest>().unwrap();
     Ok((value["generation"].as_u64().unwrap_or(0), parts.iter().map(digest).collect()))
 }
 
@@ -95,14 +95,14 @@
         }
     }
     fn supply(&mut self, part: &[u8]) -> Result<Offer> {
-        self.parts.insert(*blake3::hash(part).as_bytes(), part.to_vec());
+        self.parts.insert(Digest::of(part), part.to_vec());
         if self.pending.is_empty() { Ok(Offer::Current) } else { self.complete() }
     }
     fn generation(&self) -> u64 {
         self.generation
     }
     fn digest(&self) -> Digest {
-        *blake3::hash(&self.manifest).as_bytes()
+        Digest::of(&self.manifest)
     }
     fn manifest(&self) -> Option<&[u8]> {
         (self.generation > 0).then_some(&self.manifest)
