Keep flows whole when a frozen balancer goes on with old packets

Cause: the state machine test froze balancers, which then placed old copies of openings. The second target's reset reached the caller with the caller's own numbers and broke the flow, and an entry for an old opening kept the packets of the new connection out for a minute. Change: a reset passes only with a sequence number near the last one of its target, and an accepted entry gives way to a caller that speaks of another connection, without a reset at its target.

--- a/crates/poplarpaddle/src/flow.rs
+++ b/crates/poplarpaddle/src/flow.rs
@@ -92,7 +92,7 @@
     pub target: Ipv4Addr,
     /// Sequence number of the opening, if [`Flag::Opened`].
     pub opening: u32,
-    /// Sequence number of the SYN-ACK, or of the packet that the entry was learned from.
+    /// Sequence number of the last packet of the target, at first of the SYN-ACK.
     pub accept: u32,
     /// Sequence number after the last payload byte that was forwarded.
     pub next: u32,
--- a/crates/poplarpaddle/src/path/caller.rs
+++ b/crates/poplarpaddle/src/path/caller.rs
@@ -44,8 +44,8 @@
         outlet: &mut dyn Outlet,
     ) {
         let Some(entry) = self.table.at(slot).copied() else { return };
-        let is_fresh = matches!(entry.stage, Stage::Queued | Stage::Pending | Stage::Accepted);
-        if is_fresh && recovery::is_late(&entry, packet) {
+        let is_late = recovery::is_late(&entry, packet);
+        if is_late && matches!(entry.stage, Stage::Queued | Stage::Pending) {
             return self.pass_late(place, &entry, packet, outlet);
         }
         match entry.stage {
@@ -59,11 +59,11 @@
             Stage::Probing => self.wait_for_probe(now, place, slot, packet, outlet),
             // The caller talks to a target that this balancer did not place the flow on.
             Stage::Queued | Stage::Pending => {
-                self.forget(now, place, slot, &entry, outlet);
+                self.forget(now, place, slot, &entry, is_late, outlet);
                 self.recover(now, source, place, packet, outlet);
             }
             _ if packet.kind != Kind::Reset && !recovery::belongs(&entry, packet) => {
-                self.forget(now, place, slot, &entry, outlet);
+                self.forget(now, place, slot, &entry, is_late, outlet);
                 // A wrong binding may come from the entry of a former owner, so that is not asked again.
                 self.probe(now, place, packet, outlet);
             }
@@ -98,10 +98,11 @@
     }
 
     /// Forgets a flow that belongs to another target, and closes the connection that waits at the wrong one.
-    fn forget(&mut self, now: Time, place: &Place, slot: Slot, entry: &Entry, outlet: &mut dyn Outlet) {
+    fn forget(&mut self, now: Time, place: &Place, slot: Slot, entry: &Entry, is_late: bool, outlet: &mut dyn Outlet) {
         self.remove(now, place.key, slot);
-        // A pending target may be the one that the caller talks to; a SYN-ACK that the caller did not take up is not.
-        if entry.stage == Stage::Accepted {
+        // A pending target may be the one that the caller talks to. The target of a SYN-ACK that the caller did not take up
+        // is not, unless the packet is of another connection than the opening.
+        if entry.stage == Stage::Accepted && !is_late {
             self.reset_target(place, entry, entry.opening.wrapping_add(1), outlet);
         }
     }
--- a/crates/poplarpaddle/src/path/target.rs
+++ b/crates/poplarpaddle/src/path/target.rs
@@ -172,10 +172,13 @@
         packet: &View<'_>,
         outlet: &mut dyn Outlet,
     ) {
-        let is_new = packet.kind == Kind::Accept && packet.sequence != entry.accept;
-        if is_new && entry.stage != Stage::Accepted {
+        let is_same = recovery::is_from_connection(entry, packet);
+        if packet.kind == Kind::Accept && !is_same && entry.stage != Stage::Accepted {
             return self.renew(now, place, slot, entry, packet, outlet);
         }
+        if packet.kind == Kind::Reset && !is_same {
+            return self.discard(packet, Reason::StrayReset, outlet);
+        }
         self.note_answer(now, place, slot, packet);
         self.send_caller(packet, outlet);
     }
@@ -210,6 +213,9 @@
         let Some(entry) = self.table.at_mut(slot) else { return };
         entry.active = now;
         entry.silent = Time::NEVER;
+        if entry.stage == Stage::Confirmed && packet.sequence != 0 {
+            entry.accept = packet.sequence;
+        }
         match packet.kind {
             Kind::Closing => entry.set(Flag::TargetEnd),
             Kind::Reset => entry.set(Flag::Reset),
--- a/crates/poplarpaddle/src/recovery.rs
+++ b/crates/poplarpaddle/src/recovery.rs
@@ -112,6 +112,15 @@
     entry.has(Flag::Opened) && packet.sequence != 0 && !is_near(packet.sequence, entry.opening)
 }
 
+/// Returns true unless the sequence number of a target's packet shows that it is not of the connection of the entry.
+///
+/// A target with another connection of the same caller port resets the caller's packets with the caller's own numbers,
+/// which the caller would believe.
+#[must_use]
+pub const fn is_from_connection(entry: &Entry, packet: &View<'_>) -> bool {
+    packet.sequence == 0 || is_near(packet.sequence, entry.accept)
+}
+
 const fn is_near(one: u32, other: u32) -> bool {
     one.wrapping_sub(other.wrapping_sub(LEARN_WINDOW)) < 2 * LEARN_WINDOW
 }
--- a/crates/poplarpaddle/tests/path/accounts.rs
+++ b/crates/poplarpaddle/tests/path/accounts.rs
@@ -60,6 +60,20 @@
     assert_eq!(node.engine.counters().flows, 1);
 }
 
+/// Guards against a refusal after payload was forwarded, by a repeat of the opening that comes late.
+#[test]
+fn bound_flow_is_never_refused() {
+    let mut node = node(Bounds::default());
+    node.open(flow(1));
+    node.fabric(&data(flow(1), 101, 501, 10));
+    let mut released = config(&[1, 1], 1);
+    released.services[0].targets[0].released = true;
+    node.apply(&view(1, &released, &members(&[1], &[]), &[]));
+    assert_eq!(node.fabric(&syn(flow(1), 100)), [target(Kind::Opening, 100)]);
+    assert_eq!(node.fabric(&syn(flow(2), 100)), [Act::Refuse(Reason::NoTarget)]);
+    assert_eq!(node.fabric(&data(flow(1), 111, 501, 10)), [target(Kind::Data, 111)]);
+}
+
 /// Guards against a slot that an opening without request, a lost answer or a reset keeps for ever.
 #[test]
 fn work_ends_without_an_answer() {
