--- a/crates/poplarpaddle/src/path/caller.rs
+++ b/crates/poplarpaddle/src/path/caller.rs
@@ -52,6 +52,7 @@
             Stage::Queued | Stage::Pending if packet.kind == Kind::Reset => {
                 self.abort(now, place, slot, &entry, packet, outlet);
             }
+            Stage::Doubted if packet.kind == Kind::Reset => self.discard(packet, Reason::UnknownFlow, outlet),
             Stage::Doubted => {
                 self.remove(now, place.key, slot);
                 self.probe(now, place, packet, outlet);
--- a/crates/poplarpaddle/tests/path/main.rs
+++ b/crates/poplarpaddle/tests/path/main.rs
@@ -7,4 +7,5 @@
 mod machine;
 mod ownership;
 mod recovery;
+mod tcp;
 mod world;
--- a/crates/poplarpaddle/tests/path/world.rs
+++ b/crates/poplarpaddle/tests/path/world.rs
@@ -11,9 +11,7 @@
 
 use crate::fleet::{config, flow, host, members, service, view as view_of};
 use crate::gate::Narrow;
-
-/// Bytes of a request and of an answer.
-const SIZE: u32 = 10;
+use crate::tcp::{Caller, Connection, Phase, SIZE};
 
 /// Numbers of targets of the services.
 const TARGETS: [u8; 2] = [4, 2];
@@ -35,34 +33,6 @@
     Caller(View<'static>),
 }
 
-/// A connection as a target knows it.
-#[derive(Debug, Clone, Copy)]
-struct Connection {
-    first: u32,
-    received: u32,
-    sent: u32,
-    is_open: bool,
-    is_closed: bool,
-    payload: u32,
-}
-
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Phase {
-    Closed,
-    Opening,
-    Open,
-}
-
-#[derive(Debug, Clone, Copy)]
-struct Caller {
-    phase: Phase,
-    first: u32,
-    acknowledged: u32,
-    sent: u32,
-    received: u32,
-    answers: u32,
-}
-
 /// The whole system.
 #[derive(Debug)]
 pub struct World {
@@ -339,9 +309,7 @@
             return;
         }
         let first = self.number();
-        let sent = first.wrapping_add(1);
-        let caller = Caller { phase: Phase::Opening, first, acknowledged: sent, sent, received: 0, answers: 0 };
-        self.callers.insert(flow, caller);
+        self.callers.insert(flow, Caller::new(first));
         self.repeat(flow);
     }
 
@@ -361,7 +329,7 @@
         let Some(caller) = self.callers.get_mut(&flow) else { return };
         if caller.phase == Phase::Open && caller.acknowledged == caller.sent {
             caller.phase = Phase::Closed;
-            let packet = from_caller(flow, caller, Kind::Closing, caller.sent, 0);
+            let packet = caller.segment(flow, Kind::Closing, caller.sent, 0);
             self.spray(packet);
         }
     }
@@ -376,7 +344,7 @@
             }
             Phase::Open if caller.acknowledged != caller.sent => {
                 let payload = caller.sent.wrapping_sub(caller.acknowledged);
-                self.spray(from_caller(flow, &caller, Kind::Data, caller.acknowledged, payload));
+                self.spray(caller.segment(flow, Kind::Data, caller.acknowledged, payload));
             }
             _ => {}
         }
@@ -407,7 +375,7 @@
             }
             _ => {}
         }
-        let acknowledgement = from_caller(flow, caller, Kind::Data, caller.sent, 0);
+        let acknowledgement = caller.segment(flow, Kind::Data, caller.sent, 0);
         self.spray(acknowledgement);
     }
 
@@ -453,21 +421,11 @@
             }
             (Kind::Opening, None) if is_shedding => View { acknowledgement: packet.sequence.wrapping_add(1), ..reset },
             (Kind::Opening, known) => {
-                let received = packet.sequence.wrapping_add(1);
-                let connection = Connection {
-                    first: packet.sequence,
-                    received,
-                    sent: fresh,
-                    is_open: false,
-                    is_closed: false,
-                    payload: 0,
-                };
-                let connection = match known {
-                    Some(known) if known.first == packet.sequence && !known.is_closed => *known,
-                    _ => connection,
-                };
+                let known = known.filter(|known| known.first == packet.sequence && !known.is_closed);
+                let connection = known.map_or_else(|| Connection::new(packet.sequence, fresh), |known| *known);
                 self.connections.insert(key, connection);
-                View { kind: Kind::Accept, sequence: connection.sent, acknowledgement: received, ..to_caller }
+                let (sequence, acknowledgement) = (connection.sent, connection.received);
+                View { kind: Kind::Accept, sequence, acknowledgement, ..to_caller }
             }
             (_, None) => reset,
             (_, Some(connection)) if connection.is_closed => return,
@@ -512,48 +470,7 @@
     }
 }
 
-impl Connection {
-    /// Returns true when an opening gets the state of this connection for an answer.
-    fn keeps_state(&self, opening: &View<'_>) -> bool {
-        !self.is_closed && (self.is_open || self.first != opening.sequence)
-    }
-
-    /// Takes a segment of the caller and returns the sequence number and payload of the answer, if any.
-    fn take(&mut self, packet: &View<'_>) -> Option<(u32, u32)> {
-        if !self.is_open {
-            if packet.acknowledgement != self.sent.wrapping_add(1) {
-                return None;
-            }
-            self.is_open = true;
-            self.sent = self.sent.wrapping_add(1);
-        }
-        let is_next = packet.sequence == self.received;
-        let is_repeat = self.payload > 0 && packet.sequence.wrapping_add(packet.payload) == self.received;
-        match (packet.kind, packet.payload) {
-            (Kind::Closing, _) if is_next => {
-                self.is_closed = true;
-                None
-            }
-            (_, 0) if is_next => None,
-            (Kind::Data, _) if is_next => {
-                self.received = self.received.wrapping_add(packet.payload);
-                self.payload += packet.payload;
-                self.sent = self.sent.wrapping_add(SIZE);
-                Some((self.sent.wrapping_sub(SIZE), SIZE))
-            }
-            (Kind::Data, SIZE) if is_repeat => Some((self.sent.wrapping_sub(SIZE), SIZE)),
-            // A segment outside the window gets the state of the connection.
-            _ => Some((self.sent, 0)),
-        }
-    }
-}
-
 fn toggle(hosts: &mut BTreeSet<Ipv4Addr>, host: Ipv4Addr, is_in: bool) {
     hosts.retain(|other| *other != host);
     hosts.extend(is_in.then_some(host));
 }
-
-fn from_caller(flow: Flow, caller: &Caller, kind: Kind, sequence: u32, payload: u32) -> View<'static> {
-    let view = View::new(flow, Direction::FromCaller, kind, &[]);
-    View { sequence, acknowledgement: caller.received, payload, end: payload > 0, ..view }
-}
