Share unchanged services between generations

Cause: each change decoded and compiled every part, so that two whole compiled configurations and one decoded one were in memory at the same time. At 73,000 targets the peak of a change exceeded the 32 MB of a node.

Change: view::Config holds Arc<Service>, config::State keeps the compiled services of each bucket and compiles only buckets whose digest changed, one at a time. Services with released targets are copied on write.

--- a/crates/poplarpaddle/benches/path.rs
+++ b/crates/poplarpaddle/benches/path.rs
@@ -66,7 +66,7 @@
     }
     let ports = vec![Port { port: 80, priority: 0 }];
     let service = Service { name: "bookings".into(), address: *SERVICE.ip(), ports, shards: 1, targets };
-    config.services.push(service);
+    config.services.push(Arc::new(service));
     config
 }
 
--- a/crates/poplarpaddle/src/config/compile.rs
+++ b/crates/poplarpaddle/src/config/compile.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeSet;
 use std::net::{Ipv4Addr, SocketAddrV4};
+use std::sync::Arc;
 
 use super::{Entry, Manifest, Part, Released, Row, bucket};
 use crate::error::{Error, Kind, Result};
@@ -19,12 +20,38 @@
 ///
 /// [`Kind::Object`] when the parts contradict each other or the manifest; the message names object, field and value.
 pub fn compile(manifest: &Manifest, parts: impl IntoIterator<Item = Result<Part>>) -> Result<view::Config> {
-    let mut entries = collect(manifest, parts)?;
-    entries.sort_unstable_by(|a, b| a.name.cmp(&b.name));
+    let priorities = priorities(manifest);
+    let occupied = manifest.parts.iter().enumerate().filter(|(_, digest)| digest.is_some());
+    let groups = occupied.zip(parts).map(|((index, _), part)| group(manifest, &priorities, index, part?));
+    assemble(manifest, groups.collect::<Result<Vec<_>>>()?.iter())
+}
+
+/// Compiled services of one part, shared by all generations that have the part.
+pub(super) type Group = Arc<[Arc<view::Service>]>;
+
+/// Compiles the part of the bucket `index`. The result depends on the priorities and the number of buckets only.
+pub(super) fn group(manifest: &Manifest, priorities: &[view::Priority], index: usize, part: Part) -> Result<Group> {
+    let mut services = Vec::with_capacity(part.services.len());
+    for entry in part.services {
+        let expected = bucket(&entry.name, manifest.parts.len());
+        if expected != index {
+            return Err(fault("service", &entry.name, "bucket", &index, &expected));
+        }
+        services.push(Arc::new(service(priorities, entry)?));
+    }
+    Ok(services.into())
+}
+
+/// Joins the services of all parts to a configuration.
+pub(super) fn assemble<'a>(manifest: &Manifest, groups: impl Iterator<Item = &'a Group>) -> Result<view::Config> {
+    let mut services: Vec<Arc<view::Service>> = groups.flat_map(|group| group.iter().cloned()).collect();
+    services.sort_unstable_by(|a, b| a.name.cmp(&b.name));
     let mut compiler = Compiler::new(manifest);
-    let gone = departed(manifest, &entries);
-    for entry in entries.into_iter().chain(gone) {
-        compiler.add_service(entry)?;
+    let gone = departed(manifest, &services);
+    compiler.services = services;
+    for entry in gone {
+        let departed = service(&compiler.priorities, entry)?;
+        compiler.services.push(Arc::new(departed));
     }
     compiler.services.sort_unstable_by(|a, b| a.name.cmp(&b.name));
     compiler.index()?;
@@ -34,26 +61,18 @@
     Ok(compiler.config(manifest))
 }
 
-fn collect(manifest: &Manifest, parts: impl IntoIterator<Item = Result<Part>>) -> Result<Vec<Entry>> {
-    let mut entries = Vec::new();
-    let occupied = manifest.parts.iter().enumerate().filter(|(_, digest)| digest.is_some());
-    for ((index, _), part) in occupied.zip(parts) {
-        for entry in part?.services {
-            let expected = bucket(&entry.name, manifest.parts.len());
-            if expected != index {
-                return Err(fault("service", &entry.name, "bucket", &index, &expected));
-            }
-            entries.push(entry);
-        }
-    }
-    Ok(entries)
+/// Returns the priorities of a manifest in the order of their ranks.
+pub(super) fn priorities(manifest: &Manifest) -> Vec<view::Priority> {
+    let mut priorities: Vec<view::Priority> = manifest.priorities.iter().map(priority).collect();
+    priorities.sort_by(|a, b| (a.rank, &a.name).cmp(&(b.rank, &b.name)));
+    priorities
 }
 
 /// Services without an entry that released endpoints refer to, without targets.
-fn departed(manifest: &Manifest, entries: &[Entry]) -> Vec<Entry> {
+fn departed(manifest: &Manifest, services: &[Arc<view::Service>]) -> Vec<Entry> {
     let mut gone: Vec<Entry> = Vec::new();
     for group in &manifest.released {
-        if entries.binary_search_by(|entry| entry.name.cmp(&group.service)).is_ok() {
+        if services.binary_search_by(|service| service.name.cmp(&group.service)).is_ok() {
             continue;
         }
         let found = gone.iter().position(|entry| entry.name == group.service);
@@ -91,41 +110,20 @@
 #[derive(Debug)]
 struct Compiler {
     priorities: Vec<view::Priority>,
-    services: Vec<view::Service>,
+    services: Vec<Arc<view::Service>>,
     addresses: Map<SocketAddrV4, view::ServiceIndex>,
     endpoints: Map<SocketAddrV4, view::ServiceIndex>,
 }
 
 impl Compiler {
     fn new(manifest: &Manifest) -> Self {
-        let mut priorities: Vec<view::Priority> = manifest.priorities.iter().map(priority).collect();
-        priorities.sort_by(|a, b| (a.rank, &a.name).cmp(&(b.rank, &b.name)));
         let seed = manifest.seed.0;
-        Self { priorities, services: Vec::new(), addresses: seeded(seed), endpoints: seeded(seed) }
-    }
-
-    fn add_service(&mut self, entry: Entry) -> Result<()> {
-        let count = u16::try_from(entry.targets.len()).unwrap_or(u16::MAX);
-        let ports = entry.ports.iter().map(|port| self.port(&entry.name, port)).collect::<Result<Vec<_>>>()?;
-        if ports.is_empty() {
-            return Err(fault("service", &entry.name, "number of ports", &0, &"1 or more"));
-        }
-        let shards = entry.shards.unwrap_or_else(|| default_shards(usize::from(count)));
-        if shards == 0 {
-            return Err(fault("service", &entry.name, "shards", &0, &"1 or more"));
+        Self {
+            priorities: priorities(manifest),
+            services: Vec::new(),
+            addresses: seeded(seed),
+            endpoints: seeded(seed),
         }
-        let mut targets: Vec<view::Target> = entry.targets.into_iter().map(|row| target(row, false)).collect();
-        targets.sort_unstable_by(|a, b| a.name.cmp(&b.name));
-        self.services.push(view::Service { name: entry.name, address: entry.address, ports, shards, targets });
-        Ok(())
-    }
-
-    fn port(&self, service: &str, port: &Port) -> Result<view::Port> {
-        let found = self.priorities.iter().position(|priority| priority.name == port.priority);
-        let Some(priority) = found else {
-            return Err(fault("service", service, "priority", &port.priority, &"a priority of the manifest"));
-        };
-        Ok(view::Port { port: port.port, priority })
     }
 
     /// Fills the look-ups from the services, which are in their final order now.
@@ -166,7 +164,8 @@
                 return Err(taken(&self.services, "released endpoint", endpoint, index, holder));
             }
         }
-        let service = &mut self.services[position];
+        // Only a service with released targets differs from the one that generations share.
+        let service = Arc::make_mut(&mut self.services[position]);
         for port in service.ports.iter().filter(|port| released.ports.iter().any(|old| old.port == port.port)) {
             self.addresses.entry(SocketAddrV4::new(released.address, port.port)).or_insert(index);
         }
@@ -183,9 +182,33 @@
     }
 }
 
+fn service(priorities: &[view::Priority], entry: Entry) -> Result<view::Service> {
+    let count = u16::try_from(entry.targets.len()).unwrap_or(u16::MAX);
+    let port = |port: &Port| find_priority(priorities, &entry.name, port);
+    let ports = entry.ports.iter().map(port).collect::<Result<Vec<_>>>()?;
+    if ports.is_empty() {
+        return Err(fault("service", &entry.name, "number of ports", &0, &"1 or more"));
+    }
+    let shards = entry.shards.unwrap_or_else(|| default_shards(usize::from(count)));
+    if shards == 0 {
+        return Err(fault("service", &entry.name, "shards", &0, &"1 or more"));
+    }
+    let mut targets: Vec<view::Target> = entry.targets.into_iter().map(|row| target(row, false)).collect();
+    targets.sort_unstable_by(|a, b| a.name.cmp(&b.name));
+    Ok(view::Service { name: entry.name, address: entry.address, ports, shards, targets })
+}
+
+fn find_priority(priorities: &[view::Priority], service: &str, port: &Port) -> Result<view::Port> {
+    let found = priorities.iter().position(|priority| priority.name == port.priority);
+    let Some(priority) = found else {
+        return Err(fault("service", service, "priority", &port.priority, &"a priority of the manifest"));
+    };
+    Ok(view::Port { port: port.port, priority })
+}
+
 fn claim(
     map: &mut Map<SocketAddrV4, view::ServiceIndex>,
-    services: &[view::Service],
+    services: &[Arc<view::Service>],
     address: SocketAddrV4,
     index: view::ServiceIndex,
     field: &str,
@@ -197,7 +220,7 @@
 }
 
 fn taken(
-    services: &[view::Service],
+    services: &[Arc<view::Service>],
     field: &str,
     address: SocketAddrV4,
     index: view::ServiceIndex,
--- a/crates/poplarpaddle/src/config/state.rs
+++ b/crates/poplarpaddle/src/config/state.rs
@@ -3,7 +3,8 @@
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
-use super::{Digest, MAX_TOTAL_BYTES, Manifest, Part, compile};
+use super::compile::{Group, assemble, group, priorities};
+use super::{Digest, MAX_TOTAL_BYTES, Manifest, Part};
 use crate::error::{Error, Kind, Result};
 use crate::map::{Map, seeded};
 use crate::view;
@@ -36,9 +37,18 @@
     bytes: Vec<u8>,
     digest: Digest,
     parts: Parts,
+    /// Compiled services of each bucket, for the next generation.
+    groups: Vec<Option<Bucket>>,
     config: Arc<view::Config>,
 }
 
+/// The compiled part of a bucket.
+#[derive(Debug, Clone)]
+struct Bucket {
+    digest: Digest,
+    group: Group,
+}
+
 #[derive(Debug)]
 struct Pending {
     bytes: Vec<u8>,
@@ -175,12 +185,35 @@
         let Some(pending) = self.pending.take() else {
             return Ok(Offer::Current);
         };
-        let parts = pending.manifest.digests().map(|digest| pending.decode(&digest));
-        let config = Arc::new(compile(&pending.manifest, parts)?);
+        let groups = self.compile(&pending)?;
+        let config = Arc::new(assemble(&pending.manifest, groups.iter().flatten().map(|bucket| &bucket.group))?);
         let Pending { bytes, digest, parts, .. } = pending;
-        self.force = Some(Force { bytes, digest, parts, config });
+        self.force = Some(Force { bytes, digest, parts, groups, config });
         Ok(Offer::Applied)
     }
+
+    /// Compiles the parts that the generation in force does not have. One part is decoded at a time, so that the peak
+    /// of memory holds no second copy of all targets.
+    fn compile(&self, pending: &Pending) -> Result<Vec<Option<Bucket>>> {
+        let manifest = &pending.manifest;
+        let priorities = priorities(manifest);
+        // Ports hold the index of their priority, and a bucket is checked against the number of buckets.
+        let same = |force: &&Force| force.groups.len() == manifest.parts.len() && force.config.priorities == priorities;
+        let base = self.force.as_ref().filter(same);
+        let mut groups = Vec::with_capacity(manifest.parts.len());
+        for (index, digest) in manifest.parts.iter().enumerate() {
+            let known = base.and_then(|force| force.groups[index].as_ref());
+            groups.push(match (digest, known) {
+                (None, _) => None,
+                (Some(digest), Some(known)) if known.digest == *digest => Some(known.clone()),
+                (Some(digest), _) => {
+                    let group = group(manifest, &priorities, index, pending.decode(digest)?)?;
+                    Some(Bucket { digest: *digest, group })
+                }
+            });
+        }
+        Ok(groups)
+    }
 }
 
 impl Pending {
--- a/crates/poplarpaddle/src/view.rs
+++ b/crates/poplarpaddle/src/view.rs
@@ -76,8 +76,8 @@
     pub generation: u64,
     /// Seed of placement and ownership, equal on every balancer of the fleet.
     pub seed: u64,
-    /// Services in the order of their names.
-    pub services: Vec<Service>,
+    /// Services in the order of their names; generations share those that did not change.
+    pub services: Vec<Arc<Service>>,
     /// Priorities in the order of their ranks.
     pub priorities: Vec<Priority>,
     /// Service by its address and port.
--- a/crates/poplarpaddle/tests/health.rs
+++ b/crates/poplarpaddle/tests/health.rs
@@ -2,6 +2,7 @@
 #![allow(missing_docs, clippy::pedantic, reason = "tests are named by their failure")]
 
 use std::net::Ipv4Addr;
+use std::sync::Arc;
 
 use poplarpaddle::error::{Error, Kind};
 use poplarpaddle::health::{Health, Report, Settings};
@@ -21,12 +22,14 @@
         draining: false,
         released: false,
     };
-    let service = |name: &str, targets| Service {
-        name: name.into(),
-        address: Ipv4Addr::new(10, 0, 0, 1),
-        ports: Vec::new(),
-        shards: 1,
-        targets,
+    let service = |name: &str, targets| {
+        Arc::new(Service {
+            name: name.into(),
+            address: Ipv4Addr::new(10, 0, 0, 1),
+            ports: Vec::new(),
+            shards: 1,
+            targets,
+        })
     };
     Config {
         generation: 1,
--- a/crates/poplarpaddle/tests/objects/config.rs
+++ b/crates/poplarpaddle/tests/objects/config.rs
@@ -1,6 +1,7 @@
 //! The generation in force at a node.
 
 use std::net::SocketAddrV4;
+use std::sync::Arc;
 
 use poplarpaddle::config::{Digest, Manifest, Offer, Released, Row, State, bucket, buckets};
 use poplarpaddle::error::Kind;
@@ -83,6 +84,28 @@
     assert_eq!(fresh.generation(), 0);
 }
 
+/// Guards against a change that compiles the whole configuration anew, which took more memory than a node may spend on
+/// control, and against shared services that kept the indices of former priorities.
+#[test]
+fn services_of_unchanged_parts_are_shared() {
+    let mut fleet = set(40, 3);
+    let mut state = State::new("kauri");
+    apply(&mut state, &fleet, 1);
+    let before = Arc::clone(state.current().unwrap());
+    add_target(&mut fleet, 1, 900);
+    apply(&mut state, &fleet, 2);
+    let after = Arc::clone(state.current().unwrap());
+    let home = bucket("service-1", 16);
+    for (old, new) in before.services.iter().zip(&after.services) {
+        assert_eq!(Arc::ptr_eq(old, new), bucket(&new.name, 16) != home, "{}", new.name);
+    }
+    let urgent = fleet.priorities.get_mut("urgent").unwrap();
+    urgent.rank = 2;
+    apply(&mut state, &fleet, 3);
+    let config = state.current().unwrap();
+    assert!(config.services.iter().all(|service| config.priorities[service.ports[0].priority].name == "urgent"));
+}
+
 /// Guards against answers of old flows that no longer find their service, and against new work on released targets.
 #[test]
 fn released_endpoints_stay_mapped() {
--- a/crates/poplarpaddle/tests/path/fleet.rs
+++ b/crates/poplarpaddle/tests/path/fleet.rs
@@ -45,13 +45,13 @@
         for target in 0..*size {
             config.endpoints.insert(SocketAddrV4::new(host(number, target), PORT), index);
         }
-        config.services.push(Service {
+        config.services.push(Arc::new(Service {
             name: format!("service-{number}"),
             address: *service(number).ip(),
             ports: vec![Port { port: PORT, priority: 0 }],
             shards,
             targets: (0..*size).map(|target| target_object(number, target)).collect(),
-        });
+        }));
     }
     config
 }
