Measure slopes of the costs of a node, a change and a flow

Cause: the load of the target size was not worked out; single figures do not show growth faster than linear.

Change: the binary slopes and scripts/slopes.sh print one JSON line for each slope with its command, three sizes or more, values and unit. Groups: change, flow, gossip, host, memory, owner.

--- /dev/null
+++ b/crates/poplarpaddle-bench/src/bin/slopes.rs
@@ -0,0 +1,56 @@
+//! Prints one JSON line for each slope.
+
+use std::io::Write;
+
+use lexopt::{Arg, ValueExt};
+use poplarpaddle_bench::slope::{Line, change, flow, gossip, host, memory, owner};
+
+const HELP: &str = "Usage: slopes [GROUP...]
+
+Groups: change, flow, gossip, host, memory, owner; all without an argument. Memory figures of a group are exact only when it runs
+in a process of its own, as scripts/slopes.sh does.";
+
+type Measure = fn() -> eyre::Result<Vec<Line>>;
+
+const GROUPS: [(&str, Measure); 6] = [
+    ("change", change::measure),
+    ("flow", flow::measure),
+    ("gossip", gossip::measure),
+    ("host", host::measure),
+    ("memory", memory::measure),
+    ("owner", owner::measure),
+];
+
+fn main() -> eyre::Result<()> {
+    let Some(wanted) = parse()? else {
+        writeln!(std::io::stdout(), "{HELP}")?;
+        return Ok(());
+    };
+    for (name, measure) in GROUPS {
+        if !wanted.is_empty() && !wanted.iter().any(|group| group == name) {
+            continue;
+        }
+        for line in measure()? {
+            writeln!(std::io::stdout(), "{}", serde_json::to_string(&line)?)?;
+        }
+    }
+    Ok(())
+}
+
+fn parse() -> eyre::Result<Option<Vec<String>>> {
+    let mut wanted = Vec::new();
+    let mut parser = lexopt::Parser::from_env();
+    while let Some(argument) = parser.next()? {
+        match argument {
+            Arg::Value(value) => {
+                let group = value.string()?;
+                let known = GROUPS.map(|(name, _)| name);
+                eyre::ensure!(known.contains(&group.as_str()), "no group {group:?}; use {}", known.join(", "));
+                wanted.push(group);
+            }
+            Arg::Long("help") => return Ok(None),
+            other => return Err(other.unexpected().into()),
+        }
+    }
+    Ok(Some(wanted))
+}
--- a/crates/poplarpaddle-bench/src/lib.rs
+++ b/crates/poplarpaddle-bench/src/lib.rs
@@ -16,5 +16,6 @@
 pub mod naive;
 pub mod report;
 pub mod scenario;
+pub mod slope;
 pub mod target;
 pub mod trace;
--- /dev/null
+++ b/crates/poplarpaddle-bench/src/slope.rs
@@ -0,0 +1,119 @@
+//! Slopes: how a cost grows with the size that it depends on.
+//!
+//! A [`Line`] holds one slope with three sizes or more, so that growth faster than linear shows. Counts and bytes are
+//! exact for a seed; memory comes from the resident set of the process and times from the clock of the machine, so both
+//! are indicative.
+
+use std::time::Instant;
+
+use serde::Serialize;
+
+pub mod bed;
+pub mod change;
+pub mod flow;
+pub mod gossip;
+pub mod host;
+pub mod input;
+pub mod memory;
+pub mod owner;
+pub mod store;
+
+/// One slope.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct Line {
+    /// Name of the slope.
+    pub slope: String,
+    /// Command that measures it.
+    pub command: String,
+    /// What the sizes count.
+    pub size: &'static str,
+    /// Unit of the values.
+    pub unit: &'static str,
+    /// Sizes, in ascending order.
+    pub sizes: Vec<u32>,
+    /// One value for each size.
+    pub values: Vec<f64>,
+}
+
+/// A slope that can be measured: its group, name and units.
+#[derive(Debug, Clone, Copy)]
+pub struct Name {
+    /// Group, which is what the command takes.
+    pub group: &'static str,
+    /// Name within the group.
+    pub name: &'static str,
+    /// What the sizes count.
+    pub size: &'static str,
+    /// Unit of the values.
+    pub unit: &'static str,
+}
+
+impl Name {
+    /// Returns the line with `values` for `sizes`.
+    #[must_use]
+    pub fn line(&self, sizes: &[u32], values: Vec<f64>) -> Line {
+        Line {
+            slope: format!("{}.{}", self.group, self.name),
+            command: format!("scripts/slopes.sh {}", self.group),
+            size: self.size,
+            unit: self.unit,
+            sizes: sizes.to_vec(),
+            values,
+        }
+    }
+}
+
+/// Turns one row of values for each size into one line for each name.
+///
+/// # Panics
+///
+/// When a row has fewer values than there are names.
+#[must_use]
+pub fn lines(names: &[Name], sizes: &[u32], rows: &[Vec<f64>]) -> Vec<Line> {
+    let column = |index: usize| rows.iter().map(|row| row[index]).collect();
+    names.iter().enumerate().map(|(index, name)| name.line(sizes, column(index))).collect()
+}
+
+/// Resident bytes of this process, 0 where the system does not tell.
+#[must_use]
+pub fn resident() -> f64 {
+    status("VmRSS:")
+}
+
+/// Highest resident bytes of this process since [`reset_peak`].
+#[must_use]
+pub fn peak() -> f64 {
+    status("VmHWM:")
+}
+
+/// Starts a new measurement of [`peak`]. Without the permission the peak is that of the whole run, which is too high
+/// and never too low.
+pub fn reset_peak() {
+    drop(std::fs::write("/proc/self/clear_refs", "5"));
+}
+
+fn status(field: &str) -> f64 {
+    let text = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let line = text.lines().find_map(|line| line.strip_prefix(field)).unwrap_or_default();
+    let kilobytes = line.split_whitespace().next().and_then(|number| number.parse::<f64>().ok());
+    kilobytes.unwrap_or_default() * 1024.0
+}
+
+/// Returns the shortest of `rounds` times of `work` in nanoseconds; other load on the machine only adds to a time.
+pub fn shortest(rounds: u32, mut work: impl FnMut()) -> f64 {
+    let time = |_round| {
+        let start = Instant::now();
+        work();
+        start.elapsed().as_secs_f64() * 1e9
+    };
+    (0..rounds).map(time).fold(f64::INFINITY, f64::min)
+}
+
+/// Returns a count as a value.
+///
+/// # Errors
+///
+/// When it exceeds 32 bits, which no figure here does.
+pub fn count(number: usize) -> eyre::Result<f64> {
+    Ok(f64::from(u32::try_from(number)?))
+}
--- /dev/null
+++ b/crates/poplarpaddle-bench/src/slope/change.rs
@@ -0,0 +1,109 @@
+//! Costs of a configuration change.
+
+use std::time::Instant;
+
+use poplarpaddle::config::{Digest, Offer, State};
+use poplarpaddle::object::{Kind, Set};
+use poplarpaddle::publish::{End, Publish, Settings, Step};
+use poplarpaddle::time::Time;
+
+use super::input::{self, FLEET, Generation};
+use super::store::Memory;
+use super::{Line, Name, count, lines, shortest};
+
+const SIZES: [u32; 4] = [7_300, 18_250, 36_500, 73_000];
+
+const fn name(name: &'static str, unit: &'static str) -> Name {
+    Name { group: "change", name, size: "targets", unit }
+}
+
+const NAMES: [Name; 9] = [
+    name("manifest", "bytes"),
+    name("part", "bytes of one changed part"),
+    name("all-parts", "bytes of all parts"),
+    name("first", "ns to verify, compile and swap a whole configuration"),
+    name("change", "ns to verify, compile and swap one change"),
+    name("publish-reads", "store reads of one publish"),
+    name("publish-writes", "store writes of one publish"),
+    name("publish-bytes", "bytes of values read by one publish"),
+    name("publish-time", "ns of one publish, store included"),
+];
+
+/// Measures the slopes of a change of one target.
+///
+/// # Errors
+///
+/// When a configuration of a size is refused.
+pub fn measure() -> eyre::Result<Vec<Line>> {
+    let rows = SIZES.into_iter().map(row).collect::<eyre::Result<Vec<_>>>()?;
+    Ok(lines(&NAMES, &SIZES, &rows))
+}
+
+fn row(targets: u32) -> eyre::Result<Vec<f64>> {
+    let services = input::services(targets);
+    let mut set = input::set(services, targets);
+    let first = Generation::new(&set, 1)?;
+    let mut changes = Vec::new();
+    for number in 0..3 {
+        input::add_target(&mut set, number, targets + number);
+        changes.push(Generation::new(&set, u64::from(number) + 2)?);
+    }
+    let part = changes[0].parts.iter().filter(|part| !first.parts.contains(part)).map(Vec::len).sum::<usize>();
+    let all = first.parts.iter().map(Vec::len).sum::<usize>();
+    let whole = shortest(3, || drop(first.apply(&mut State::new(FLEET))));
+    let change = change_time(&first, &changes)?;
+    let mut row = vec![count(first.manifest.len())?, count(part)?, count(all)?, whole, change];
+    row.extend(publish(&set, targets)?);
+    Ok(row)
+}
+
+/// Time from the arrival of the changed part to the generation in force.
+fn change_time(first: &Generation, changes: &[Generation]) -> eyre::Result<f64> {
+    let mut best = f64::INFINITY;
+    let mut state = State::new(FLEET);
+    first.apply(&mut state)?;
+    for change in changes {
+        let Offer::Missing(missing) = state.offer(&change.manifest)? else { eyre::bail!("no part is missing") };
+        let parts: Vec<_> = change.parts.iter().filter(|part| missing.contains(&Digest::of(part))).collect();
+        let time = shortest(1, || parts.iter().for_each(|part| drop(state.supply(part))));
+        best = best.min(time);
+    }
+    Ok(best)
+}
+
+fn run(store: &mut Memory, seed: u64) -> eyre::Result<()> {
+    let mut now = Time::from_millis(1);
+    let mut publish = Publish::new(now, Settings { fleet: FLEET.to_owned(), seed, ..Default::default() });
+    loop {
+        match publish.next(now) {
+            Step::Call { call, .. } => publish.answer(now, store.perform(&call)),
+            Step::Wait(until) => now = until,
+            Step::End(End::Published(_)) => return Ok(()),
+            Step::End(other) => eyre::bail!("publish ended with {other:?}"),
+        }
+    }
+}
+
+/// Store calls and bytes of the publish that adds one target to `set`.
+fn publish(set: &Set, targets: u32) -> eyre::Result<Vec<f64>> {
+    let mut store = Memory::default();
+    for kind in Kind::ALL {
+        for name in set.names(kind) {
+            if let Some(item) = set.get(kind, name) {
+                store.insert(&kind.to_string(), name, item.to_value()?);
+            }
+        }
+    }
+    run(&mut store, 1)?;
+    let mut extra = Set::default();
+    input::add_target(&mut extra, 0, targets + 10);
+    for (name, target) in &extra.targets {
+        let item = poplarpaddle::object::Item::from(target.clone());
+        store.insert(&Kind::Target.to_string(), name, item.to_value()?);
+    }
+    store.reset();
+    let start = Instant::now();
+    run(&mut store, 2)?;
+    let time = start.elapsed().as_secs_f64() * 1e9;
+    Ok(vec![f64::from(store.reads), f64::from(store.writes), count(store.read_bytes)?, time])
+}
--- /dev/null
+++ b/crates/poplarpaddle-bench/src/slope/memory.rs
@@ -0,0 +1,53 @@
+//! Memory of the configuration of a node, at rest and while it changes.
+
+use poplarpaddle::config::State;
+
+use super::input::{self, FLEET, Generation};
+use super::{Line, Name, lines, peak, reset_peak, resident};
+
+const SIZES: [u32; 4] = [7_300, 18_250, 36_500, 73_000];
+
+/// Changes that follow the first generation.
+const CHANGES: u32 = 3;
+
+const fn name(name: &'static str, unit: &'static str) -> Name {
+    Name { group: "memory", name, size: "targets", unit }
+}
+
+const NAMES: [Name; 3] = [
+    name("rest", "resident bytes after the first generation"),
+    name("peak", "resident bytes at the peak of three changes"),
+    name("kept", "resident bytes after three changes"),
+];
+
+/// Measures the slopes.
+///
+/// # Errors
+///
+/// When a configuration of a size is refused.
+pub fn measure() -> eyre::Result<Vec<Line>> {
+    let rows = SIZES.into_iter().map(row).collect::<eyre::Result<Vec<_>>>()?;
+    Ok(lines(&NAMES, &SIZES, &rows))
+}
+
+fn row(targets: u32) -> eyre::Result<Vec<f64>> {
+    let mut set = input::set(input::services(targets), targets);
+    let first = Generation::new(&set, 1)?;
+    let mut changes = Vec::new();
+    for number in 0..CHANGES {
+        input::add_target(&mut set, number, targets + number);
+        changes.push(Generation::new(&set, u64::from(number) + 2)?);
+    }
+    let mut state = State::new(FLEET);
+    let before = resident();
+    first.apply(&mut state)?;
+    let rest = resident() - before;
+    reset_peak();
+    for change in &changes {
+        change.apply(&mut state)?;
+    }
+    let row = vec![rest, peak() - before, resident() - before];
+    // What was measured stays allocated, so that the next size gets fresh memory.
+    std::mem::forget((state, set, first, changes));
+    Ok(row)
+}
--- /dev/null
+++ b/crates/poplarpaddle-bench/src/slope/store.rs
@@ -0,0 +1,83 @@
+//! A store in memory that counts its calls and their bytes.
+
+use std::collections::BTreeMap;
+
+use poplarpaddle::error::{Error, Kind};
+use poplarpaddle::store::{Call, Object, Outcome};
+use serde_json::Value;
+
+/// Objects of a store and what was asked of it.
+#[derive(Debug, Default)]
+pub struct Memory {
+    objects: BTreeMap<(String, String), Object>,
+    /// Calls that read.
+    pub reads: u32,
+    /// Calls that write.
+    pub writes: u32,
+    /// Watches.
+    pub watches: u32,
+    /// Bytes of the values that were read.
+    pub read_bytes: usize,
+    /// Bytes of the values that were written.
+    pub written_bytes: usize,
+}
+
+impl Memory {
+    /// Sets the counts to 0.
+    pub fn reset(&mut self) {
+        let objects = std::mem::take(&mut self.objects);
+        *self = Self { objects, ..Self::default() };
+    }
+
+    /// Writes an object without counting it.
+    pub fn insert(&mut self, kind: &str, name: &str, value: Value) {
+        let key = (kind.to_owned(), name.to_owned());
+        let version = self.objects.get(&key).map_or(0, |object| object.version) + 1;
+        let object = Object { kind: kind.to_owned(), name: name.to_owned(), version, value };
+        self.objects.insert(key, object);
+    }
+
+    /// Performs a call. A watch is answered with what is there; the caller waits for the time of the watch.
+    pub fn perform(&mut self, call: &Call) -> Outcome {
+        match call {
+            Call::List { kind } => {
+                self.reads += 1;
+                let found = self.objects.values().filter(|object| object.kind == *kind);
+                let found: Vec<Object> = found.cloned().collect();
+                self.read_bytes += found.iter().map(|object| object.value.to_string().len()).sum::<usize>();
+                Outcome::Objects(found)
+            }
+            Call::Get { kind, name } => {
+                self.reads += 1;
+                self.read(kind, name)
+            }
+            Call::Watch { kind, name, .. } => {
+                self.watches += 1;
+                self.read(kind, name)
+            }
+            Call::Put { kind, name, version, value } => self.put(kind, name, *version, value),
+            Call::Vms => {
+                self.reads += 1;
+                Outcome::Vms(Vec::new())
+            }
+            Call::Delete { .. } => Outcome::Failed(Error::new(Kind::Internal, "nothing measured deletes objects")),
+        }
+    }
+
+    fn read(&mut self, kind: &str, name: &str) -> Outcome {
+        let found = self.objects.get(&(kind.to_owned(), name.to_owned())).cloned();
+        self.read_bytes += found.as_ref().map_or(0, |object| object.value.to_string().len());
+        Outcome::Object(found)
+    }
+
+    fn put(&mut self, kind: &str, name: &str, version: u64, value: &Value) -> Outcome {
+        let known = self.objects.get(&(kind.to_owned(), name.to_owned())).map_or(0, |object| object.version);
+        if known != version {
+            return Outcome::Conflict(known);
+        }
+        self.writes += 1;
+        self.written_bytes += value.to_string().len();
+        self.insert(kind, name, value.clone());
+        Outcome::Written(version + 1)
+    }
+}
--- /dev/null
+++ b/scripts/slopes.sh
@@ -0,0 +1,10 @@
+#!/bin/sh
+# Builds the slope measurements in release mode and prints one JSON line for each slope. Each group runs in a process of
+# its own, since memory that one group freed would hide the memory of the next. Arguments choose groups.
+set -eu
+cd "$(dirname "$0")/.."
+cargo build --quiet --release -p poplarpaddle-bench --bin slopes
+[ $# -gt 0 ] || set -- change flow gossip host memory owner
+for group in "$@"; do
+    target/release/slopes "$group"
+done
