Bound the polls of load reports of a node

Cause: each region polls every host, so at 73,000 hosts and 2,500 members a node polls 29 hosts a second. With about 0.3 KB a poll that is more than twice the 4 KB/s of all control.

Change: above 4 polls a second the period grows with the number of hosts, up to 4 s; a host that does not answer is polled every second as before. The first poll still comes within 1 s. Down is now found after about 7 s instead of 4 s on a node with many hosts; openings without answer keep new flows away earlier.

Measured (slope host.polls, polls a second at 8, 29, 120, 480 and 1920 hosts): 8, 29, 120, 480, 1920 before; 4, 7.25, 30, 120, 480 after.

--- a/crates/poplarpaddle/src/health.rs
+++ b/crates/poplarpaddle/src/health.rs
@@ -31,8 +31,12 @@
 /// Settings of [`Health`]. Times are in milliseconds.
 #[derive(Debug, Clone)]
 pub struct Settings {
-    /// Period of polls of a host.
+    /// Shortest period of polls of a host.
     pub poll_ms: u64,
+    /// Longest period of polls of a host that answers.
+    pub longest_ms: u64,
+    /// Polls a second above which the period grows up to `longest_ms`.
+    pub rate: u64,
     /// Time for the answer to a poll.
     pub answer_ms: u64,
     /// Polls that fail in a row before a host is down.
@@ -43,8 +47,18 @@
 
 impl Default for Settings {
     fn default() -> Self {
-        // 73,000 hosts at 10,000 balancers are about 8 hosts each; a small fleet may give all hosts to one balancer.
-        Self { poll_ms: 1000, answer_ms: 800, failures: 3, limit: 4096 }
+        Self {
+            poll_ms: 1000,
+            // A host that drains gets no new work after 5 s; the rest is for the answer and the next tick.
+            longest_ms: 4000,
+            // Each region polls all hosts, which gives 29 to each of 2,500 balancers at 73,000 hosts. A poll takes about
+            // 0.3 KB with its headers, and a node has 4 KB/s for all of control.
+            rate: 4,
+            answer_ms: 800,
+            failures: 3,
+            // A small fleet may give all hosts to one balancer.
+            limit: 4096,
+        }
     }
 }
 
@@ -102,6 +116,19 @@
     report: Option<Report>,
 }
 
+impl Polled {
+    /// Returns the time from this poll to the next, in milliseconds. A host that fails is polled at the shortest period,
+    /// so that its state does not wait for the longest.
+    fn pause_ms(&self, host: Ipv4Addr, shortest: u64, period: u64) -> u64 {
+        match &self.report {
+            Some(_) if self.failures == 0 => period,
+            // The first polls of all hosts fall into one shortest period; the second ones spread them again.
+            None if self.failures == 0 => shortest + map::hash(1, &host) % (period - shortest + 1),
+            _ => shortest,
+        }
+    }
+}
+
 /// Load reports of the hosts whose shards this node owns.
 #[derive(Debug)]
 pub struct Health {
@@ -143,7 +170,8 @@
 
     /// Returns the hosts to poll now.
     pub fn tick(&mut self, now: Time) -> Vec<Ipv4Addr> {
-        let period = millis(self.settings.poll_ms);
+        let period = self.period_ms();
+        let shortest = self.settings.poll_ms;
         let answer = millis(self.settings.answer_ms);
         let mut due = Vec::new();
         for (host, polled) in &mut self.hosts {
@@ -152,7 +180,7 @@
                 polled.failures = polled.failures.saturating_add(1);
             }
             if now.reached(polled.next) && polled.answer == Time::NEVER {
-                polled.next = now + period;
+                polled.next = now + millis(polled.pause_ms(*host, shortest, period));
                 polled.answer = now + answer;
                 due.push(*host);
             }
@@ -160,6 +188,12 @@
         due
     }
 
+    /// Period of polls of a host that answers, in milliseconds.
+    fn period_ms(&self) -> u64 {
+        let spread = self.hosts.len() as u64 * 1000 / self.settings.rate.max(1);
+        spread.min(self.settings.longest_ms).max(self.settings.poll_ms)
+    }
+
     /// Takes the answer to a poll.
     ///
     /// # Errors
--- a/crates/poplarpaddle/tests/health.rs
+++ b/crates/poplarpaddle/tests/health.rs
@@ -109,3 +109,28 @@
     health.watch(Time::from_millis(9_000), &[]);
     assert_eq!((health.hosts().count(), health.deadline()), (0, Time::NEVER));
 }
+
+/// Guards against polls that take the whole control budget of a node at the target size (29 hosts for each node, about
+/// 0.3 KB a poll, 4 KB/s for all of control), and against a draining host that is noticed after more than 5 s.
+#[test]
+fn polls_are_bounded_and_in_time() {
+    let body = br#"{"service":"bookings","slots":3,"busy":2,"connections":7,"state":"serving"}"#;
+    for (hosts, most_polls) in [(1, 60), (4, 240), (29, 600)] {
+        let hosts: Vec<Ipv4Addr> = (1..=hosts).map(|number| Ipv4Addr::new(10, 1, 0, number)).collect();
+        let mut health = Health::new(Settings::default());
+        health.watch(Time::from_millis(0), &hosts);
+        let mut last = std::collections::BTreeMap::new();
+        let mut polls = 0;
+        while !health.deadline().reached(Time::from_millis(70_000)) {
+            let now = health.deadline();
+            for host in health.tick(now) {
+                health.answer(host, Ok(body)).unwrap();
+                let before = last.insert(host, now).unwrap_or_else(|| Time::from_millis(0));
+                assert!(now.since(before).as_millis() < 5000, "{host} was not polled for {:?}", now.since(before));
+                polls += u32::from(now.reached(Time::from_millis(10_000)));
+            }
+        }
+        assert!(polls <= most_polls, "{polls} polls a minute of {} hosts", hosts.len());
+        assert!(polls >= 12 * u32::try_from(hosts.len()).unwrap());
+    }
+}
