Divide fetches of a new generation among the peers that have it

Cause: of peers with the same generation a node asked the one with the highest id, and so did every other node. When all nodes of a region come back at once, one peer would serve 5.3 MB to each of 2,500.

Change: equal peers are told apart by a weight of the asking node and the peer.

--- a/crates/poplarpaddle-bench/src/bin/slopes.rs
+++ b/crates/poplarpaddle-bench/src/bin/slopes.rs
@@ -3,22 +3,23 @@
 use std::io::Write;
 
 use lexopt::{Arg, ValueExt};
-use poplarpaddle_bench::slope::{Line, change, flow, gossip, host, memory, owner};
+use poplarpaddle_bench::slope::{Line, change, flow, gossip, host, memory, owner, spread};
 
 const HELP: &str = "Usage: slopes [GROUP...]
 
-Groups: change, flow, gossip, host, memory, owner; all without an argument. Memory figures of a group are exact only when it runs
+Groups: change, flow, gossip, host, memory, owner, spread; all without an argument. Memory figures of a group are exact only when it runs
 in a process of its own, as scripts/slopes.sh does.";
 
 type Measure = fn() -> eyre::Result<Vec<Line>>;
 
-const GROUPS: [(&str, Measure); 6] = [
+const GROUPS: [(&str, Measure); 7] = [
     ("change", change::measure),
     ("flow", flow::measure),
     ("gossip", gossip::measure),
     ("host", host::measure),
     ("memory", memory::measure),
     ("owner", owner::measure),
+    ("spread", spread::measure),
 ];
 
 fn main() -> eyre::Result<()> {
--- a/crates/poplarpaddle-bench/src/slope.rs
+++ b/crates/poplarpaddle-bench/src/slope.rs
@@ -16,6 +16,7 @@
 pub mod input;
 pub mod memory;
 pub mod owner;
+pub mod spread;
 pub mod store;
 
 /// One slope.
--- /dev/null
+++ b/crates/poplarpaddle-bench/src/slope/spread.rs
@@ -0,0 +1,86 @@
+//! How the fetches of a new generation are divided among the peers that have it.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use poplarpaddle::config::State;
+use poplarpaddle::control::{Action, Node, Settings};
+use poplarpaddle::time::Time;
+use poplarpaddle::wire::Gossip;
+
+use super::bed::{FIRST, gossip, record};
+use super::input::FLEET;
+use super::{Line, Name, count, lines};
+
+/// Peers that have the new generation.
+const SIZES: [u32; 3] = [4, 16, 64];
+
+/// Nodes that hear of it from all of these peers.
+const NODES: u32 = 640;
+
+const NAMES: [Name; 1] = [Name {
+    group: "spread",
+    name: "most-asked",
+    size: "peers with the new generation",
+    unit: "fetches at the most asked peer over those of an even division, 640 nodes",
+}];
+
+/// Measures the slopes.
+///
+/// # Errors
+///
+/// When a node refuses a message.
+pub fn measure() -> eyre::Result<Vec<Line>> {
+    let rows = SIZES.into_iter().map(row).collect::<eyre::Result<Vec<_>>>()?;
+    Ok(lines(&NAMES, &SIZES, &rows))
+}
+
+fn row(peers: u32) -> eyre::Result<Vec<f64>> {
+    let mut asked: BTreeMap<SocketAddr, usize> = BTreeMap::new();
+    for number in 0..NODES {
+        *asked.entry(choice(FIRST + 1000 + number, peers)?).or_default() += 1;
+    }
+    let most = asked.values().copied().max().unwrap_or(0);
+    Ok(vec![count(most)? * f64::from(peers) / f64::from(NODES)])
+}
+
+/// Returns the peer that a node asks once it knows that all of them have the generation.
+fn choice(number: u32, peers: u32) -> eyre::Result<SocketAddr> {
+    let now = Time::from_millis(1_000_000);
+    let me = record(number);
+    let settings = Settings {
+        id: me.id,
+        name: me.name,
+        zone: me.zone,
+        region: me.region,
+        fleet: FLEET.to_owned(),
+        peer: me.peer,
+        relay: me.relay,
+        seed: u64::from(number),
+        ..Default::default()
+    };
+    let mut node = Node::new(now, settings, Box::new(State::new(FLEET)));
+    let mut latest = None;
+    for step in 0..peers {
+        let message = Gossip { generation: 1, digest: [1; 32], ..gossip(record(FIRST + 1 + step)) };
+        node.message(now, &message)?;
+        latest = fetch(&mut node).or(latest);
+    }
+    // The fetch from the first peer fails, and the node chooses among all others.
+    if let Some(peer) = latest {
+        let error = poplarpaddle::error::Error::new(poplarpaddle::error::Kind::Unavailable, "no answer");
+        let answer = poplarpaddle::control::Answer::Manifest { peer, outcome: Err(&error) };
+        // A failed fetch is an error of the answer, which the node reports.
+        drop(node.answer(now, &answer));
+        latest = fetch(&mut node).or(latest);
+    }
+    latest.ok_or_else(|| eyre::eyre!("node {number} fetches from no peer"))
+}
+
+fn fetch(node: &mut Node) -> Option<SocketAddr> {
+    let fetches = node.actions().into_iter().filter_map(|action| match action {
+        Action::FetchManifest { peer } => Some(peer),
+        _ => None,
+    });
+    fetches.last()
+}
--- a/crates/poplarpaddle-bench/tests/slopes.rs
+++ b/crates/poplarpaddle-bench/tests/slopes.rs
@@ -1,7 +1,7 @@
 //! Bounds of the target size on what a slope measures. Each bound follows from a requirement.
 
 use poplarpaddle_bench::slope::bed::Bed;
-use poplarpaddle_bench::slope::{Line, change, flow};
+use poplarpaddle_bench::slope::{Line, change, flow, spread};
 
 /// Changes a day.
 const CHANGES: f64 = 6000.0;
@@ -53,3 +53,11 @@
     assert!(reads + watches < 200.0, "{reads} reads and {watches} watches a second");
     assert!(writes > 0.0 && writes < 30.0, "{writes} writes a second");
 }
+
+/// Guards against one peer that serves the whole configuration to all nodes of a region that come back at once.
+#[test]
+fn fetches_are_divided_among_peers() {
+    let lines = spread::measure().unwrap();
+    // An even choice among 64 peers by 640 nodes gives 10 to each; 3 times that is beyond chance.
+    assert!(last(&lines, "spread.most-asked") < 3.0, "{lines:?}");
+}
--- a/crates/poplarpaddle/src/control/spread.rs
+++ b/crates/poplarpaddle/src/control/spread.rs
@@ -1,10 +1,12 @@
 //! Fetching of newer configuration from peers.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 use super::{Action, Digest, Node, Offer};
 use crate::error::{Error, Result};
+use crate::map;
 use crate::membership::millis;
 use crate::path::MemberId;
 use crate::time::Time;
@@ -77,10 +79,12 @@
         fetches.chain(self.retry).min().unwrap_or(Time::NEVER)
     }
 
-    /// Returns the peer with the highest generation above `above` that may be asked now.
-    fn best(&self, now: Time, above: u64) -> Option<SocketAddr> {
+    /// Returns the peer with the highest generation above `above` that the node `me` may ask now. Equal peers are told
+    /// apart by a weight that differs between nodes; otherwise all nodes ask the same peer.
+    fn best(&self, now: Time, above: u64, me: MemberId) -> Option<SocketAddr> {
         let ready = self.peers.values().filter(|peer| peer.generation > above && now.reached(peer.retry));
-        ready.max_by_key(|peer| (peer.generation, std::cmp::Reverse(peer.failures))).map(|peer| peer.address)
+        let weight = |peer: &Peer| map::hash(me.0, &peer.address);
+        ready.max_by_key(|peer| (peer.generation, Reverse(peer.failures), weight(peer))).map(|peer| peer.address)
     }
 
     fn next_retry(&self, above: u64) -> Option<Time> {
@@ -147,7 +151,7 @@
         self.fetch_parts(now);
         if self.spread.manifest.is_none() {
             let wanted = self.spread.wanted(generation);
-            match self.spread.best(now, wanted) {
+            match self.spread.best(now, wanted, self.settings.id) {
                 Some(peer) => self.fetch_manifest(now, peer),
                 None => self.spread.retry = self.spread.next_retry(wanted),
             }
@@ -165,7 +169,7 @@
         if self.spread.idle().is_empty() {
             return;
         }
-        let Some(peer) = self.spread.best(now, wanted.saturating_sub(1)) else {
+        let Some(peer) = self.spread.best(now, wanted.saturating_sub(1), self.settings.id) else {
             // Nobody else has it, so the search starts again with the manifest of the next best peer.
             self.spread.parts.clear();
             return;
--- a/scripts/slopes.sh
+++ b/scripts/slopes.sh
@@ -4,7 +4,7 @@
 set -eu
 cd "$(dirname "$0")/.."
 cargo build --quiet --release -p poplarpaddle-bench --bin slopes
-[ $# -gt 0 ] || set -- change flow gossip host memory owner
+[ $# -gt 0 ] || set -- change flow gossip host memory owner spread
 for group in "$@"; do
     target/release/slopes "$group"
 done
