--- a/crates/poplarpaddle/benches/path.rs
+++ b/crates/poplarpaddle/benches/path.rs
@@ -70,7 +70,7 @@
     }
     let ports = vec![Port { port: 80, priority: 0 }];
     let service = Service { name: "bookings".into(), address: *SERVICE.ip(), ports, shards, targets };
-    config.services.push(service);
+    config.services.push(Arc::new(service));
     config
 }
 
--- a/crates/poplarpaddle/tests/ip.rs
+++ b/crates/poplarpaddle/tests/ip.rs
@@ -22,7 +22,7 @@
     let mut config = Config {
         generation: 1,
         seed: 1,
-        services: vec![service],
+        services: vec![std::sync::Arc::new(service)],
         priorities: Vec::new(),
         addresses: map::seeded(1),
         endpoints: map::seeded(1),
--- a/crates/poplarpaddle/tests/path/accounts.rs
+++ b/crates/poplarpaddle/tests/path/accounts.rs
@@ -67,7 +67,7 @@
     node.open(flow(1));
     node.fabric(&data(flow(1), 101, 501, 10));
     let mut released = config(&[1, 1], 1);
-    released.services[0].targets[0].released = true;
+    Arc::make_mut(&mut released.services[0]).targets[0].released = true;
     node.apply(&view(1, &released, &members(&[1], &[]), &[]));
     assert_eq!(node.fabric(&syn(flow(1), 100)), [target(Kind::Opening, 100)]);
     assert_eq!(node.fabric(&syn(flow(2), 100)), [Act::Refuse(Reason::NoTarget)]);
--- a/crates/poplarpaddle/tests/path/world.rs
+++ b/crates/poplarpaddle/tests/path/world.rs
@@ -190,8 +190,9 @@
     pub fn configure(&mut self, shards: u16, released: usize) {
         let config = Arc::make_mut(&mut self.config);
         config.generation += 1;
-        config.services[0].shards = shards;
-        for (number, target) in config.services[0].targets.iter_mut().rev().enumerate() {
+        let service = Arc::make_mut(&mut config.services[0]);
+        service.shards = shards;
+        for (number, target) in service.targets.iter_mut().rev().enumerate() {
             target.released = number < released;
         }
     }
