Add standin-link and scenarios of cut zones and odd targets

Cause: balancers talked to one another directly on loopback, so no run could cut zones off from each other or from the platform, and faults of targets were not brought about in separate processes. Change: standin-link forwards TCP and UDP and can cut, slow or lose by an admin switch; [advertise] peer and relay name where peers reach a balancer; peer connections come from the [listen] peer address, so that the link can tell the zones apart. The judge excuses only breaks of a named cause and fails on late openings.

--- a/crates/poplarpaddle-balancer/src/control.rs
+++ b/crates/poplarpaddle-balancer/src/control.rs
@@ -64,8 +64,10 @@
 /// Clients that perform actions.
 #[derive(Debug, Clone)]
 pub struct Clients {
-    /// Sends messages to peers and polls targets.
+    /// Sends messages to peers.
     pub peer: peer::Client,
+    /// Polls targets.
+    pub targets: peer::Client,
     /// Calls the store.
     pub store: client::Http,
     /// TCP port of the load endpoint on every host.
@@ -226,7 +228,7 @@
             }
             Action::Poll { host } => {
                 let address = SocketAddr::from((host, self.load_port));
-                Outcome::Load(host, self.peer.fetch(address, "/load", exchange).await)
+                Outcome::Load(host, self.targets.fetch(address, "/load", exchange).await)
             }
             Action::Apply(_) | Action::Event(_) => return None,
         })
--- a/crates/poplarpaddle-balancer/src/daemon.rs
+++ b/crates/poplarpaddle-balancer/src/daemon.rs
@@ -1,5 +1,6 @@
 //! Start and graceful stop of a balancer.
 
+use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
@@ -50,7 +51,8 @@
     let task = Task {
         node: node(settings, me),
         clients: Clients {
-            peer: peer::Client::new()?,
+            peer: peer::Client::new(peer_source(settings.listen.peer))?,
+            targets: peer::Client::new(None)?,
             store: store::Http::new(&settings.store.url)?,
             load_port: settings.targets.load_port,
         },
@@ -119,6 +121,12 @@
     }
 }
 
+/// Connections to peers come from the address that this balancer listens on, so that a network between them can tell
+/// the balancers apart by address.
+fn peer_source(listen: SocketAddr) -> Option<IpAddr> {
+    Some(listen.ip()).filter(|address| !address.is_unspecified())
+}
+
 fn node(settings: &Settings, me: MemberId) -> Node {
     let membership = membership::Settings {
         ping_ms: settings.members.ping_ms.into(),
@@ -132,8 +140,8 @@
         zone: settings.node.zone.clone(),
         region: settings.node.region.clone(),
         fleet: settings.node.fleet.clone(),
-        peer: settings.listen.peer,
-        relay: settings.listen.relay,
+        peer: settings.advertise.peer.unwrap_or(settings.listen.peer),
+        relay: settings.advertise.relay.unwrap_or(settings.listen.relay),
         seed: rand::random(),
         membership,
         ..control::Settings::default()
--- a/crates/poplarpaddle-cli/src/status.rs
+++ b/crates/poplarpaddle-cli/src/status.rs
@@ -80,7 +80,7 @@
 }
 
 async fn ask(remote: &Remote<'_>, balancers: &[SocketAddr]) -> Result<Vec<Report>> {
-    let client = Client::new()?;
+    let client = Client::new(None)?;
     let mut reports = Vec::new();
     for balancer in balancers {
         let answer = client.fetch(*balancer, "/status", remote.now() + CALL_TIME).await;
--- a/crates/poplarpaddle-cli/src/timeline.rs
+++ b/crates/poplarpaddle-cli/src/timeline.rs
@@ -48,7 +48,7 @@
 }
 
 pub(crate) async fn run(from: &[SocketAddr], format: Format, console: &mut Console<'_>) -> Result<()> {
-    let (client, clock) = (Client::new()?, Clock::new());
+    let (client, clock) = (Client::new(None)?, Clock::new());
     let mut answers = Vec::new();
     let mut silent = Vec::new();
     for address in from {
--- a/crates/poplarpaddle-io/src/peer.rs
+++ b/crates/poplarpaddle-io/src/peer.rs
@@ -5,13 +5,13 @@
 //! use std::time::Duration;
 //! use poplarpaddle_io::{clock::Clock, peer::Client};
 //!
-//! let client = Client::new()?;
+//! let client = Client::new(None)?;
 //! let deadline = Clock::new().now() + Duration::from_millis(500);
 //! let manifest = client.fetch("127.0.0.1:7000".parse().unwrap(), "/peer/manifest", deadline).await?;
 //! # Ok(()) }
 //! ```
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
 use poplarpaddle::error::{Error, Kind, Result};
@@ -42,13 +42,14 @@
 }
 
 impl Client {
-    /// Returns a client.
+    /// Returns a client whose connections come from the address `source`, or from any address of the machine.
     ///
     /// # Errors
     ///
     /// Fails when the HTTP client cannot be set up.
-    pub fn new() -> Result<Self> {
+    pub fn new(source: Option<IpAddr>) -> Result<Self> {
         let client = reqwest::Client::builder()
+            .local_address(source)
             .connect_timeout(CONNECT_TIMEOUT)
             .pool_max_idle_per_host(1)
             .no_proxy()
--- a/crates/poplarpaddle-io/src/settings.rs
+++ b/crates/poplarpaddle-io/src/settings.rs
@@ -42,6 +42,8 @@
     pub node: Node,
     /// Section `[listen]`.
     pub listen: Listen,
+    /// Section `[advertise]`.
+    pub advertise: Advertise,
     /// Section `[fabric]`.
     pub fabric: Fabric,
     /// Section `[store]`.
@@ -89,6 +91,15 @@
     }
 }
 
+/// Where other balancers reach this one, when that is not where it listens (for example behind address translation).
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct Advertise {
+    /// UDP address for relayed packets; none for [`Listen::relay`].
+    pub relay: Option<SocketAddr>,
+    /// HTTP address for other balancers; none for [`Listen::peer`].
+    pub peer: Option<SocketAddr>,
+}
+
 /// Where packets are sent.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Fabric {
@@ -233,6 +244,10 @@
                 relay: document.require("listen", "relay", ADDRESS, unset(), address),
                 peer: document.require("listen", "peer", ADDRESS, unset(), address),
             },
+            advertise: Advertise {
+                relay: document.optional("advertise", "relay", ADDRESS, None, |text| address(text).map(Some)),
+                peer: document.optional("advertise", "peer", ADDRESS, None, |text| address(text).map(Some)),
+            },
             fabric: Fabric { address: document.require("fabric", "address", ADDRESS, unset(), address) },
             store: Store { url: document.require("store", "url", "http://IP:port", String::new(), url) },
             members: members(&mut document),
--- a/crates/poplarpaddle-io/tests/settings.rs
+++ b/crates/poplarpaddle-io/tests/settings.rs
@@ -1,6 +1,6 @@
 //! Settings files: every fault is found in one pass and names file, line, key, value and what is allowed.
 
-use poplarpaddle_io::settings::Settings;
+use poplarpaddle_io::settings::{Advertise, Settings};
 
 const GOOD: &str = include_str!("../../../settings/balancer.ini");
 
@@ -53,3 +53,13 @@
         let _faults = Settings::parse("any.ini", &text).unwrap_err();
     }
 }
+
+/// Guards against a balancer that advertises an address other than the one given.
+#[test]
+fn advertised_addresses_are_optional() {
+    let plain = Settings::parse("balancer.ini", GOOD).unwrap();
+    assert_eq!(plain.advertise, Advertise::default());
+    let text = format!("{GOOD}\n[advertise]\npeer = 127.0.9.1:7002\n");
+    let advertised = Settings::parse("balancer.ini", &text).unwrap().advertise;
+    assert_eq!(advertised, Advertise { peer: Some("127.0.9.1:7002".parse().unwrap()), relay: None });
+}
--- a/crates/poplarpaddle-standins/src/bin/standin-caller.rs
+++ b/crates/poplarpaddle-standins/src/bin/standin-caller.rs
@@ -12,6 +12,7 @@
     flag("fabric", "IP:PORT: UDP address of the fabric"),
     flag("prefix", "CIDR: addresses of the callers (127.20.0.0/16)"),
     flag("addresses", "N: addresses used (16)"),
+    flag("ports", "N: ports used of each address; fewer are reused sooner (64000)"),
     flag("service", "NAME=IP:PORT: service to call; may be repeated"),
     flag("rate", "N: short flows a second (50)"),
     flag("long", "N: long flows (100)"),
@@ -55,6 +56,7 @@
     let settings = Settings {
         prefix: options.value("prefix", "127.20.0.0/16".parse::<Prefix>()?)?,
         addresses: options.value("addresses", 16)?,
+        ports: options.value("ports", caller::PORTS)?,
         fabric: options.required("fabric")?,
         services: services.into_iter().map(|pair| Service { name: pair.key, address: pair.value }).collect(),
         rate: options.value("rate", 50.0)?,
@@ -82,6 +84,11 @@
     if settings.addresses == 0 || settings.addresses >= settings.prefix.size() {
         bail!("--addresses {} does not fit into --prefix {}", settings.addresses, settings.prefix);
     }
+    let endpoints = settings.addresses.saturating_mul(settings.ports);
+    if !(1..=caller::PORTS).contains(&settings.ports) || endpoints <= settings.long.saturating_mul(2) {
+        let (ports, most) = (settings.ports, caller::PORTS);
+        bail!("--ports {ports} is not in 1..={most} or leaves fewer than two endpoints for each of --long");
+    }
     if !(0.0..=1.0).contains(&settings.idempotent) {
         bail!("--idempotent {} is not in 0..=1", settings.idempotent);
     }
--- a/crates/poplarpaddle-standins/src/caller.rs
+++ b/crates/poplarpaddle-standins/src/caller.rs
@@ -20,8 +20,8 @@
 
 /// First port of a caller address.
 const FIRST_PORT: u64 = 1024;
-/// Ports used of a caller address.
-const PORTS: u64 = 64_000;
+/// Ports used of a caller address at most.
+pub const PORTS: u64 = 64_000;
 /// Bits of a request id that count the requests of a process; the bits above tell the processes apart.
 const COUNTER_BITS: u32 = 32;
 /// Bits of the address that go into a request id. Ids stay below 2^53, which every JSON reader keeps exact.
@@ -45,6 +45,8 @@
     pub prefix: Prefix,
     /// Number of addresses.
     pub addresses: u64,
+    /// Ports used of each address, at most 64000; fewer are reused sooner.
+    pub ports: u64,
     /// UDP address of the fabric.
     pub fabric: SocketAddr,
     /// Services, called in turn.
@@ -88,6 +90,7 @@
     next_short: u64,
     next_long: u64,
     opened: u64,
+    endpoints: u64,
     opened_long: u64,
     requests: u64,
     counts: BTreeMap<String, u64>,
@@ -130,6 +133,7 @@
             next_short: now,
             next_long: now,
             opened: 0,
+            endpoints: 0,
             opened_long: 0,
             requests: 0,
             counts: BTreeMap::new(),
@@ -178,12 +182,12 @@
 
     /// Opens a flow from an endpoint that was not used for the longest time.
     fn connect(&mut self, now: u64, mut flow: Flow, stack: &mut Stack) {
-        let number = self.opened;
+        let mut local = self.endpoint();
+        // With few ports, a long flow may still use the next endpoint.
+        while self.settings.ports < PORTS && self.flows.values().any(|other| other.local == local) {
+            local = self.endpoint();
+        }
         self.opened += 1;
-        let offset = 1 + number % self.settings.addresses;
-        let address = u32::from(self.settings.prefix.address()) + u32::try_from(offset).unwrap_or(1);
-        let port = FIRST_PORT + (number / self.settings.addresses) % PORTS;
-        let local = SocketAddrV4::new(Ipv4Addr::from(address), u16::try_from(port).unwrap_or(u16::MAX));
         flow.connect(now, local, self.settings.timeout);
         match stack.connect(local, self.settings.services[flow.service].address) {
             Ok(handle) => {
@@ -193,6 +197,15 @@
         }
     }
 
+    fn endpoint(&mut self) -> SocketAddrV4 {
+        let number = self.endpoints;
+        self.endpoints += 1;
+        let offset = 1 + number % self.settings.addresses;
+        let address = u32::from(self.settings.prefix.address()) + u32::try_from(offset).unwrap_or(1);
+        let port = FIRST_PORT + (number / self.settings.addresses) % self.settings.ports;
+        SocketAddrV4::new(Ipv4Addr::from(address), u16::try_from(port).unwrap_or(u16::MAX))
+    }
+
     fn request(&mut self, now: u64, service: usize) -> Request {
         let process = (u64::from(u32::from(self.settings.prefix.address())) >> 8) & PROCESS_MASK;
         self.requests += 1;
--- a/crates/poplarpaddle-standins/src/fabric.rs
+++ b/crates/poplarpaddle-standins/src/fabric.rs
@@ -281,7 +281,9 @@
         }
         if self.chance(self.faults.duplicate) {
             self.counts.duplicated += 1;
-            self.schedule(now, to, bytes.clone());
+            // The copy takes a way of its own, so both balancers may see the packet at one moment.
+            let other = if way == Way::Balancer { self.balancer() } else { None };
+            self.schedule(now, other.unwrap_or(to), bytes.clone());
         }
         self.schedule(now, to, bytes);
     }
--- a/crates/poplarpaddle-standins/src/lib.rs
+++ b/crates/poplarpaddle-standins/src/lib.rs
@@ -1,4 +1,4 @@
-//! Stand-ins for the systems around poplarpaddle: platform, fabric, targets and callers.
+//! Stand-ins for the systems around poplarpaddle: platform, fabric, links, targets and callers.
 //!
 //! Each stand-in is a library module with a thin binary. None uses a product crate, so a fault in the product cannot
 //! hide behind the same fault here.
@@ -24,6 +24,7 @@
 pub mod fabric;
 pub mod http;
 pub mod judge;
+pub mod link;
 pub mod net;
 pub mod platform;
 pub mod protocol;
--- /dev/null
+++ b/crates/poplarpaddle-standins/src/link.rs
@@ -0,0 +1,191 @@
+//! Links between machines: TCP connections and UDP datagrams are forwarded from a listen address to a fixed receiver.
+//!
+//! Admin switches cut, slow or lose what passes. A cut connection stays open without a byte passing, as when a zone is
+//! cut off, and goes on after healing.
+
+use std::net::{IpAddr, SocketAddr};
+use std::sync::Arc;
+use std::time::Duration;
+
+use axum::extract::State as Extract;
+use axum::extract::rejection::JsonRejection;
+use axum::http::StatusCode;
+use axum::response::{IntoResponse, Response};
+use axum::routing::get;
+use axum::{Json, Router};
+use eyre::{Result, WrapErr};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64;
+use serde::{Deserialize, Serialize};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream, UdpSocket};
+use tokio::sync::watch;
+
+use crate::http;
+use crate::net::Prefix;
+
+/// Bytes read from a connection at once.
+const CHUNK: usize = 64 << 10;
+/// Longest UDP datagram, in bytes.
+const DATAGRAM: usize = 65_535;
+/// Pause after a failed accept or receive, for example when no file descriptor is left.
+const ERROR_PAUSE: Duration = Duration::from_millis(20);
+
+/// A forwarded address.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Route {
+    /// Address that senders use.
+    pub listen: SocketAddr,
+    /// Address of the receiver.
+    pub to: SocketAddr,
+}
+
+/// What goes wrong on the links.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Faults {
+    /// Pairs of prefixes between which nothing passes, in either direction.
+    pub cut: Vec<(Prefix, Prefix)>,
+    /// Delay of every chunk and datagram, in milliseconds.
+    pub delay_ms: u64,
+    /// Share of datagrams lost, 0 to 1.
+    pub loss: f64,
+}
+
+impl Faults {
+    /// Returns true when nothing passes from `sender` along `route`. The listen address counts as the sender's too, so
+    /// that a zone can have a link of its own to a shared receiver.
+    #[must_use]
+    pub fn is_cut(&self, sender: IpAddr, route: &Route) -> bool {
+        let within = |prefix: &Prefix, address: IpAddr| match address {
+            IpAddr::V4(address) => prefix.contains(address),
+            IpAddr::V6(_) => false,
+        };
+        let joins = |near: &Prefix, far: &Prefix| {
+            (within(near, sender) || within(near, route.listen.ip())) && within(far, route.to.ip())
+        };
+        self.cut.iter().any(|(one, other)| joins(one, other) || joins(other, one))
+    }
+}
+
+/// Forwards until the process is told to stop, and serves `/admin` on `listener`.
+///
+/// # Errors
+///
+/// Fails when an address cannot be bound or the listener fails.
+pub async fn serve(listener: TcpListener, tcp: &[Route], udp: &[Route], seed: u64) -> Result<()> {
+    let faults = Arc::new(watch::Sender::new(Faults::default()));
+    for &route in tcp {
+        let bound = TcpListener::bind(route.listen).await;
+        let bound = bound.wrap_err_with(|| format!("cannot bind TCP address {}", route.listen))?;
+        tokio::spawn(accept(bound, route, faults.subscribe()));
+    }
+    for (index, &route) in (0..).zip(udp) {
+        let bound = UdpSocket::bind(route.listen).await;
+        let bound = bound.wrap_err_with(|| format!("cannot bind UDP address {}", route.listen))?;
+        tokio::spawn(datagrams(Arc::new(bound), route, faults.subscribe(), seed + index));
+    }
+    let router = Router::new().route("/admin", get(show).post(change)).with_state(faults);
+    tokio::select! {
+        result = async { axum::serve(listener, router).await } => result?,
+        result = http::terminated() => result?,
+    }
+    Ok(())
+}
+
+async fn show(Extract(faults): Extract<Arc<watch::Sender<Faults>>>) -> Json<Faults> {
+    Json(faults.borrow().clone())
+}
+
+/// Replaces all faults; a field that is left out is reset.
+async fn change(
+    Extract(faults): Extract<Arc<watch::Sender<Faults>>>,
+    body: Result<Json<Faults>, JsonRejection>,
+) -> Response {
+    let change = match body {
+        Ok(Json(change)) => change,
+        Err(rejection) => return http::rejected(&rejection),
+    };
+    if !(0.0..=1.0).contains(&change.loss) {
+        return http::failure(StatusCode::BAD_REQUEST, &format!("loss {:?} is not in 0..=1", change.loss));
+    }
+    faults.send_replace(change);
+    Json(serde_json::json!({})).into_response()
+}
+
+async fn accept(listener: TcpListener, route: Route, faults: watch::Receiver<Faults>) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, sender)) => drop(tokio::spawn(connection(stream, sender.ip(), route, faults.clone()))),
+            Err(_) => tokio::time::sleep(ERROR_PAUSE).await,
+        }
+    }
+}
+
+/// Forwards one connection. A failure closes both ends, which is all that either end can learn of it.
+async fn connection(near: TcpStream, sender: IpAddr, route: Route, mut faults: watch::Receiver<Faults>) {
+    if wait(&mut faults, sender, &route).await.is_none() {
+        return;
+    }
+    let Ok(far) = TcpStream::connect(route.to).await else { return };
+    let (near_read, near_write) = near.into_split();
+    let (far_read, far_write) = far.into_split();
+    tokio::select! {
+        () = copy(near_read, far_write, sender, route, faults.clone()) => {}
+        () = copy(far_read, near_write, sender, route, faults) => {}
+    }
+}
+
+/// Copies until one end closes. The cut is looked at after reading, so that bytes under way when it begins wait.
+async fn copy(
+    mut from: impl AsyncRead + Unpin,
+    mut to: impl AsyncWrite + Unpin,
+    sender: IpAddr,
+    route: Route,
+    mut faults: watch::Receiver<Faults>,
+) {
+    let mut buffer = vec![0; CHUNK];
+    loop {
+        let Ok(length @ 1..) = from.read(&mut buffer).await else { return };
+        let Some(delay) = wait(&mut faults, sender, &route).await else { return };
+        tokio::time::sleep(delay).await;
+        if to.write_all(&buffer[..length]).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Waits until the route is not cut and returns its delay, or nothing when the process stops.
+async fn wait(faults: &mut watch::Receiver<Faults>, sender: IpAddr, route: &Route) -> Option<Duration> {
+    let faults = faults.wait_for(|faults| !faults.is_cut(sender, route)).await.ok()?;
+    Some(Duration::from_millis(faults.delay_ms))
+}
+
+async fn datagrams(socket: Arc<UdpSocket>, route: Route, faults: watch::Receiver<Faults>, seed: u64) {
+    let mut random = Pcg64::seed_from_u64(seed);
+    let mut buffer = vec![0; DATAGRAM];
+    loop {
+        let Ok((length, sender)) = socket.recv_from(&mut buffer).await else {
+            tokio::time::sleep(ERROR_PAUSE).await;
+            continue;
+        };
+        let (delay, dropped) = {
+            let faults = faults.borrow();
+            let lost = faults.loss > 0.0 && random.random_bool(faults.loss);
+            (Duration::from_millis(faults.delay_ms), lost || faults.is_cut(sender.ip(), &route))
+        };
+        if dropped {
+            continue;
+        }
+        if delay.is_zero() {
+            // A datagram that cannot be sent is a lost packet.
+            drop(socket.send_to(&buffer[..length], route.to).await);
+            continue;
+        }
+        let (socket, datagram) = (Arc::clone(&socket), buffer[..length].to_vec());
+        tokio::spawn(async move {
+            tokio::time::sleep(delay).await;
+            drop(socket.send_to(&datagram, route.to).await);
+        });
+    }
+}
--- a/crates/poplarpaddle-standins/tests/common/mod.rs
+++ b/crates/poplarpaddle-standins/tests/common/mod.rs
@@ -68,6 +68,7 @@
     caller::Settings {
         prefix: "127.20.0.0/16".parse().unwrap(),
         addresses: 4,
+        ports: caller::PORTS,
         fabric,
         services: vec![Service { name: "bookings".into(), address: SERVICE }],
         rate: 100.0,
--- a/crates/poplarpaddle-standins/tests/judge.rs
+++ b/crates/poplarpaddle-standins/tests/judge.rs
@@ -2,7 +2,7 @@
 
 #![allow(missing_docs, reason = "test code")]
 
-use poplarpaddle_standins::judge::{Judge, Report};
+use poplarpaddle_standins::judge::{Excuse, Judge, Report};
 use serde_json::{Value, json};
 
 fn request(id: u64, idempotent: bool, outcome: &str) -> Value {
@@ -24,6 +24,10 @@
         "target_service": "bookings", "time_us": 5})
 }
 
+fn late(after_us: u64) -> Value {
+    json!({"record": "late_opening", "target": "127.10.0.1", "caller": "127.20.0.1:1024", "after_us": after_us})
+}
+
 fn judge(records: &[Value]) -> Report {
     let mut judge = Judge::new(3);
     for record in records {
@@ -45,6 +49,7 @@
         ("wrong_answers", vec![request(1, true, "wrong_answer"), run(1)]),
         ("wrong_answers", vec![answered]),
         ("broken_flows", vec![flow(Some("reset"))]),
+        ("late_openings", vec![late(5_000_001)]),
     ];
     for (fault, records) in cases {
         let report = judge(&records);
@@ -66,9 +71,33 @@
         request(4, false, "timeout"),
         run(4),
         flow(None),
+        late(5_000_000),
     ];
     let report = judge(&records);
     assert!(report.holds(), "{report:?}");
     let counts = (report.requests, report.answered, report.refused, report.idempotent_run_twice, report.seed);
     assert_eq!(counts, (4, 2, 1, 1, 3));
 }
+
+/// Guards against excuses that hide a break of another cause.
+#[test]
+fn only_breaks_of_the_named_cause_are_excused() {
+    let killed = |target: &str| Excuse { targets: vec![target.into()], resets: 0 };
+    let silenced = |resets| Excuse { targets: Vec::new(), resets };
+    let cases = [
+        (killed("127.10.0.1"), vec![request(1, true, "reset"), run(1), flow(Some("reset"))], true),
+        (killed("127.10.0.2"), vec![request(1, true, "reset"), run(1), flow(Some("reset"))], false),
+        (killed("127.10.0.1"), vec![flow(Some("reset"))], false),
+        (silenced(1), vec![flow(Some("reset"))], true),
+        (silenced(1), vec![flow(Some("reset")), flow(Some("reset"))], false),
+        (silenced(1), vec![flow(Some("timeout"))], false),
+    ];
+    for (excuse, records, holds) in cases {
+        let mut judge = Judge::new(3);
+        judge.excuse(excuse.clone());
+        for record in &records {
+            judge.read(&record.to_string());
+        }
+        assert_eq!(judge.report().holds(), holds, "{excuse:?} {records:?}");
+    }
+}
--- a/scripts/failures.sh
+++ b/scripts/failures.sh
@@ -7,18 +7,40 @@
 set -euo pipefail
 
 usage() {
-    echo "usage: $0 --scenario NAME [--seed N] [--base-port PORT] [--duration-ms MS] [--keep] [--no-build]"
+    echo "usage: $0 --scenario NAME | --all  [--seed N] [--base-port PORT] [--duration-ms MS] [--keep] [--no-build]"
     echo "scenarios:"
-    echo "  kill            a balancer is killed and started again, then the next one"
-    echo "  freeze          a balancer is stopped for 12 s, so that its leases lapse, and continued"
-    echo "  mass            all balancers are replaced one right after the other, each drain overlapping the next start"
-    echo "  outage          the platform is down while every balancer is restarted"
-    echo "  lost-answers    the platform loses the answers of writes while a change is published"
-    echo "  race            two operators publish at the same time"
-    echo "  loss            the fabric loses 1 %, duplicates 1 % and reorders 5 % of the packets during a rolling restart"
-    echo "  kill-and-drain  a balancer is killed while a target drains"
-    echo "  freeze-outage   a balancer is frozen while the platform is down"
-    echo "  silence         open flows go silent for good; they have to be reset so that callers can reconnect"
+    echo "  kill                a balancer is killed and started again, then the next one"
+    echo "  kill-two            two balancers are killed at once and started again"
+    echo "  kill-frozen         a balancer is killed while another is frozen, which then resumes"
+    echo "  freeze              a balancer is stopped for 12 s, so that its leases lapse, and continued"
+    echo "  mass                all balancers are replaced, one right after the other, twice"
+    echo "  mass-overlap        three new balancers replace all three within seconds during an outage and a publish"
+    echo "  outage              the platform is down while every balancer is restarted"
+    echo "  outage-publish      a publish runs during an outage and is repeated after it"
+    echo "  slow-store          every call to the store takes 2 s while a change is published"
+    echo "  lost-answers        the platform loses the answers of writes while a change is published"
+    echo "  race                two operators publish at the same time"
+    echo "  loss                the fabric loses 1 %, duplicates 1 % and reorders 5 % of the packets during a rolling restart"
+    echo "  duplicate           the fabric delivers every packet twice, to two balancers"
+    echo "  crossed             answers are late and overtake one another, and caller ports are reused within seconds"
+    echo "  kill-and-drain      a balancer is killed while a target drains"
+    echo "  freeze-outage       a balancer is frozen while the platform is down"
+    echo "  silence             open flows go silent for good; they have to be reset so that callers can reconnect"
+    echo "  zone-peers          a zone is cut off from the other zones during a publish"
+    echo "  zone-platform       a zone is cut off from the platform during a publish"
+    echo "  zone-both           a zone is cut off from both during a publish"
+    echo "  zone-twice          a zone is cut off from both, twice in a row, with a publish in each cut"
+    echo "  zone-fabric         a zone is cut off from both and reaches only its own targets"
+    echo "  zone-restart        a rolling restart while a zone is cut off from the platform"
+    echo "  slow-links          links between balancers take 200 ms and lose 5 % of the datagrams during a rolling restart"
+    echo "  target-kill         a target is killed; only its own flows may break"
+    echo "  target-kill-balancer  a target and a balancer are killed at once"
+    echo "  target-object       a target drains by its object"
+    echo "  target-report       a target drains by its load report"
+    echo "  target-vm           a target drains by the VM list, with the platform down afterwards"
+    echo "  target-odd          targets that shed, start cold and report misleading load"
+    echo "  target-misplaced    a target runs another service than its object says"
+    echo "  target-move         a target moves to another service; the check refuses it"
 }
 
 # shellcheck source=scripts/lib.sh
@@ -120,27 +142,318 @@
 }
 
 run_silence() {
+    local answer
     say "open flows go silent"
-    post "$fabric_admin" /admin '{"silence": {"share": 1.0}}'
+    answer=$(http "$fabric_admin" POST /admin '{"silence": {"share": 1.0}}')
+    [[ $answer =~ \"silenced\":([0-9]+) ]] || fail "no flows were silenced: $answer"
+    excuses+=(--silenced "${BASH_REMATCH[1]}")
 }
 
-# Waits until every balancer reports at least this generation; it has to be in force within 7 s.
-expect_generation() {
+run_kill_two() {
+    kill_balancer 0
+    kill_balancer 1
+    sleep 6
+    revive_balancer 0
+    revive_balancer 1
+}
+
+run_kill_frozen() {
+    say "freezing balancer-1"
+    kill -STOP "${pids[balancer-1]}"
+    sleep 1
+    kill_balancer 0
+    sleep 6
+    kill -CONT "${pids[balancer-1]}"
+    revive_balancer 0
+}
+
+prepare_mass_overlap() { balancers=6 started=3; }
+
+run_mass_overlap() {
     local index
-    for index in 0 1 2; do
-        for _ in {1..70}; do
-            status=$(http "$(peer_address "$index")" GET /status)
-            [[ $status == *"\"fleet\":\"$fleet\",\"generation\":$1,"* ]] && continue 2
+    say "publishing and replacing all balancers during an outage"
+    change_configuration 0
+    post "$store" /admin '{"outage": "silent"}'
+    for index in 3 4 5; do start_balancer "$index"; done
+    for index in 3 4 5; do ready "balancer-$index" "$(peer_address "$index")" /health; done
+    for index in 0 1 2; do kill -TERM "${pids[balancer-$index]}"; done
+    for index in 0 1 2; do stop "balancer-$index"; done
+    post "$store" /admin '{"outage": "none"}'
+    expect_generation 2 3 4 5
+}
+
+run_outage_publish() {
+    local code=0
+    post "$store" /admin '{"outage": "silent"}'
+    write_objects 0
+    publish || code=$?
+    ((code != 0)) || fail "a publish succeeded while the platform is down"
+    post "$store" /admin '{"outage": "none"}'
+    change_configuration 0
+    expect_generation 2
+}
+
+run_slow_store() {
+    post "$store" /admin '{"slow_ms": 2000}'
+    sleep 3
+    change_configuration 0
+    expect_generation 2
+    post "$store" /admin '{"slow_ms": 0}'
+}
+
+run_duplicate() {
+    post "$fabric_admin" /admin '{"duplicate": 1.0}'
+    sleep 10
+    post "$fabric_admin" /admin '{"duplicate": 0.0}'
+}
+
+prepare_crossed() { caller_flags=(--rate 100 --long 200 --addresses 8 --ports 64 --pipeline 3); }
+
+run_crossed() {
+    post "$fabric_admin" /admin '{"delay_ms": 20, "reorder": 0.5, "duplicate": 0.1}'
+    restart 0
+    sleep 8
+    post "$fabric_admin" /admin '{"delay_ms": 0, "reorder": 0.0, "duplicate": 0.0}'
+}
+
+# Cuts zone 0 off: "peers", "platform" or "both"; "none" heals.
+cut_zone() {
+    local peers='["127.0.1.0/24", "127.0.2.0/24"], ["127.0.1.0/24", "127.0.3.0/24"]'
+    local platform='["127.0.1.0/24", "127.0.0.1"]'
+    say "zone ${zones[0]} is cut off from: $1"
+    case $1 in
+    peers) post "$link_admin" /admin "{\"cut\": [$peers]}" ;;
+    platform) post "$link_admin" /admin "{\"cut\": [$platform]}" ;;
+    both) post "$link_admin" /admin "{\"cut\": [$peers, $platform]}" ;;
+    none) post "$link_admin" /admin '{"cut": []}' ;;
+    esac
+}
+
+prepare_zone_peers() { link=true; }
+run_zone_peers() {
+    cut_zone peers
+    sleep 5
+    change_configuration 0
+    # Its relays still watch the manifest.
+    expect_generation 2
+    sleep 4
+    cut_zone none
+    sleep 3
+}
+
+prepare_zone_platform() { link=true; }
+run_zone_platform() {
+    cut_zone platform
+    sleep 5
+    change_configuration 0
+    expect_generation 2
+    sleep 4
+    cut_zone none
+    sleep 3
+}
+
+prepare_zone_both() { link=true; }
+run_zone_both() {
+    cut_zone both
+    sleep 5
+    change_configuration 0
+    expect_generation 2 1 2
+    sleep 4
+    expect_stale 1 0
+    cut_zone none
+    expect_generation 2
+}
+
+prepare_zone_twice() { link=true; }
+run_zone_twice() {
+    cut_zone both
+    sleep 4
+    change_configuration 0
+    expect_generation 2 1 2
+    cut_zone none
+    expect_generation 2
+    cut_zone both
+    sleep 4
+    change_configuration -1
+    expect_generation 3 1 2
+    cut_zone none
+    expect_generation 3
+}
+
+prepare_zone_fabric() { link=true; }
+run_zone_fabric() {
+    local index cuts=()
+    cut_zone both
+    for ((index = 0; index < targets; index++)); do
+        ((index % 3 == 0)) || cuts+=("[\"$(data_address 0)\", \"$host:$((base + 10 + index))\"]")
+    done
+    post "$fabric_admin" /admin "{\"cut\": [$(IFS=, && echo "${cuts[*]}")]}"
+    sleep 12
+    post "$fabric_admin" /admin '{"cut": []}'
+    cut_zone none
+    sleep 2
+}
+
+prepare_zone_restart() { link=true; }
+run_zone_restart() {
+    local index
+    cut_zone platform
+    for index in 0 1 2; do restart "$index"; done
+    cut_zone none
+}
+
+prepare_slow_links() { link=true; }
+run_slow_links() {
+    local index
+    post "$link_admin" /admin '{"delay_ms": 200, "loss": 0.05}'
+    for index in 0 1 2; do restart "$index"; done
+    post "$link_admin" /admin '{}'
+}
+
+kill_target() {
+    say "killing target-$1"
+    kill -KILL "${pids[target-$1]}"
+    wait "${pids[target-$1]}" 2>/dev/null || true
+    unset "pids[target-$1]"
+    excuses+=(--killed-target "$(target_address "$1")")
+}
+
+run_target_kill() {
+    kill_target 1
+    sleep 8
+    kill_target 7
+}
+
+run_target_kill_balancer() {
+    kill_target 1
+    kill_balancer 0
+    sleep 6
+    revive_balancer 0
+}
+
+# Makes a target note openings from now on, while its report says that it serves.
+note_openings() {
+    post "$(target_address "$1"):$load_port" /admin '{"draining": true, "misleading": {"state": "serving"}}'
+}
+
+run_target_object() {
+    change_configuration 1
+    note_openings 1
+}
+
+run_target_report() { post "$(target_address 1):$load_port" /admin '{"draining": true}'; }
+
+run_target_vm() {
+    note_openings 1
+    list_target 1 leaving
+    # The list lags by 1 s and is read once a second.
+    sleep 3
+    say "platform down"
+    post "$store" /admin '{"outage": "silent"}'
+    restart 0
+    sleep 6
+    post "$store" /admin '{"outage": "none"}'
+}
+
+prepare_target_odd() {
+    target_flags[0]="--queue 0"
+    target_flags[1]="--cold-ms 10000"
+    target_flags[2]="--load-busy 0 --queue 2"
+    target_flags[7]="--load-busy 999"
+}
+run_target_odd() { restart 0; }
+
+prepare_target_misplaced() { real_service[2]=catalogue; }
+run_target_misplaced() {
+    restart 0
+    sleep 2
+    http "$(target_address 2):$load_port" GET /admin >"$folder/misplaced.txt"
+    say "misplaced target: $(tail -n 1 "$folder/misplaced.txt")"
+}
+
+run_target_move() {
+    local code=0
+    write_objects -1
+    sed -i 's/"pour-slot"/"catalogue"/' "$folder/objects/target/target-2.json"
+    publish || code=$?
+    ((code != 0)) || fail "a target moved to another service in one publish"
+    omitted=2
+    change_configuration -1 --prune
+    omitted=-1
+    write_objects -1
+    sed -i 's/"pour-slot"/"catalogue"/' "$folder/objects/target/target-2.json"
+    code=0
+    publish || code=$?
+    ((code != 0)) || fail "a target entered another service right after it had left the first"
+    say "refused: $(tail -n 2 "$folder/ctl.out")"
+    expect_generation 2
+}
+
+generation_of() {
+    local answer
+    answer=$(http "$(peer_address "$1")" GET /status 2>/dev/null) || return 0
+    [[ $answer =~ \"fleet\":\"$fleet\",\"generation\":([0-9]+) ]] && echo "${BASH_REMATCH[1]}"
+    return 0
+}
+
+# Waits until balancers (all without further arguments) report this generation; it has to be in force within 7 s.
+expect_generation() {
+    local wanted=$1 index end=$((SECONDS + 7)) && shift
+    (($# > 0)) || set -- $(seq 0 $((balancers - 1)))
+    for index in "$@"; do
+        until [[ $(generation_of "$index") == "$wanted" ]]; do
+            ((SECONDS <= end)) || fail "balancer-$index does not have generation $wanted after 7 s"
             sleep 0.1
         done
-        fail "balancer-$index does not have generation $1 after 7 s"
     done
-    say "generation $1 is in force everywhere"
+    say "generation $wanted is in force at: $*"
+}
+
+expect_stale() {
+    [[ $(generation_of "$2") == "$1" ]] || fail "balancer-$2 left generation $1 although it is cut off from everything"
+}
+
+# Notes the generations of all balancers until the callers end.
+watch_generations() {
+    local index
+    while kill -0 "${pids[callers-0]}" 2>/dev/null; do
+        for ((index = 0; index < balancers; index++)); do
+            echo "$index $(generation_of "$index")" >>"$folder/generations.txt"
+        done
+        sleep 0.3
+    done
+}
+
+# A generation never goes back, not even over a restart, since a new process gets it from its peers.
+check_generations() {
+    awk 'NF == 2 && $2 > 0 { if ($2 < seen[$1]) { print "balancer-" $1 " went back from " seen[$1] " to " $2; bad = 1 }
+        seen[$1] = $2 } END { exit bad }' "$folder/generations.txt" || fail "a configuration was reverted"
+}
+
+run_all() {
+    local name passed=0 failed=() flags=(--seed "$seed" --base-port "$base" --duration-ms "$duration_ms" --no-build)
+    build_all
+    for name in $(usage | awk '/^scenarios:/ { on = 1; next } on { print $1 }'); do
+        if "$0" --scenario "$name" "${flags[@]}" --balancer "$balancer" --ctl "$ctl" | tail -n 1; then
+            passed=$((passed + 1))
+        else
+            failed+=("\"$name\"")
+        fi
+    done
+    ok=true
+    echo "{\"passed\":$passed,\"failed\":[$(IFS=, && echo "${failed[*]}")],\"seed\":$seed}"
+    ((${#failed[@]} == 0))
 }
 
-name=run_${scenario//-/_}
-declare -F "$name" >/dev/null || { usage >&2 && exit 2; }
+if [[ $scenario == all ]]; then
+    run_all
+    exit
+fi
+name=${scenario//-/_}
+declare -F "run_$name" >/dev/null || { usage >&2 && exit 2; }
+if declare -F "prepare_$name" >/dev/null; then "prepare_$name"; fi
 build_all
 start_all
-"$name"
+watch_generations &
+"run_$name"
 finish "\"scenario\":\"$scenario\","
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -17,6 +17,7 @@
     while (($# > 0)); do
         case $1 in
         --scenario) scenario=$2 && shift 2 ;;
+        --all) scenario=all && shift ;;
         --seed) seed=$2 && shift 2 ;;
         --base-port) base=$2 && shift 2 ;;
         --duration-ms) duration_ms=$2 && shift 2 ;;
@@ -35,8 +36,21 @@
 readonly fleet=okhotsk region=okhotsk host=127.0.0.1
 readonly zones=(kitami abashiri monbetsu)
 readonly pour_slot=127.30.0.1:8000 catalogue=127.30.0.2:8000
-readonly pour_slot_targets=6 targets=9
-readonly store=$host:$base fabric=$host:$((base + 1)) fabric_admin=$host:$((base + 2)) callers=$host:$((base + 3))
+# A script may set these before start_all.
+balancers=3 pour_slot_targets=6 targets=9 slots=2 service_ms=5
+caller_processes=1 caller_flags=(--rate 100 --long 200)
+# With link=true, balancers reach one another and the store only through standin-link.
+link=false
+# Excuses for the judge.
+excuses=()
+# Index of a target that has no object, -1 for none.
+omitted=-1
+# Extra flags of single targets, and services that differ from those of their objects, by index.
+declare -A target_flags=() real_service=()
+# Balancers started at first, if not all.
+started=
+readonly store=$host:$base fabric=$host:$((base + 1)) fabric_admin=$host:$((base + 2))
+readonly link_host=127.0.9.1 link_admin=$host:$((base + 4))
 # Targets of two runs have equal addresses, so their load port follows from the base port.
 readonly load_port=$((base + 900))
 
@@ -119,9 +133,17 @@
     [[ $answer == "HTTP/1.1 200 "* ]] || fail "POST http://$1$2: ${answer%%$'\r'*}"
 }
 
+zone_of() { echo "${zones[$(($1 % 3))]}"; }
+# With a link, every zone has its own address, so that the link can tell the zones apart.
+zone_host() { if $link; then echo "127.0.$(($1 % 3 + 1)).1"; else echo "$host"; fi; }
 data_address() { echo "$host:$((base + 100 + 3 * $1))"; }
-relay_address() { echo "$host:$((base + 101 + 3 * $1))"; }
-peer_address() { echo "$host:$((base + 102 + 3 * $1))"; }
+relay_address() { echo "$(zone_host "$1"):$((base + 101 + 3 * $1))"; }
+peer_address() { echo "$(zone_host "$1"):$((base + 102 + 3 * $1))"; }
+advertised_relay() { if $link; then echo "$link_host:$((base + 201 + 2 * $1))"; else relay_address "$1"; fi; }
+advertised_peer() { if $link; then echo "$link_host:$((base + 200 + 2 * $1))"; else peer_address "$1"; fi; }
+store_address() { if $link; then echo "$(zone_host "$1"):$((base + 5))"; else echo "$store"; fi; }
+caller_address() { echo "$host:$((base + 400 + $1))"; }
+caller_prefix() { echo "127.$((20 + $1)).0.0/16"; }
 target_address() { echo "127.10.0.$(($1 + 1))"; }
 target_service() { if (($1 < pour_slot_targets)); then echo pour-slot; else echo catalogue; fi; }
 
@@ -130,7 +152,7 @@
     cat >"$folder/balancer-$index.ini" <<EOF
 [node]
 name = balancer-$index
-zone = ${zones[$index]}
+zone = $(zone_of "$index")
 region = $region
 fleet = $fleet
 
@@ -143,16 +165,20 @@
 address = $fabric
 
 [store]
-url = http://$store
+url = http://$(store_address "$index")
 
 [members]
-seeds = $(peer_address 0), $(peer_address 1), $(peer_address 2)
+seeds = $(advertised_peer 0), $(advertised_peer 1), $(advertised_peer 2)
 
 [targets]
 load_port = $load_port
 
 [stop]
 drain_ms = 2000
+
+[advertise]
+relay = $(advertised_relay "$index")
+peer = $(advertised_peer "$index")
 EOF
 }
 
@@ -162,6 +188,7 @@
 # Writes the set of objects; $1 is the index of a draining target, -1 for none.
 write_objects() {
     local draining=$1 index fields
+    rm -rf "$folder/objects"
     mkdir -p "$folder"/objects/{zone,priority,service,target}
     for index in 0 1 2; do write_object zone "${zones[$index]}" "\"region\": \"$region\""; done
     write_object priority urgent '"rank": 0, "share": 60, "queue_ms": 2000'
@@ -172,17 +199,23 @@
     # shellcheck disable=SC2059
     write_object service catalogue "$(printf "$fields" "${catalogue%:*}" "${catalogue#*:}" normal)"
     for ((index = 0; index < targets; index++)); do
-        fields="\"service\": \"$(target_service "$index")\", \"zone\": \"${zones[$((index % 3))]}\""
-        fields+=", \"address\": \"$(target_address "$index")\", \"slots\": 2, \"connections\": 4300"
+        ((index != omitted)) || continue
+        fields="\"service\": \"$(target_service "$index")\", \"zone\": \"$(zone_of "$index")\""
+        fields+=", \"address\": \"$(target_address "$index")\", \"slots\": $slots, \"connections\": 4300"
         fields+=", \"draining\": $([[ $index == "$draining" ]] && echo true || echo false)"
         write_object target "target-$index" "$fields"
     done
 }
 
+# Publishes the folder of objects; further flags are passed on.
+publish() {
+    "$ctl" --store "http://$store" --fleet "$fleet" publish --from "$folder/objects" "$@" >>"$folder/ctl.out" 2>&1
+}
+
+# Writes and publishes the set of objects: index of the draining target, further flags of the command.
 change_configuration() {
     write_objects "$1"
-    "$ctl" --store "http://$store" --fleet "$fleet" publish --from "$folder/objects" >>"$folder/ctl.out" 2>&1 ||
-        fail "configuration not published: $(tail -n 3 "$folder/ctl.out")"
+    publish "${@:2}" || fail "configuration not published: $(tail -n 3 "$folder/ctl.out")"
 }
 
 start_platform() {
@@ -190,32 +223,56 @@
     ready platform "$store" /admin
 }
 
+start_target() {
+    local index=$1 address service
+    address=$(target_address "$index") service=${real_service[$index]:-$(target_service "$index")}
+    # shellcheck disable=SC2086 # the flags are several words
+    start "target-$index" "$bin/standin-target" --address "$address" --port 8000 --service "$service" \
+        --listen "$host:$((base + 10 + index))" --fabric "$fabric" --load-port "$load_port" --slots "$slots" \
+        --connections 4300 --service-ms "$service_ms" --load-lag-ms 1000 --seed "$seed" ${target_flags[$index]:-}
+}
+
+# Sets the state of a target in the VM list: index, live or leaving.
+list_target() {
+    post "$store" /vms "{\"name\": \"target-$1\", \"role\": \"target\", \"zone\": \"$(zone_of "$1")\",
+        \"address\": \"$(target_address "$1")\", \"state\": \"$2\"}"
+}
+
 start_targets() {
     local index
     for ((index = 0; index < targets; index++)); do
-        local address service
-        address=$(target_address "$index") service=$(target_service "$index")
-        start "target-$index" "$bin/standin-target" --address "$address" --port 8000 --service "$service" \
-            --listen "$host:$((base + 10 + index))" --fabric "$fabric" --load-port "$load_port" --slots 2 \
-            --connections 4300 --service-ms 5 --load-lag-ms 1000 --seed "$seed"
-        post "$store" /vms "{\"name\": \"target-$index\", \"role\": \"target\", \"zone\": \"${zones[$((index % 3))]}\",
-            \"address\": \"$address\", \"state\": \"live\"}"
+        start_target "$index"
+        list_target "$index" live
     done
     for ((index = 0; index < targets; index++)); do
         ready "target-$index" "$(target_address "$index"):$load_port" /load
     done
 }
 
+start_link() {
+    local index routes=()
+    $link || return 0
+    for ((index = 0; index < balancers; index++)); do
+        routes+=(--tcp "$(advertised_peer "$index")=$(peer_address "$index")")
+        routes+=(--udp "$(advertised_relay "$index")=$(relay_address "$index")")
+        if ((index < 3)); then routes+=(--tcp "$(store_address "$index")=$store"); fi
+    done
+    start link "$bin/standin-link" --http "$link_admin" "${routes[@]}" --seed "$seed"
+    ready link "$link_admin" /admin
+}
+
 start_fabric() {
     local index routes=()
     for ((index = 0; index < targets; index++)); do
         routes+=(--target "$(target_address "$index")=$host:$((base + 10 + index))")
     done
-    for index in 0 1 2; do
+    for ((index = 0; index < balancers; index++)); do
         routes+=(--balancer "$(data_address "$index")=http://$(peer_address "$index")/health")
     done
-    start fabric "$bin/standin-fabric" --listen "$fabric" --http "$fabric_admin" --service 127.30.0.0/16 \
-        --caller "127.20.0.0/16=$callers" "${routes[@]}" --seed "$seed"
+    for ((index = 0; index < caller_processes; index++)); do
+        routes+=(--caller "$(caller_prefix "$index")=$(caller_address "$index")")
+    done
+    start fabric "$bin/standin-fabric" --listen "$fabric" --http "$fabric_admin" --service 127.30.0.0/16 "${routes[@]}" --seed "$seed"
     ready fabric "$fabric_admin" /admin
 }
 
@@ -223,13 +280,14 @@
 
 start_balancers() {
     local index
-    for index in 0 1 2; do
+    for ((index = 0; index < balancers; index++)); do
         write_settings "$index"
+        ((index < ${started:-$balancers})) || continue
         start_balancer "$index"
-        post "$store" /vms "{\"name\": \"balancer-$index\", \"role\": \"balancer\", \"zone\": \"${zones[$index]}\",
-            \"address\": \"$(peer_address "$index")\", \"state\": \"live\"}"
+        post "$store" /vms "{\"name\": \"balancer-$index\", \"role\": \"balancer\", \"zone\": \"$(zone_of "$index")\",
+            \"address\": \"$(advertised_peer "$index")\", \"state\": \"live\"}"
     done
-    for index in 0 1 2; do ready "balancer-$index" "$(peer_address "$index")" /health; done
+    for ((index = 0; index < ${started:-$balancers}; index++)); do ready "balancer-$index" "$(peer_address "$index")" /health; done
 }
 
 # Restarts a balancer gracefully and waits until it is ready.
@@ -240,22 +298,41 @@
 }
 
 start_callers() {
-    start callers "$bin/standin-caller" --listen "$callers" --fabric "$fabric" --prefix 127.20.0.0/16 \
-        --service "pour-slot=$pour_slot" --service "catalogue=$catalogue" --rate 100 --long 200 \
-        --duration-ms "$duration_ms" --seed "$seed"
+    local index
+    for ((index = 0; index < caller_processes; index++)); do
+        start "callers-$index" "$bin/standin-caller" --listen "$(caller_address "$index")" --fabric "$fabric" \
+            --prefix "$(caller_prefix "$index")" --service "pour-slot=$pour_slot" --service "catalogue=$catalogue" \
+            "${caller_flags[@]}" --duration-ms "$duration_ms" --seed "$((seed + index))"
+    done
 }
 
 stop_all() {
-    local index
-    await callers $((duration_ms / 1000 + 60)) || fail "callers failed: $(tail -n 3 "$folder/callers.err")"
+    local index name
+    for ((index = 0; index < caller_processes; index++)); do
+        await "callers-$index" $((duration_ms / 1000 + 60)) ||
+            fail "callers failed: $(tail -n 3 "$folder/callers-$index.err")"
+    done
     http "$fabric_admin" GET /admin >"$folder/fabric-counts.txt"
-    for index in 0 1 2; do stop "balancer-$index"; done
-    for ((index = 0; index < targets; index++)); do stop "target-$index"; done
+    for ((index = 0; index < balancers; index++)); do
+        [[ -n ${pids[balancer-$index]:-} ]] || continue
+        http "$(peer_address "$index")" GET /status >"$folder/status-$index.txt"
+        http "$(peer_address "$index")" GET /events >"$folder/events-$index.txt"
+    done
+    for name in "${!pids[@]}"; do
+        if [[ $name == balancer-* ]]; then kill -TERM "${pids[$name]}"; fi
+    done
+    for ((index = 0; index < balancers; index++)); do
+        [[ -z ${pids[balancer-$index]:-} ]] || stop "balancer-$index"
+    done
+    for ((index = 0; index < targets; index++)); do
+        # A scenario may have killed it.
+        [[ -z ${pids[target-$index]:-} ]] || stop "target-$index"
+    done
     stop fabric
+    if $link; then stop link; fi
     stop platform
 }
 
-
 build_all() {
     if $build; then
         say "building"
@@ -270,6 +347,7 @@
 start_all() {
     say "starting, seed $seed, folder $folder"
     start_platform
+    start_link
     start_fabric
     start_targets
     change_configuration -1
@@ -279,7 +357,10 @@
 }
 
 # Joins the records of callers and targets into result.json; the exit code is not 0 when a guarantee is violated.
-judge() { "$bin/standin-judge" --seed "$seed" "$folder"/callers.out "$folder"/target-*.out >"$folder/result.json"; }
+judge() {
+    "$bin/standin-judge" --seed "$seed" "${excuses[@]}" "$folder"/callers-*.out "$folder"/target-*.out \
+        >"$folder/result.json"
+}
 
 # Waits for the callers, stops everything and prints the result; $1 is added to the front of the JSON object.
 finish() {
@@ -287,6 +368,7 @@
     say "waiting for the callers"
     stop_all
     judge || result=$?
+    if [[ -e $folder/generations.txt ]]; then check_generations; fi
     ((result == 0)) && ok=true
     # The trap writes to standard error only, so this is the last line of output.
     sed "1s/{/{$1/" "$folder/result.json"
