Tell joining balancers which target hosts are leaving

Cause: an entry of the VM list is passed on a fixed number of times. A balancer that joined afterwards, while the platform was down, did not know that a target was leaving and gave it new flows until the platform was back. Change: answers that carry a page of the member table, which a joining member asks for, carry the leaving hosts as well. Result: the new test of the control side fails before and passes after.

--- a/crates/poplarpaddle/src/control.rs
+++ b/crates/poplarpaddle/src/control.rs
@@ -267,6 +267,8 @@
     /// Returns the message of `letter`; `page` is a page of the table that it has to carry.
     fn compose(&mut self, now: Time, letter: &Letter, page: Option<MemberId>) -> Gossip {
         let (updates, next) = self.membership.updates(letter.member, page);
+        // A member that reads the table may have joined after the last of these messages.
+        let limit = if page.is_some() { u32::MAX } else { self.membership.retransmissions() };
         Gossip {
             version: wire::VERSION,
             sender: self.membership.me().clone(),
@@ -274,7 +276,7 @@
             digest: self.config.digest(),
             table: self.membership.digest(),
             updates,
-            leaving: self.departures.share(now, self.membership.retransmissions()),
+            leaving: self.departures.share(now, limit),
             ping: letter.ping,
             pong: letter.pong,
             page: letter.page.or(next),
--- a/crates/poplarpaddle/tests/control.rs
+++ b/crates/poplarpaddle/tests/control.rs
@@ -81,6 +81,31 @@
     }
 }
 
+/// Guards against a balancer that joins during an outage of the platform and gives new flows to a leaving target.
+#[test]
+fn joining_member_learns_the_leaving_hosts() {
+    let mut net = Net::fleet(5, 3, 5_000);
+    let host = std::net::Ipv4Addr::new(10, 9, 0, 1);
+    let vm = Vm {
+        name: "target-1".into(),
+        role: "target".into(),
+        zone: "zone-0".into(),
+        address: host.to_string(),
+        state: VmState::Leaving,
+    };
+    net.store.vms.push(vm);
+    net.run(5_000);
+    net.store.down = true;
+    net.start(50, &[address(0), address(1)]);
+    let knows = |net: &Net| {
+        let view = net.hosts.get(&address(50)).and_then(|joined| joined.view.as_ref());
+        view.and_then(|view| view.hosts.get(&host)).is_some_and(|known| known.state == HostState::Draining)
+    };
+    let took = net.until(3_000, knows);
+    assert!(took.is_some(), "a member that joined does not know of the leaving host after 3 s");
+    println!("leaving host known after {took:?} ms");
+}
+
 /// Guards against a leaving member that still gets new shards at some peer, or whose end counts as a failure.
 #[test]
 fn leaving_is_known_at_once() {
