Free slots of work whose answers pass another balancer

Cause: on the two sides of a partition the fabric still sends packets of a flow to both owners. The end of an answer that passed the other side was never seen here, so its work held a slot of the host for a minute; gates filled up, payload waited and was dropped, and openings were refused. Change: a target that acknowledges payload which was not forwarded here shows that another balancer serves the flow.

--- a/crates/poplarpaddle/src/path/engine.rs
+++ b/crates/poplarpaddle/src/path/engine.rs
@@ -34,6 +34,8 @@
     pub(super) shards: Shards,
     /// When each host sent its last packet.
     pub(super) heard: Map<Ipv4Addr, Time>,
+    /// Until when another balancer is taken to serve flows of this one too, as on the two sides of a partition.
+    pub(super) shared_until: Time,
     pub(super) sweep: Sweep,
     pub(super) counters: Counters,
 }
@@ -56,6 +58,7 @@
             holds: Holds::new(seed, bounds.held_bytes, bounds.held_packets),
             shards: Shards::default(),
             heard: map::seeded(seed),
+            shared_until: Time::default(),
             sweep: Sweep::default(),
             counters: Counters::default(),
         }
--- a/crates/poplarpaddle/src/path/probing.rs
+++ b/crates/poplarpaddle/src/path/probing.rs
@@ -156,7 +156,8 @@
         match entry.stage {
             Stage::Pending => {
                 // The target is not reset: the caller may have completed the handshake through another balancer.
-                self.retry(now, &place, slot, End::Unanswered, outlet);
+                let end = if self.is_shared(now) { End::Closed } else { End::Unanswered };
+                self.retry(now, &place, slot, end, outlet);
             }
             Stage::Probing => self.skip(now, &place, slot, outlet),
             _ => {}
--- a/crates/poplarpaddle/src/path/sweep.rs
+++ b/crates/poplarpaddle/src/path/sweep.rs
@@ -13,6 +13,9 @@
 /// Time between two parts. A pass takes a second, so deadlines of entries are that much late at most.
 const INTERVAL: Duration = Duration::from_micros(62_500);
 
+/// The same while another balancer serves flows of this one too; work whose end is not seen fills a gate soon.
+const SHARED_INTERVAL: Duration = Duration::from_millis(8);
+
 /// Entries looked at to find the one to evict. More would find an older one and cost more for each new flow.
 const SAMPLE: u32 = 32;
 
@@ -42,7 +45,7 @@
             self.expire_entry(now, slot);
         }
         self.sweep.part = (self.sweep.part + 1) % PARTS;
-        self.sweep.deadline = now + INTERVAL;
+        self.sweep.deadline = now + if self.is_shared(now) { SHARED_INTERVAL } else { INTERVAL };
     }
 
     fn expire_entry(&mut self, now: Time, slot: Slot) {
@@ -51,8 +54,9 @@
             return;
         }
         let is_gone = now.reached(entry.active + self.keep(entry));
-        let end = if entry.stage == Stage::Pending { End::Unanswered } else { End::Closed };
-        let is_stale = entry.has(Flag::Working) && now.reached(self.work_deadline(entry));
+        let is_unanswered = entry.stage == Stage::Pending && !self.is_shared(now);
+        let end = if is_unanswered { End::Unanswered } else { End::Closed };
+        let is_stale = entry.has(Flag::Working) && now.reached(self.work_deadline(now, entry));
         if !is_gone && !is_stale {
             return;
         }
@@ -73,10 +77,16 @@
         }
     }
 
-    fn work_deadline(&self, entry: &Entry) -> Time {
+    /// Returns true while another balancer serves flows of this one too.
+    pub(super) fn is_shared(&self, now: Time) -> bool {
+        !now.reached(self.shared_until)
+    }
+
+    fn work_deadline(&self, now: Time, entry: &Entry) -> Time {
         let has_payload = !entry.has(Flag::Opened) || entry.next != entry.opening.wrapping_add(1);
         let is_open = entry.stage.is_bound() && !has_payload;
         let limit = match entry.has(Flag::Adopted) {
+            _ if self.is_shared(now) && (has_payload || entry.has(Flag::Adopted)) => self.timings.shared_work,
             true => self.timings.adopted,
             false if is_open => self.timings.first_payload,
             false => self.timings.work,
--- a/crates/poplarpaddle/src/path/target.rs
+++ b/crates/poplarpaddle/src/path/target.rs
@@ -207,9 +207,14 @@
 
     /// Notes in the entry and at the gate what a packet of the target tells.
     pub(super) fn note_answer(&mut self, now: Time, place: &Place, slot: Slot, packet: &View<'_>) {
+        let shared = now + self.timings.shared;
         let Some(entry) = self.table.at_mut(slot) else { return };
         entry.active = now;
         entry.silent = Time::NEVER;
+        if recovery::shows_other_way(entry, packet) {
+            entry.next = packet.acknowledgement;
+            self.shared_until = shared;
+        }
         match packet.kind {
             Kind::Closing => entry.set(Flag::TargetEnd),
             Kind::Reset => entry.set(Flag::Reset),
--- a/crates/poplarpaddle/src/recovery.rs
+++ b/crates/poplarpaddle/src/recovery.rs
@@ -122,6 +122,18 @@
     packet.acknowledgement == 0 || packet.acknowledgement == entry.opening.wrapping_add(1)
 }
 
+/// Returns true when a target's packet acknowledges payload that was not forwarded here, so that another balancer
+/// forwarded it. Callers cannot bring this about, and reordering cannot either.
+#[must_use]
+pub const fn shows_other_way(entry: &Entry, packet: &View<'_>) -> bool {
+    if packet.acknowledgement == 0 || entry.next == 0 {
+        return false;
+    }
+    // The end of the caller's stream takes one number without payload.
+    let ahead = packet.acknowledgement.wrapping_sub(entry.next);
+    ahead > 1 && ahead < LEARN_WINDOW
+}
+
 /// Returns true when the payload of a caller's packet was forwarded before.
 #[must_use]
 pub const fn is_repeated(entry: &Entry, packet: &View<'_>) -> bool {
--- a/crates/poplarpaddle/tests/path/flows.rs
+++ b/crates/poplarpaddle/tests/path/flows.rs
@@ -1,9 +1,12 @@
 //! Flows at one owner.
 
+use std::sync::Arc;
+
 use poplarpaddle::packet::Kind;
 use poplarpaddle::path::{Reason, Settings};
 
 use crate::fleet::{Act, Node, answer, config, data, flow, members, reset, syn, view};
+use crate::gate::Narrow;
 
 fn node() -> Node {
     Node::new(Settings::default(), &view(1, &config(&[6, 3], 2), &members(&[1], &[]), &[]))
@@ -47,3 +50,19 @@
     };
     assert_ne!(first, second);
 }
+
+/// Guards against work whose answers pass another balancer, as on the two sides of a partition, and which would hold the
+/// slots of its host for a minute.
+#[test]
+fn work_that_ends_elsewhere_frees_its_slot() {
+    let settings = Settings { gates: Arc::new(Narrow { limit: 2 }), ..Default::default() };
+    let mut node = Node::new(settings, &view(1, &config(&[1], 1), &members(&[1], &[]), &[]));
+    let target = node.open(flow(1));
+    assert_eq!(node.fabric(&data(flow(1), 101, 501, 20)).len(), 1);
+    assert_eq!(node.open(flow(2)), target);
+    assert_eq!(node.fabric(&data(flow(2), 101, 501, 20)).len(), 1);
+    // The answer to flow 1 passed elsewhere, as did its next request, which the target acknowledges here.
+    assert_eq!(node.fabric(&answer(flow(1), target, 531, 141, 0)), [Act::Caller(Kind::Data)]);
+    node.wait(400);
+    assert_eq!(node.fabric(&syn(flow(3), 100)), [Act::Target(target, Kind::Opening, 100)]);
+}
