--- a/crates/poplarpaddle-standins/src/fabric.rs
+++ b/crates/poplarpaddle-standins/src/fabric.rs
@@ -121,6 +121,8 @@
     pub delay_ms: u64,
     /// Pairs of UDP addresses between which no packet passes, in either direction.
     pub cut: Vec<(SocketAddr, SocketAddr)>,
+    /// A silenced flow loses its packets between balancers and targets only, as when the middlebox stands there.
+    pub silent_targets: bool,
 }
 
 /// What the fabric did.
@@ -242,7 +244,7 @@
         if at_edge {
             self.flows.observe(key, header);
         }
-        self.flows.is_silenced(&key)
+        self.flows.is_silenced(&key) && !(at_edge && self.faults.silent_targets)
     }
 
     fn receiver(&mut self, way: Way) -> Option<SocketAddr> {
@@ -281,7 +283,9 @@
         }
         if self.chance(self.faults.duplicate) {
             self.counts.duplicated += 1;
-            self.schedule(now, to, bytes.clone());
+            // The copy takes a way of its own, so both balancers may see the packet at one moment.
+            let other = if way == Way::Balancer { self.balancer() } else { None };
+            self.schedule(now, other.unwrap_or(to), bytes.clone());
         }
         self.schedule(now, to, bytes);
     }
