Drive engines packet by packet in the load driver

Cause: the driver took its figures from one gate for each service, without packets, several balancers or views that arrive unevenly.

Change: the module net replays packets through 13 to 20 engines in 3 zones and through plain hashing, with TCP endpoints as targets and callers, a history for each request, and 41 planned and unplanned scenarios. measure runs them beside the scenarios of the gate. The extra mix of placement hashes is gone, since map::hash has full quality.

--- a/crates/poplarpaddle-bench/src/balancers.rs
+++ b/crates/poplarpaddle-bench/src/balancers.rs
@@ -1,7 +1,8 @@
 //! The border between the driver and what it measures.
 //!
 //! The driver knows callers and targets; [`Balancers`] stands for everything between them. [`Direct`] drives one
-//! [`Gate`] for each service. An implementation that drives `path::Engine` turns the same calls into packets.
+//! [`Gate`] for each service. Engines are driven packet by packet in [`net`](crate::net), because duplicates, partitions
+//! and resets cannot be told in calls about whole requests.
 
 use std::net::Ipv4Addr;
 use std::time::Duration;
@@ -137,7 +138,7 @@
             return vec![host];
         }
         let mut hosts = self.shards[request.service].hosts.clone();
-        hosts.sort_by_cached_key(|host| mix(map::hash(self.seed, &(request.flow, host))));
+        hosts.sort_by_cached_key(|host| map::hash(self.seed, &(request.flow, host)));
         hosts
     }
 
@@ -189,16 +190,6 @@
     if request.bound.is_some() { Output::Drop(request.id) } else { Output::Refuse(request.id) }
 }
 
-/// Spreads the bits of a hash (the finalizer of `MurmurHash3`).
-///
-/// The hasher of [`map`] does not mix its last input into the high bits: ordered by plain hashes, one of 15 hosts came
-/// first for 12,093 of 59,400 flows and another one for 919.
-const fn mix(hash: u64) -> u64 {
-    let hash = (hash ^ (hash >> 33)).wrapping_mul(0xff51_afd7_ed55_8ccd);
-    let hash = (hash ^ (hash >> 33)).wrapping_mul(0xc4ce_b9fe_1a85_ec53);
-    hash ^ (hash >> 33)
-}
-
 impl Balancers for Direct {
     fn set_hosts(&mut self, now: Time, service: usize, hosts: &[Host], outputs: &mut Vec<Output>) {
         self.shards[service].hosts = hosts.iter().map(|host| host.address).collect();
--- a/crates/poplarpaddle-bench/src/bin/measure.rs
+++ b/crates/poplarpaddle-bench/src/bin/measure.rs
@@ -7,14 +7,19 @@
 use eyre::{OptionExt, WrapErr};
 use lexopt::{Arg, ValueExt};
 use poplarpaddle::admission::Order;
+use poplarpaddle_bench::net;
 use poplarpaddle_bench::report::Plan;
 use poplarpaddle_bench::scenario::{DEPLOYMENTS, Deployment, Policy, SCENARIOS, Scenario};
 use poplarpaddle_bench::trace::{self, Generator};
 
 const HELP: &str = "Usage: measure [--seed N] [--seconds N] [--deployment NAME] [--scenario NAME] [--orders]
+               [--balancers N] [--flows N] [--random-seeds N]
        measure --trace FILE [--deployment NAME] [--scenario NAME]
        measure --generate FILE [--seed N] [--seconds N] [--deployment NAME] [--load PERCENT] [--standing N]
 
+Scenarios of the gate replay requests for N seconds; scenarios of the data path replay packets of N flows through N
+balancers. --random-seeds runs the latter N times with seeds of the system, which the output names.
+
 --orders also measures other orders within a priority. --trace replays a recorded trace as the steady work.
 --generate writes a trace of steady work with N standing flows for each host.";
 
@@ -28,6 +33,9 @@
     generate: Option<PathBuf>,
     load: u32,
     standing: u32,
+    balancers: usize,
+    flows: usize,
+    random_seeds: u32,
 }
 
 impl Default for Arguments {
@@ -42,6 +50,9 @@
             generate: None,
             load: 60,
             standing: 4,
+            balancers: 16,
+            flows: 20_000,
+            random_seeds: 0,
         }
     }
 }
@@ -54,11 +65,44 @@
     if let Some(path) = &arguments.generate {
         return generate(&arguments, path);
     }
+    let (gate, path) = (scenarios(&arguments), path_scenarios(&arguments));
+    if gate.is_empty() && path.is_empty() {
+        let names = SCENARIOS.map(|scenario| scenario.name).join(", ");
+        let path_names: Vec<&str> = net::plan::SCENARIOS.iter().map(|scenario| scenario.name).collect();
+        eyre::bail!("no scenario {:?}; use one of {names}, {}", arguments.scenario, path_names.join(", "));
+    }
+    for _ in 0..arguments.random_seeds {
+        measure_path(&arguments, &path, rand::random())?;
+    }
+    if arguments.random_seeds > 0 {
+        return Ok(());
+    }
     for deployment in deployments(&arguments)? {
-        for scenario in scenarios(&arguments)? {
+        for &scenario in &gate {
             measure(&arguments, deployment, scenario)?;
         }
     }
+    if arguments.trace.is_none() { measure_path(&arguments, &path, arguments.seed) } else { Ok(()) }
+}
+
+/// Runs the scenarios of the data path on all cores and prints the lines in the order of the scenarios.
+fn measure_path(arguments: &Arguments, scenarios: &[net::plan::Scenario], seed: u64) -> eyre::Result<()> {
+    for deployment in deployments(arguments)? {
+        let (balancers, flows) = (arguments.balancers, arguments.flows);
+        let plan = |&scenario: &net::plan::Scenario| net::report::Plan { deployment, scenario, seed, balancers, flows };
+        let plans: Vec<net::report::Plan<'_>> = scenarios.iter().map(plan).collect();
+        let threads = std::thread::available_parallelism().map_or(1, usize::from);
+        for group in plans.chunks(threads) {
+            let lines: Vec<_> = std::thread::scope(|scope| {
+                let run = |plan: &net::report::Plan<'_>| [plan.measure(true), plan.measure(false)];
+                let runs: Vec<_> = group.iter().map(|plan| scope.spawn(move || run(plan))).collect();
+                runs.into_iter().map(std::thread::ScopedJoinHandle::join).collect()
+            });
+            for line in lines.into_iter().flat_map(|joined| joined.into_iter().flatten()) {
+                writeln!(std::io::stdout(), "{}", serde_json::to_string(&line)?)?;
+            }
+        }
+    }
     Ok(())
 }
 
@@ -76,6 +120,9 @@
             Arg::Long("generate") => arguments.generate = Some(parser.value()?.into()),
             Arg::Long("load") => arguments.load = parser.value()?.parse()?,
             Arg::Long("standing") => arguments.standing = parser.value()?.parse()?,
+            Arg::Long("balancers") => arguments.balancers = parser.value()?.parse()?,
+            Arg::Long("flows") => arguments.flows = parser.value()?.parse()?,
+            Arg::Long("random-seeds") => arguments.random_seeds = parser.value()?.parse()?,
             Arg::Long("help") => return Ok(None),
             other => return Err(other.unexpected().into()),
         }
@@ -90,12 +137,15 @@
     Ok(found)
 }
 
-fn scenarios(arguments: &Arguments) -> eyre::Result<Vec<Scenario>> {
+fn scenarios(arguments: &Arguments) -> Vec<Scenario> {
     let wanted = |scenario: &Scenario| arguments.scenario.as_deref().is_none_or(|name| name == scenario.name);
-    let found: Vec<Scenario> = SCENARIOS.into_iter().filter(wanted).collect();
-    let names = SCENARIOS.map(|scenario| scenario.name).join(", ");
-    eyre::ensure!(!found.is_empty(), "no scenario {:?}; use one of {names}", arguments.scenario);
-    Ok(found)
+    SCENARIOS.into_iter().filter(wanted).collect()
+}
+
+fn path_scenarios(arguments: &Arguments) -> Vec<net::plan::Scenario> {
+    let wanted =
+        |scenario: &&net::plan::Scenario| arguments.scenario.as_deref().is_none_or(|name| name == scenario.name);
+    net::plan::SCENARIOS.iter().filter(wanted).copied().collect()
 }
 
 fn generate(arguments: &Arguments, path: &PathBuf) -> eyre::Result<()> {
--- a/crates/poplarpaddle-bench/src/fleet.rs
+++ b/crates/poplarpaddle-bench/src/fleet.rs
@@ -186,7 +186,8 @@
     }
 }
 
-fn over_mean(values: impl Iterator<Item = f64>) -> Vec<f64> {
+/// Returns values over their mean, none when all are 0.
+pub fn over_mean(values: impl Iterator<Item = f64>) -> Vec<f64> {
     let values: Vec<f64> = values.collect();
     let mean = values.iter().sum::<f64>() / values.len().max(1) as f64;
     values.iter().filter(|_| mean > 0.0).map(|value| value / mean).collect()
--- a/crates/poplarpaddle-bench/src/lib.rs
+++ b/crates/poplarpaddle-bench/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod driver;
 pub mod fleet;
 pub mod naive;
+pub mod net;
 pub mod report;
 pub mod scenario;
 pub mod target;
--- /dev/null
+++ b/crates/poplarpaddle-bench/src/net/history.rs
@@ -0,0 +1,88 @@
+//! What became of each request, and the check of it.
+
+use std::net::Ipv4Addr;
+use std::time::Duration;
+
+use poplarpaddle::time::Time;
+
+/// Bits of a request number that count its submissions.
+const ATTEMPT_BITS: u32 = 8;
+
+/// What a caller was told about a submission of a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Told {
+    /// The whole answer.
+    Answer(Time),
+    /// It was not run.
+    NotRun(Time),
+    /// The flow ended; nothing is known.
+    Unknown(Time),
+}
+
+/// A run of a request at a target.
+#[derive(Debug, Clone, Copy)]
+pub struct Run {
+    /// Submission that ran.
+    pub attempt: u8,
+    /// Where.
+    pub host: Ipv4Addr,
+    /// When.
+    pub time: Time,
+}
+
+/// A request.
+#[derive(Debug)]
+pub struct Work {
+    /// Index of its flow.
+    pub flow: usize,
+    /// Index of the priority.
+    pub priority: usize,
+    /// True when it belongs to a flood.
+    pub flood: bool,
+    /// True when running it twice is harmless.
+    pub idempotent: bool,
+    /// Slot time on a warm host.
+    pub service_time: Duration,
+    /// When an answer is of no use any more.
+    pub deadline: Time,
+    /// Submissions so far.
+    pub attempts: u8,
+    /// What the caller was told, by submission.
+    pub told: Vec<(u8, Told)>,
+    /// Where and when it ran.
+    pub runs: Vec<Run>,
+}
+
+impl Work {
+    /// Returns true when its answer came before the deadline.
+    #[must_use]
+    pub fn is_in_time(&self) -> bool {
+        self.told.iter().any(|(_, told)| matches!(told, Told::Answer(time) if *time <= self.deadline))
+    }
+
+    /// Returns true when the caller was told that a submission did not run although it did.
+    #[must_use]
+    pub fn is_denied_but_run(&self) -> bool {
+        let ran = |attempt: u8| self.runs.iter().any(|run| run.attempt == attempt);
+        self.told.iter().any(|&(attempt, told)| matches!(told, Told::NotRun(_)) && ran(attempt))
+    }
+
+    /// Returns true when it must not run more than once and did.
+    #[must_use]
+    pub fn is_run_twice(&self) -> bool {
+        !self.idempotent && self.runs.len() > 1
+    }
+}
+
+/// Returns the number that stands for one submission of a request on the wire.
+#[must_use]
+pub fn number(work: usize, attempt: u8) -> u64 {
+    ((work as u64) << ATTEMPT_BITS) | u64::from(attempt)
+}
+
+/// Returns request and submission of a number.
+#[must_use]
+pub fn of_number(number: u64) -> (usize, u8) {
+    let work = usize::try_from(number >> ATTEMPT_BITS).unwrap_or(usize::MAX);
+    (work, number.to_be_bytes()[7])
+}
--- /dev/null
+++ b/crates/poplarpaddle-bench/src/net/views.rs
@@ -0,0 +1,183 @@
+//! What each balancer knows of the fleet. News reach balancers one by one, at different times.
+
+use std::collections::BTreeMap;
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::sync::Arc;
+
+use poplarpaddle::map;
+use poplarpaddle::object::default_shards;
+use poplarpaddle::path::MemberId;
+use poplarpaddle::view::{self, Config, HostState, Member, Presence, ServiceIndex};
+
+use crate::fleet::Place;
+use crate::scenario::{Deployment, PRIORITIES, priorities};
+
+/// Port of the most urgent priority of every service.
+const FIRST_PORT: u16 = 8_000;
+
+/// Zones of a deployment.
+pub const ZONES: usize = 3;
+
+/// Returns the address of a service.
+#[must_use]
+pub fn service(index: usize, priority: usize) -> SocketAddrV4 {
+    let last = u8::try_from(index + 1).unwrap_or(u8::MAX);
+    SocketAddrV4::new(Ipv4Addr::new(127, 30, 0, last), FIRST_PORT + u16::try_from(priority).unwrap_or(0))
+}
+
+/// Returns the index of the service with an address.
+#[must_use]
+pub fn service_of(address: Ipv4Addr) -> usize {
+    usize::from(address.octets()[3]) - 1
+}
+
+/// Returns the zone of a host.
+#[must_use]
+pub const fn zone_of(place: Place) -> usize {
+    place.host % ZONES
+}
+
+/// Returns the first generation of a deployment.
+#[must_use]
+pub fn config(deployment: &Deployment, seed: u64) -> Config {
+    let services = deployment.services.iter().enumerate().map(|(number, service)| {
+        let targets = (0..usize::from(service.hosts)).map(|host| target(deployment, Place { service: number, host }));
+        view::Service {
+            name: service.name.to_owned(),
+            address: *self::service(number, 0).ip(),
+            ports: (0..PRIORITIES.len()).map(|priority| port(number, priority)).collect(),
+            shards: default_shards(usize::from(service.hosts)),
+            targets: targets.collect(),
+        }
+    });
+    let mut config = Config {
+        generation: 1,
+        seed,
+        services: services.collect(),
+        priorities: priorities(),
+        addresses: map::seeded(seed),
+        endpoints: map::seeded(seed),
+    };
+    index(&mut config);
+    config
+}
+
+/// Fills the look-ups of a configuration from its services.
+pub fn index(config: &mut Config) {
+    config.addresses.clear();
+    config.endpoints.clear();
+    for (number, service) in (0..).zip(&config.services) {
+        for port in &service.ports {
+            config.addresses.insert(SocketAddrV4::new(service.address, port.port), ServiceIndex(number));
+            for target in &service.targets {
+                config.endpoints.insert(SocketAddrV4::new(target.address, port.port), ServiceIndex(number));
+            }
+        }
+    }
+}
+
+fn port(service: usize, priority: usize) -> view::Port {
+    view::Port { port: self::service(service, priority).port(), priority }
+}
+
+fn target(deployment: &Deployment, place: Place) -> view::Target {
+    view::Target {
+        name: format!("target-{}-{:03}", place.service, place.host),
+        zone: format!("zone-{}", zone_of(place)),
+        address: place.address(),
+        slots: deployment.slots,
+        connections: deployment.connections,
+        draining: false,
+        released: false,
+    }
+}
+
+/// One piece of news.
+#[derive(Debug, Clone)]
+pub enum News {
+    /// A member is alive, leaving, or gone.
+    Member(MemberId, Option<Presence>),
+    /// The state of a host.
+    Host(Ipv4Addr, HostState),
+    /// A generation of the configuration.
+    Config(Arc<Config>),
+}
+
+/// A piece of news that a balancer holds, with its number.
+#[derive(Debug, Clone, Copy)]
+struct Known<T> {
+    number: u64,
+    value: T,
+}
+
+impl<T> Known<T> {
+    /// Takes a value unless the known one is newer; true when it was taken.
+    fn learn(&mut self, number: u64, value: T) -> bool {
+        let is_new = self.number < number;
+        if is_new {
+            *self = Self { number, value };
+        }
+        is_new
+    }
+}
+
+/// What one balancer knows. Older news never replace newer ones.
+#[derive(Debug, Clone, Default)]
+pub struct Knowledge {
+    members: BTreeMap<MemberId, Known<Option<Presence>>>,
+    hosts: BTreeMap<Ipv4Addr, Known<HostState>>,
+    config: Option<Arc<Config>>,
+}
+
+impl Knowledge {
+    /// Takes news with their number; true when they change anything.
+    pub fn learn(&mut self, number: u64, news: News) -> bool {
+        match news {
+            News::Member(id, presence) => {
+                let unknown = Known { number: 0, value: None };
+                self.members.entry(id).or_insert(unknown).learn(number, presence)
+            }
+            News::Host(address, state) => {
+                let unknown = Known { number: 0, value: HostState::Serving };
+                self.hosts.entry(address).or_insert(unknown).learn(number, state)
+            }
+            News::Config(config) => {
+                let is_new = self.config.as_ref().is_none_or(|known| known.generation < config.generation);
+                if is_new {
+                    self.config = Some(config);
+                }
+                is_new
+            }
+        }
+    }
+
+    /// Returns the configuration in force.
+    #[must_use]
+    pub const fn config(&self) -> Option<&Arc<Config>> {
+        self.config.as_ref()
+    }
+
+    /// Returns whether a member is alive, leaving, or gone.
+    #[must_use]
+    pub fn presence(&self, id: MemberId) -> Option<Presence> {
+        self.members.get(&id).and_then(|known| known.value)
+    }
+
+    /// Returns the view of `me`.
+    #[must_use]
+    pub fn view(&self, me: MemberId) -> view::View {
+        let member = |(id, known): (&MemberId, &Known<Option<Presence>>)| {
+            known.value.map(|presence| Member { id: *id, presence, relay: ([127, 0, 0, 1], 9).into() })
+        };
+        let mut hosts = map::seeded(1);
+        for (address, known) in &self.hosts {
+            hosts.insert(*address, view::Host { state: known.value, ..Default::default() });
+        }
+        view::View {
+            me,
+            config: self.config.clone(),
+            members: self.members.iter().filter_map(member).collect(),
+            hosts: Arc::new(hosts),
+        }
+    }
+}
--- a/crates/poplarpaddle-bench/src/report.rs
+++ b/crates/poplarpaddle-bench/src/report.rs
@@ -184,7 +184,7 @@
 }
 
 /// Returns the nearest-rank percentile, 0 without values.
-fn percentile(values: &[f64], per_cent: usize) -> f64 {
+pub fn percentile(values: &[f64], per_cent: usize) -> f64 {
     let mut sorted = values.to_vec();
     sorted.sort_by(f64::total_cmp);
     let rank = (sorted.len() * per_cent).div_ceil(100);
