Renew an entry whose target accepted another opening

Cause: a late copy of a refused opening left an unacknowledged connection at the target. When the caller opened again from the same port, the target accepted the new opening, but the entry kept the old numbers and every packet of the caller was dropped as late.

Change: a SYN-ACK that acknowledges another opening than the entry's renews the entry also before the caller acknowledged the first one.

--- a/crates/poplarpaddle/src/path/target.rs
+++ b/crates/poplarpaddle/src/path/target.rs
@@ -173,7 +173,8 @@
         outlet: &mut dyn Outlet,
     ) {
         let is_new = packet.kind == Kind::Accept && packet.sequence != entry.accept;
-        if is_new && entry.stage != Stage::Accepted {
+        let is_bound = entry.stage != Stage::Accepted || !recovery::answers_opening(entry, packet);
+        if is_new && is_bound {
             return self.renew(now, place, slot, entry, packet, outlet);
         }
         self.note_answer(now, place, slot, packet);
--- a/crates/poplarpaddle/tests/path/flows.rs
+++ b/crates/poplarpaddle/tests/path/flows.rs
@@ -3,7 +3,7 @@
 use poplarpaddle::packet::Kind;
 use poplarpaddle::path::{Reason, Settings};
 
-use crate::fleet::{Act, Node, answer, config, data, flow, members, reset, syn, view};
+use crate::fleet::{Act, Node, answer, config, data, flow, members, reset, syn, syn_ack, view};
 
 fn node() -> Node {
     Node::new(Settings::default(), &view(1, &config(&[6, 3], 2), &members(&[1], &[]), &[]))
@@ -47,3 +47,18 @@
     };
     assert_ne!(first, second);
 }
+
+/// Guards against a caller whose packets are dropped as late because it was refused, took no notice of a SYN-ACK to a
+/// late copy of its opening, and opened again from the same port.
+#[test]
+fn new_opening_replaces_one_that_was_never_acknowledged() {
+    const FAR: u32 = 1 << 30;
+    let mut node = node();
+    let acts = node.fabric(&syn(flow(1), 100));
+    let [Act::Target(target, ..)] = acts[..] else { panic!("{acts:?}") };
+    assert_eq!(node.fabric(&syn_ack(flow(1), target, 500, 101)), [Act::Caller(Kind::Accept)]);
+    assert_eq!(node.fabric(&syn(flow(1), FAR)), [Act::Target(target, Kind::Opening, FAR)]);
+    assert_eq!(node.fabric(&syn_ack(flow(1), target, 2 * FAR, FAR + 1)), [Act::Caller(Kind::Accept)]);
+    let request = data(flow(1), FAR + 1, 2 * FAR + 1, 10);
+    assert_eq!(node.fabric(&request), [Act::Target(target, Kind::Data, FAR + 1)]);
+}
