Free the place of a request that is repeated without acknowledgement

Cause: a request on a connection that a middlebox forgot held its place in the limit of the host for a minute. With a fifth of the connections silent, all places were held, so other flows got no answer either, and the host was never heard, which the reset of silent connections needs.

Change: a repeat of payload that its target has not acknowledged within probe_reply (200 ms) ends the work.

--- a/crates/poplarpaddle/src/path/caller.rs
+++ b/crates/poplarpaddle/src/path/caller.rs
@@ -132,6 +132,7 @@
         if packet.has_payload() && self.is_silent(now, place, entry, packet) {
             return self.give_up(now, place, slot, entry, packet, outlet);
         }
+        self.free_unacknowledged(now, place, slot, entry, packet);
         let starts_work = packet.has_payload() && !entry.has(Flag::Working) && !recovery::is_repeated(entry, packet);
         if starts_work && !self.admit(now, place, slot, packet, outlet) {
             return;
@@ -159,6 +160,16 @@
         self.reset_caller(packet, Reason::WrongTarget, outlet);
     }
 
+    /// Ends the work of payload that the caller repeats without any sign of the target. A target acknowledges payload
+    /// within a delay far below `probe_reply`, so its host is not working on it. Without this, silent connections held
+    /// every place of their hosts for `work`.
+    fn free_unacknowledged(&mut self, now: Time, place: &Place, slot: Slot, entry: &Entry, packet: &View<'_>) {
+        let is_due = entry.silent != Time::NEVER && now.reached(entry.silent + self.timings.probe_reply);
+        if is_due && packet.has_payload() && recovery::is_repeated(entry, packet) {
+            self.finish(now, place.key, slot, End::Closed);
+        }
+    }
+
     fn wait_behind(&mut self, slot: Slot, packet: &View<'_>, outlet: &mut dyn Outlet) {
         if !self.holds.push(slot, packet) {
             self.discard(packet, Reason::HoldFull, outlet);
--- a/crates/poplarpaddle/tests/path/accounts.rs
+++ b/crates/poplarpaddle/tests/path/accounts.rs
@@ -123,3 +123,31 @@
     assert_eq!(node.engine.counters().held, 0, "nothing is held for ever");
     node.open(flow(1));
 }
+
+/// Guards against silent connections that hold all places of a host until their work expires, so that flows that are
+/// well wait for a minute.
+#[test]
+fn repeated_request_without_acknowledgement_frees_its_place() {
+    let mut node = node(Bounds::default());
+    node.open(flow(1));
+    let request = data(flow(1), 101, 501, 10);
+    assert_eq!(node.fabric(&request), [target(1, Kind::Data, 101)]);
+    assert_eq!(node.fabric(&syn(flow(2), 100)), [], "the host is full");
+    assert_eq!(node.fabric(&request), [target(1, Kind::Data, 101)], "a copy at once says nothing");
+    node.wait(250);
+    let acts = node.fabric(&request);
+    assert_eq!(acts, [target(1, Kind::Data, 101), target(2, Kind::Opening, 100)]);
+}
+
+/// Guards against places that a request loses although its target acknowledged it and goes on working.
+#[test]
+fn acknowledged_request_keeps_its_place() {
+    let mut node = node(Bounds::default());
+    node.open(flow(1));
+    let request = data(flow(1), 101, 501, 10);
+    node.fabric(&request);
+    node.fabric(&answer(flow(1), host(0, 0), 501, 111, 0));
+    node.wait(250);
+    assert_eq!(node.fabric(&syn(flow(2), 100)), [], "the host is full");
+    assert_eq!(node.fabric(&request), [target(1, Kind::Data, 101)], "and stays full after a repeat");
+}
