Acknowledge requests and stop a host before it moves in the replay

Cause: targets of the replay acknowledged a request only with its answer, and a host went over to another service with open connections, after the publish.

Change: targets acknowledge at once. A moving host ends its process 10 s and starts the new one 5 s before the second publish.

--- a/crates/poplarpaddle-bench/src/net/plan.rs
+++ b/crates/poplarpaddle-bench/src/net/plan.rs
@@ -10,8 +10,8 @@
 /// Time between the publish that takes an endpoint away from a service and the one that gives it to another.
 pub const NOT_BEFORE: Duration = Duration::from_mins(1);
 
-/// Time within which a published configuration is in force everywhere.
-pub const IN_FORCE: Duration = Duration::from_secs(7);
+/// Time that an operator takes to start a process of another service on a host.
+const RESTART: Duration = Duration::from_secs(5);
 
 /// Time between two steps of a rolling replacement.
 const ROLLING: Duration = Duration::from_secs(2);
@@ -62,6 +62,8 @@
     Resume,
     /// A configuration is published.
     Publish(Change),
+    /// The process on the last host of the second service ends.
+    Stop,
     /// The last host of the second service begins to serve the first one; its connections are gone.
     Convert,
     /// A zone loses contact with the others.
@@ -246,8 +248,9 @@
             Self::Late => list(&[(now, Action::Late(Pick::Owner(0), seconds(5)))]),
             Self::Move => list(&[
                 (now, Action::Publish(Change::Release)),
+                (NOT_BEFORE.saturating_sub(RESTART * 2), Action::Stop),
+                (NOT_BEFORE.saturating_sub(RESTART), Action::Convert),
                 (NOT_BEFORE, Action::Publish(Change::Take)),
-                (NOT_BEFORE + IN_FORCE, Action::Convert),
             ]),
             Self::DirectMove => list(&[(now, Action::Publish(Change::Take)), (now, Action::Convert)]),
             Self::Duplicate => list(&[(now, Action::Duplicate)]),
--- a/crates/poplarpaddle-bench/src/net/targets.rs
+++ b/crates/poplarpaddle-bench/src/net/targets.rs
@@ -69,11 +69,24 @@
         self.silent.extend(open.into_iter().filter(|_| selects()));
     }
 
+    /// The process ends and resets its connections; returns the resets.
+    pub fn stop(&mut self) -> Vec<Packet> {
+        let mut open: Vec<(Flow, Connection)> =
+            self.connections.drain().filter(|(_, known)| !known.is_closed).collect();
+        open.sort_unstable_by_key(|(flow, _)| *flow);
+        self.target.connections = 0;
+        self.target.sheds = true;
+        let base = |flow| Packet::new(flow, Direction::FromTarget(self.address), Kind::Reset);
+        let reset = |(flow, known): (Flow, Connection)| Packet { kind: Kind::Reset, ..known.state(base(flow)) };
+        open.into_iter().map(reset).collect()
+    }
+
     /// The host serves another service from now on and has lost its connections.
     pub fn convert(&mut self, service: usize) {
         self.service = service;
         self.connections.clear();
         self.target.connections = 0;
+        self.target.sheds = false;
     }
 
     /// Returns true when packets of this flow get lost.
@@ -211,6 +224,7 @@
                 self.request = packet.request;
                 self.is_answered = false;
                 taken.starts = Some(packet.request);
+                taken.answers.push(self.state(base));
             }
             Kind::Data if is_repeat && self.is_answered => taken.answers = self.answer(base),
             _ => taken.answers.push(self.state(base)),
--- a/crates/poplarpaddle-bench/src/net/world/act.rs
+++ b/crates/poplarpaddle-bench/src/net/world/act.rs
@@ -15,6 +15,7 @@
             Action::Freeze(pick) => self.freeze(pick),
             Action::Resume => self.resume(),
             Action::Publish(change) => self.publish(change),
+            Action::Stop => self.stop(),
             Action::Convert => self.convert(),
             Action::Cut(zone) => self.set_cut(Some(zone)),
             Action::Heal => self.set_cut(None),
@@ -158,6 +159,12 @@
         }
     }
 
+    fn stop(&mut self) {
+        let Some(host) = self.targets.hosts.last_mut() else { return };
+        let (address, resets) = (host.address, host.stop());
+        self.answer(address, &resets);
+    }
+
     fn convert(&mut self) {
         let Some(host) = self.targets.hosts.last_mut() else { return };
         host.convert(0);
