--- a/crates/poplarpaddle/src/path/target.rs
+++ b/crates/poplarpaddle/src/path/target.rs
@@ -173,7 +173,8 @@
         outlet: &mut dyn Outlet,
     ) {
         let is_same = recovery::is_from_connection(entry, packet);
-        if packet.kind == Kind::Accept && !is_same && entry.stage != Stage::Accepted {
+        let is_bound = entry.stage != Stage::Accepted || !recovery::answers_opening(entry, packet);
+        if packet.kind == Kind::Accept && !is_same && is_bound {
             return self.renew(now, place, slot, entry, packet, outlet);
         }
         if packet.kind == Kind::Reset && !is_same {
