Ask a former owner for a short time only

Change: after 2 s without an answer of a target the candidates are probed, and an entry whose caller has sent its FIN takes no new payload.

--- a/crates/poplarpaddle/src/flow.rs
+++ b/crates/poplarpaddle/src/flow.rs
@@ -45,6 +45,8 @@
     Confirmed,
     /// Candidates are probed one by one.
     Probing,
+    /// A former owner was asked; its target has not answered.
+    Asked,
     /// A target reset the flow while a former owner served it, so the next packet is probed instead.
     Doubted,
 }
--- a/crates/poplarpaddle/src/path/caller.rs
+++ b/crates/poplarpaddle/src/path/caller.rs
@@ -52,8 +52,11 @@
             Stage::Queued | Stage::Pending if packet.kind == Kind::Reset => {
                 self.abort(now, place, slot, &entry, packet, outlet);
             }
+            Stage::Asked if !now.reached(entry.started + self.timings.asking) || packet.kind == Kind::Reset => {
+                self.recover(now, source, place, packet, outlet);
+            }
             Stage::Doubted if packet.kind == Kind::Reset => self.discard(packet, Reason::UnknownFlow, outlet),
-            Stage::Doubted => {
+            Stage::Asked | Stage::Doubted => {
                 self.remove(now, place.key, slot);
                 self.probe(now, place, packet, outlet);
             }
@@ -272,15 +275,28 @@
         outlet: &mut dyn Outlet,
     ) {
         if let Some(former) = self.next_former(source, place) {
+            self.note_asked(now, packet);
             return self.relay(former, Hop::Previous, packet, outlet);
         }
         if packet.kind == Kind::Reset {
             // A target does not answer a reset, so a probe would find nothing.
             return self.discard(packet, Reason::UnknownFlow, outlet);
         }
+        if let Some(slot) = self.table.find(&packet.flow) {
+            self.remove(now, place.key, slot);
+        }
         self.probe(now, place, packet, outlet);
     }
 
+    /// Notes when a former owner was asked first. Its entry may be of an older connection or its target may be dead, and
+    /// asking would then go on for ever.
+    fn note_asked(&mut self, now: Time, packet: &View<'_>) {
+        if self.table.find(&packet.flow).is_none() && self.make_room(now) {
+            let unknown = std::net::Ipv4Addr::UNSPECIFIED;
+            self.table.insert(Entry::new(packet.flow, Stage::Asked, unknown, now));
+        }
+    }
+
     /// Returns the former owner to ask next. The sender of a packet that came back unknown was the last one asked.
     fn next_former(&self, source: Source, place: &Place) -> Option<MemberId> {
         let former = self.ownership.former(place);
--- a/crates/poplarpaddle/src/path/opening.rs
+++ b/crates/poplarpaddle/src/path/opening.rs
@@ -117,7 +117,7 @@
         match entry.stage {
             Stage::Queued if is_repeat => self.counters.absorbed += 1,
             Stage::Pending if is_repeat => self.repeat_opening(place, &entry, packet, outlet),
-            Stage::Queued | Stage::Pending | Stage::Probing | Stage::Doubted => {
+            Stage::Queued | Stage::Pending | Stage::Probing | Stage::Asked | Stage::Doubted => {
                 self.remove(now, place.key, slot);
                 self.open(now, place, packet, outlet);
             }
--- a/crates/poplarpaddle/src/path/settings.rs
+++ b/crates/poplarpaddle/src/path/settings.rs
@@ -42,6 +42,8 @@
     pub opening_reply: Duration,
     /// Time for all tries of an opening.
     pub opening: Duration,
+    /// A former owner whose target did not answer for this long is left for the candidates.
+    pub asking: Duration,
     /// A learned flow that no packet of its caller confirmed for this long is forgotten.
     pub learning: Duration,
     /// A flow without packets for this long is forgotten.
@@ -64,6 +66,7 @@
             probe_reply: Duration::from_millis(200),
             opening_reply: Duration::from_millis(500),
             opening: Duration::from_secs(3),
+            asking: Duration::from_secs(2),
             learning: Duration::from_mins(1),
             idle: Duration::from_mins(15),
             closing: Duration::from_secs(10),
--- a/crates/poplarpaddle/src/path/sweep.rs
+++ b/crates/poplarpaddle/src/path/sweep.rs
@@ -67,8 +67,8 @@
     fn keep(&self, entry: &Entry) -> Duration {
         match entry.stage {
             _ if entry.is_finished() => self.timings.closing,
-            Stage::Queued | Stage::Pending | Stage::Probing | Stage::Doubted => self.timings.opening,
-            Stage::Accepted | Stage::Learned => self.timings.learning,
+            Stage::Queued | Stage::Pending | Stage::Probing => self.timings.opening,
+            Stage::Accepted | Stage::Learned | Stage::Asked | Stage::Doubted => self.timings.learning,
             Stage::Confirmed => self.timings.idle,
         }
     }
--- a/crates/poplarpaddle/src/path/target.rs
+++ b/crates/poplarpaddle/src/path/target.rs
@@ -6,7 +6,7 @@
 use crate::admission::End;
 use crate::flow::{Entry, Flag, Slot, Stage};
 use crate::ownership::Place;
-use crate::packet::{Flow, Kind, View};
+use crate::packet::{Kind, View};
 use crate::placement;
 use crate::recovery;
 use crate::time::Time;
@@ -30,8 +30,13 @@
         let Some(entry) = self.table.at(slot).copied() else { return };
         match entry.stage {
             Stage::Queued => self.answer_queued(now, place, slot, &entry, target, packet, outlet),
-            Stage::Doubted if packet.kind == Kind::Reset => self.discard(packet, Reason::StrayReset, outlet),
-            Stage::Doubted => {
+            Stage::Asked | Stage::Doubted if packet.kind == Kind::Reset => {
+                if let Some(entry) = self.table.at_mut(slot) {
+                    entry.stage = Stage::Doubted;
+                }
+                self.discard(packet, Reason::StrayReset, outlet);
+            }
+            Stage::Asked | Stage::Doubted => {
                 self.remove(now, place.key, slot);
                 self.meet(now, place, target, packet, outlet);
             }
@@ -45,7 +50,6 @@
     /// Handles a packet of a flow without entry: any but a reset proves the binding.
     fn meet(&mut self, now: Time, place: &Place, target: Ipv4Addr, packet: &View<'_>, outlet: &mut dyn Outlet) {
         if packet.kind == Kind::Reset {
-            self.doubt(now, place, target, &packet.flow);
             return self.discard(packet, Reason::StrayReset, outlet);
         }
         if let Some(slot) = self.learn(now, place, target, packet) {
@@ -54,14 +58,6 @@
         self.send_caller(packet, outlet);
     }
 
-    /// Notes that the entry of a former owner led to a target that does not know the flow. Asking the former owner again
-    /// would go on for ever.
-    fn doubt(&mut self, now: Time, place: &Place, target: Ipv4Addr, flow: &Flow) {
-        if !self.ownership.former(place).is_empty() && self.make_room(now) {
-            self.table.insert(Entry::new(*flow, Stage::Doubted, target, now));
-        }
-    }
-
     /// Adds an entry for a flow that `packet` of `target` proves; none when the table has no room.
     pub(super) fn learn(&mut self, now: Time, place: &Place, target: Ipv4Addr, packet: &View<'_>) -> Option<Slot> {
         if !self.make_room(now) {
--- a/crates/poplarpaddle/src/recovery.rs
+++ b/crates/poplarpaddle/src/recovery.rs
@@ -102,6 +102,10 @@
 /// Returns true unless the caller's sequence number shows that the entry is of an earlier connection.
 #[must_use]
 pub const fn is_current(entry: &Entry, packet: &View<'_>) -> bool {
+    let is_after_end = entry.has(Flag::CallerEnd) && packet.has_payload() && !is_repeated(entry, packet);
+    if is_after_end && packet.acknowledgement != 0 {
+        return false;
+    }
     packet.acknowledgement == 0 || entry.next == 0 || is_near(packet.sequence, entry.next)
 }
 
--- a/crates/poplarpaddle/tests/path/ownership.rs
+++ b/crates/poplarpaddle/tests/path/ownership.rs
@@ -34,6 +34,20 @@
     assert_eq!(former.packet(relayed, &data(flow(2), 9, 9, 1)), [Act::Relay(MemberId(new), Hop::Unknown)]);
 }
 
+/// Guards against a former owner that is asked for ever although its target does not answer: its entry may be old.
+#[test]
+fn former_owner_is_asked_for_a_while_only() {
+    let config = config(&[4, 2], 1);
+    let me = owner(&config, &[1, 2]);
+    let mut node = node(me, &config, &[1, 2], &[]);
+    let segment = data(flow(1), 101, 501, 10);
+    for _ in 0..2 {
+        assert_eq!(node.fabric(&segment), [Act::Relay(MemberId(3 - me), Hop::Previous)]);
+        node.wait(1500);
+    }
+    assert!(matches!(node.fabric(&segment)[..], [Act::Target(..)]));
+}
+
 /// Guards against flows that break when their owner dies: the new owner probes.
 #[test]
 fn former_owner_that_died_is_not_asked() {
