Let the model of a caller drop an early acknowledgement

RFC 9293 drops such a segment in SYN-SENT. Change: the model drops it; an acknowledgement of another number is still answered by a reset.

--- a/crates/poplarpaddle/tests/path/world.rs
+++ b/crates/poplarpaddle/tests/path/world.rs
@@ -360,6 +360,8 @@
                 caller.phase = Phase::Open;
                 caller.received = packet.sequence.wrapping_add(1);
             }
+            // RFC 9293 drops a segment that is neither SYN nor reset and acknowledges the opening.
+            (_, Phase::Opening) if packet.acknowledgement == caller.first.wrapping_add(1) => return,
             (_, Phase::Opening) => {
                 let reset = View::new(flow, Direction::FromCaller, Kind::Reset, &[]);
                 return self.spray(View { sequence: packet.acknowledgement, ..reset });
