Take the answer of the real target over an unconfirmed placement

Cause: a copy of an opening waited in the queue of one side of a partition while the caller completed the handshake through the other. It was placed on a second target after the caller was connected, and its owner then dropped every answer of the real target as coming from the wrong one, also after healing. Change: payload of a target, or an acknowledgement of payload, that fits the opening proves the handshake and replaces an entry that is queued, pending or accepted but not confirmed by the caller; the second target is reset. The scenario silence gives callers longer than their own repeat after 10 s.

--- a/crates/poplarpaddle/src/path/caller.rs
+++ b/crates/poplarpaddle/src/path/caller.rs
@@ -95,7 +95,7 @@
     }
 
     /// Forgets a flow that belongs to another target, and closes the connection that waits at the wrong one.
-    fn forget(&mut self, now: Time, place: &Place, slot: Slot, entry: &Entry, outlet: &mut dyn Outlet) {
+    pub(super) fn forget(&mut self, now: Time, place: &Place, slot: Slot, entry: &Entry, outlet: &mut dyn Outlet) {
         self.remove(now, place.key, slot);
         // A pending target may be the one that the caller talks to; a SYN-ACK that the caller did not take up is not.
         if entry.stage == Stage::Accepted {
--- a/crates/poplarpaddle/src/path/target.rs
+++ b/crates/poplarpaddle/src/path/target.rs
@@ -100,7 +100,8 @@
         packet: &View<'_>,
         outlet: &mut dyn Outlet,
     ) {
-        if packet.kind != Kind::Accept || !recovery::answers_opening(entry, packet) {
+        let is_accept = packet.kind == Kind::Accept && recovery::answers_opening(entry, packet);
+        if !is_accept && !recovery::proves_handshake(entry, packet) {
             let reason = if packet.kind == Kind::Reset { Reason::StrayReset } else { Reason::WrongTarget };
             return self.discard(packet, reason, outlet);
         }
@@ -124,6 +125,12 @@
             self.remove(now, place.key, slot);
             return self.meet(now, place, target, packet, outlet);
         }
+        let is_unconfirmed = matches!(entry.stage, Stage::Pending | Stage::Accepted);
+        if is_unconfirmed && recovery::proves_handshake(entry, packet) {
+            // Another balancer placed a copy of the opening there, and the caller took up that connection.
+            self.forget(now, place, slot, entry, outlet);
+            return self.meet(now, place, target, packet, outlet);
+        }
         self.discard(packet, Reason::WrongTarget, outlet);
     }
 
--- a/crates/poplarpaddle/src/recovery.rs
+++ b/crates/poplarpaddle/src/recovery.rs
@@ -19,7 +19,7 @@
 use std::net::Ipv4Addr;
 
 use crate::flow::{Entry, Flag, Stage};
-use crate::packet::View;
+use crate::packet::{Kind, View};
 use crate::placement::Candidates;
 
 /// Bytes by which the first acknowledgement of a caller may be past the SYN-ACK when packets arrive out of order.
@@ -122,6 +122,17 @@
     packet.acknowledgement == 0 || packet.acknowledgement == entry.opening.wrapping_add(1)
 }
 
+/// Returns true when a target's packet shows that the caller completed the handshake of the entry's opening with it: the
+/// target sends payload or acknowledges some.
+#[must_use]
+pub fn proves_handshake(entry: &Entry, packet: &View<'_>) -> bool {
+    if packet.acknowledgement == 0 || !entry.has(Flag::Opened) || !matches!(packet.kind, Kind::Data | Kind::Closing) {
+        return false;
+    }
+    let ahead = packet.acknowledgement.wrapping_sub(entry.opening.wrapping_add(1));
+    ahead < ACCEPT_WINDOW && (ahead > 0 || packet.has_payload())
+}
+
 /// Returns true when a target's packet acknowledges payload that was not forwarded here, so that another balancer
 /// forwarded it. Callers cannot bring this about, and reordering cannot either.
 #[must_use]
--- a/crates/poplarpaddle/tests/path/flows.rs
+++ b/crates/poplarpaddle/tests/path/flows.rs
@@ -5,7 +5,7 @@
 use poplarpaddle::packet::Kind;
 use poplarpaddle::path::{Reason, Settings};
 
-use crate::fleet::{Act, Node, answer, config, data, flow, members, reset, syn, view};
+use crate::fleet::{Act, Node, answer, config, data, flow, host, members, reset, syn, syn_ack, view};
 use crate::gate::Narrow;
 
 fn node() -> Node {
@@ -66,3 +66,30 @@
     node.wait(400);
     assert_eq!(node.fabric(&syn(flow(3), 100)), [Act::Target(target, Kind::Opening, 100)]);
 }
+
+/// Guards against answers that are dropped because an earlier copy of the opening waits here or went to another target,
+/// while the caller completed the handshake through another balancer.
+#[test]
+fn answer_of_the_real_target_replaces_an_unconfirmed_placement() {
+    for limit in [0, 1] {
+        let settings = Settings { gates: Arc::new(Narrow { limit }), ..Default::default() };
+        for is_accepted in [false, true] {
+            let mut node = Node::new(settings.clone(), &view(1, &config(&[2], 1), &members(&[1], &[]), &[]));
+            let placed = node.fabric(&syn(flow(1), 100));
+            let mut expected = vec![Act::Caller(Kind::Data)];
+            let mut real = host(0, 0);
+            if let [Act::Target(other, ..)] = placed[..] {
+                real = if other == real { host(0, 1) } else { real };
+                if is_accepted {
+                    assert_eq!(node.fabric(&syn_ack(flow(1), other, 500, 101)), [Act::Caller(Kind::Accept)]);
+                    expected.insert(0, Act::ResetTarget(other));
+                }
+            }
+            // A packet of an older connection proves nothing.
+            let old = node.fabric(&answer(flow(1), real, 901, 0x4000_0000, 30));
+            assert_eq!(old, [Act::Discard(Reason::WrongTarget)], "limit {limit}");
+            assert_eq!(node.fabric(&answer(flow(1), real, 901, 121, 30)), expected, "limit {limit}");
+            assert_eq!(node.engine.target(&flow(1)), Some(real));
+        }
+    }
+}
--- a/scripts/failures.sh
+++ b/scripts/failures.sh
@@ -141,6 +141,10 @@
     post "$store" /admin '{"outage": "none"}'
 }
 
+# The owner resets a silent flow at the first repeat of its payload after 10 s. Callers double the time between repeats
+# and repeat after 7 s and 15 s, so they have to wait longer than 15 s.
+prepare_silence() { caller_flags+=(--timeout-ms 25000); }
+
 run_silence() {
     local answer
     say "open flows go silent"
