Free the slots of work that its target does not acknowledge

Cause: payload of a connection that went silent held a slot of its host for a minute. Some silent flows took all slots, and new openings were refused. Change: work ends for the gate when its target acknowledged nothing for 500 ms; a TCP that got the payload acknowledges it within that time. Result: the new test of the data path fails before and passes after.

--- a/crates/poplarpaddle/src/path/settings.rs
+++ b/crates/poplarpaddle/src/path/settings.rs
@@ -55,7 +55,10 @@
     pub adopted: Duration,
     /// Work ends when no end of its answer was seen for this long.
     pub work: Duration,
-    /// The same while another balancer serves flows of this one too, so that ends of answers pass there.
+    /// Work ends when its target acknowledged nothing of the payload for this long: a TCP that got it acknowledges it
+    /// within half a second, however long the work takes.
+    pub unacknowledged: Duration,
+    /// The same as `work` while another balancer serves flows of this one too, so that ends of answers pass there.
     pub shared_work: Duration,
     /// Time since the last sign that another balancer serves the same flows.
     pub shared: Duration,
@@ -74,6 +77,7 @@
             first_payload: Duration::from_secs(2),
             adopted: Duration::from_secs(5),
             work: Duration::from_mins(1),
+            unacknowledged: Duration::from_millis(500),
             shared_work: Duration::from_millis(200),
             shared: Duration::from_secs(10),
         }
--- a/crates/poplarpaddle/src/path/sweep.rs
+++ b/crates/poplarpaddle/src/path/sweep.rs
@@ -56,7 +56,8 @@
         let is_gone = now.reached(entry.active + self.keep(entry));
         let is_unanswered = entry.stage == Stage::Pending && !self.is_shared(now);
         let end = if is_unanswered { End::Unanswered } else { End::Closed };
-        let is_stale = entry.has(Flag::Working) && now.reached(self.work_deadline(now, entry));
+        let is_unheard = entry.silent != Time::NEVER && now.reached(entry.silent + self.timings.unacknowledged);
+        let is_stale = entry.has(Flag::Working) && (is_unheard || now.reached(self.work_deadline(now, entry)));
         if !is_gone && !is_stale {
             return;
         }
--- a/crates/poplarpaddle/tests/path/flows.rs
+++ b/crates/poplarpaddle/tests/path/flows.rs
@@ -93,3 +93,20 @@
         }
     }
 }
+
+/// Guards against connections that went silent and hold the slots of their host, so that new flows are refused.
+#[test]
+fn silent_flow_frees_its_slot() {
+    let settings = Settings { gates: Arc::new(Narrow { limit: 1 }), ..Default::default() };
+    let mut node = Node::new(settings, &view(1, &config(&[1], 1), &members(&[1], &[]), &[]));
+    let target = node.open(flow(1));
+    assert_eq!(node.fabric(&data(flow(1), 101, 501, 20)), [Act::Target(target, Kind::Data, 101)]);
+    node.wait(1_700);
+    assert_eq!(node.fabric(&syn(flow(2), 100)), [Act::Target(target, Kind::Opening, 100)]);
+    // Work that the target acknowledged keeps its slot for as long as it runs.
+    assert_eq!(node.fabric(&syn_ack(flow(2), target, 500, 101)), [Act::Caller(Kind::Accept)]);
+    assert_eq!(node.fabric(&data(flow(2), 101, 501, 20)), [Act::Target(target, Kind::Data, 101)]);
+    assert_eq!(node.fabric(&answer(flow(2), target, 501, 121, 0)), [Act::Caller(Kind::Data)]);
+    node.wait(1_700);
+    assert_eq!(node.fabric(&syn(flow(3), 100)), []);
+}
