--- a/crates/poplarpaddle/tests/path/flows.rs
+++ b/crates/poplarpaddle/tests/path/flows.rs
@@ -5,7 +5,7 @@
 use poplarpaddle::packet::Kind;
 use poplarpaddle::path::{Reason, Settings};
 
-use crate::fleet::{Act, Node, answer, config, data, flow, members, reset, syn, syn_ack, view};
+use crate::fleet::{Act, Node, answer, config, data, flow, host, members, reset, syn, syn_ack, view};
 use crate::gate::Narrow;
 
 fn node() -> Node {
@@ -81,3 +81,47 @@
     let request = data(flow(1), FAR + 1, 2 * FAR + 1, 10);
     assert_eq!(node.fabric(&request), [Act::Target(target, Kind::Data, FAR + 1)]);
 }
+
+/// Guards against answers that are dropped because an earlier copy of the opening waits here or went to another target,
+/// while the caller completed the handshake through another balancer.
+#[test]
+fn answer_of_the_real_target_replaces_an_unconfirmed_placement() {
+    for limit in [0, 1] {
+        let settings = Settings { gates: Arc::new(Narrow { limit }), ..Default::default() };
+        for is_accepted in [false, true] {
+            let mut node = Node::new(settings.clone(), &view(1, &config(&[2], 1), &members(&[1], &[]), &[]));
+            let placed = node.fabric(&syn(flow(1), 100));
+            let mut expected = vec![Act::Caller(Kind::Data)];
+            let mut real = host(0, 0);
+            if let [Act::Target(other, ..)] = placed[..] {
+                real = if other == real { host(0, 1) } else { real };
+                if is_accepted {
+                    assert_eq!(node.fabric(&syn_ack(flow(1), other, 500, 101)), [Act::Caller(Kind::Accept)]);
+                    expected.insert(0, Act::ResetTarget(other));
+                }
+            }
+            // A packet of an older connection proves nothing.
+            let old = node.fabric(&answer(flow(1), real, 901, 0x4000_0000, 30));
+            assert_eq!(old, [Act::Discard(Reason::WrongTarget)], "limit {limit}");
+            assert_eq!(node.fabric(&answer(flow(1), real, 901, 121, 30)), expected, "limit {limit}");
+            assert_eq!(node.engine.target(&flow(1)), Some(real));
+        }
+    }
+}
+
+/// Guards against connections that went silent and hold the slots of their host, so that new flows are refused.
+#[test]
+fn silent_flow_frees_its_slot() {
+    let settings = Settings { gates: Arc::new(Narrow { limit: 1 }), ..Default::default() };
+    let mut node = Node::new(settings, &view(1, &config(&[1], 1), &members(&[1], &[]), &[]));
+    let target = node.open(flow(1));
+    assert_eq!(node.fabric(&data(flow(1), 101, 501, 20)), [Act::Target(target, Kind::Data, 101)]);
+    node.wait(1_700);
+    assert_eq!(node.fabric(&syn(flow(2), 100)), [Act::Target(target, Kind::Opening, 100)]);
+    // Work that the target acknowledged keeps its slot for as long as it runs.
+    assert_eq!(node.fabric(&syn_ack(flow(2), target, 500, 101)), [Act::Caller(Kind::Accept)]);
+    assert_eq!(node.fabric(&data(flow(2), 101, 501, 20)), [Act::Target(target, Kind::Data, 101)]);
+    assert_eq!(node.fabric(&answer(flow(2), target, 501, 121, 0)), [Act::Caller(Kind::Data)]);
+    node.wait(1_700);
+    assert_eq!(node.fabric(&syn(flow(3), 100)), []);
+}
