Give up the place of an opening whose caller sends nothing

Change: the place is kept about as long as callers usually take from opening to first payload (smoothed mean plus four deviations, 20 ms to first_payload). Later payload asks the gate like any other on an idle flow. Two tests filled a host by an opening without request; they now send the request, so that they still test the deadline of the queue.

--- a/crates/poplarpaddle/src/path.rs
+++ b/crates/poplarpaddle/src/path.rs
@@ -34,6 +34,7 @@
 mod open;
 mod opening;
 mod probing;
+mod reserve;
 mod settings;
 mod sweep;
 mod target;
--- a/crates/poplarpaddle/src/path/caller.rs
+++ b/crates/poplarpaddle/src/path/caller.rs
@@ -132,6 +132,9 @@
         if packet.has_payload() && self.is_silent(now, place, entry, packet) {
             return self.give_up(now, place, slot, entry, packet, outlet);
         }
+        if packet.has_payload() {
+            self.note_first_payload(now, slot);
+        }
         self.free_unacknowledged(now, place, slot, entry, packet);
         let starts_work = packet.has_payload() && !entry.has(Flag::Working) && !recovery::is_repeated(entry, packet);
         if starts_work && !self.admit(now, place, slot, packet, outlet) {
--- a/crates/poplarpaddle/src/path/engine.rs
+++ b/crates/poplarpaddle/src/path/engine.rs
@@ -5,6 +5,7 @@
 
 use super::account::Shards;
 use super::hold::Holds;
+use super::reserve::Reservations;
 use super::settings::{Counters, Factory, Settings, Timings};
 use super::sweep::Sweep;
 use super::{Hop, MemberId, Outlet, Reason, Source};
@@ -35,6 +36,7 @@
     /// When each host sent its last packet.
     pub(super) heard: Map<Ipv4Addr, Time>,
     pub(super) sweep: Sweep,
+    pub(super) reservations: Reservations,
     pub(super) counters: Counters,
 }
 
@@ -57,6 +59,7 @@
             shards: Shards::default(),
             heard: map::seeded(seed),
             sweep: Sweep::default(),
+            reservations: Reservations::default(),
             counters: Counters::default(),
         }
     }
@@ -86,6 +89,7 @@
             self.overdue(now, slot, outlet);
         }
         self.sweep(now);
+        self.give_up_places(now);
         self.start_all(now, outlet);
     }
 
@@ -93,7 +97,8 @@
     #[must_use]
     pub fn deadline(&self) -> Time {
         let sweep = if self.table.is_empty() { Time::NEVER } else { self.sweep.deadline() };
-        self.holds.deadline().min(sweep).min(self.shards.deadline())
+        let places = self.reservations.deadline(self.timings.first_payload);
+        self.holds.deadline().min(sweep).min(places).min(self.shards.deadline())
     }
 
     /// Takes over a new view of the fleet. Entries of flows stay; shards and their gates follow the view.
--- a/crates/poplarpaddle/src/path/target.rs
+++ b/crates/poplarpaddle/src/path/target.rs
@@ -160,6 +160,7 @@
             entry.active = now;
         }
         self.connect(place.key, slot);
+        self.reserve(slot);
     }
 
     /// Handles a packet of the target of a bound flow.
--- a/crates/poplarpaddle/tests/path/accounts.rs
+++ b/crates/poplarpaddle/tests/path/accounts.rs
@@ -45,6 +45,7 @@
     node.open(flow(1));
     first_answer(&mut node, 1);
     node.open(flow(2));
+    node.fabric(&data(flow(2), 101, 501, 10));
     node.fabric(&data(flow(1), 101, 510, 10));
     assert_eq!(node.wait(300), [Act::Discard(Reason::Deadline)]);
     assert_eq!(node.engine.counters().held_bytes, 0);
@@ -55,6 +56,7 @@
 fn opening_that_waits_too_long_is_refused() {
     let mut node = node(Bounds::default());
     node.open(flow(1));
+    node.fabric(&data(flow(1), 101, 501, 10));
     assert_eq!(node.fabric(&syn(flow(2), 100)), []);
     assert_eq!(node.fabric(&syn(flow(2), 100)), [], "a repeat waits with the first copy");
     assert_eq!(node.wait(300), [Act::Refuse(Reason::Deadline)]);
@@ -151,3 +153,27 @@
     assert_eq!(node.fabric(&syn(flow(2), 100)), [], "the host is full");
     assert_eq!(node.fabric(&request), [target(1, Kind::Data, 101)], "and stays full after a repeat");
 }
+
+/// Guards against callers that open flows, send nothing, and hold every place of a host for seconds.
+#[test]
+fn opening_without_request_frees_its_place_soon() {
+    let mut node = node(Bounds::default());
+    node.open(flow(1));
+    assert_eq!(node.fabric(&syn(flow(2), 100)), [], "the host is full");
+    assert_eq!(node.wait(290), [target(2, Kind::Opening, 100)], "before the deadline of the queue");
+}
+
+/// Guards against places that distant callers lose during their handshake.
+#[test]
+fn places_last_as_long_as_callers_usually_take() {
+    let mut node = node(Bounds::default());
+    for caller in 1..20 {
+        node.open(flow(caller));
+        node.wait(200);
+        node.fabric(&data(flow(caller), 101, 501, 10));
+        node.fabric(&answer(flow(caller), host(0, 0), 501, 111, 9));
+    }
+    node.open(flow(20));
+    assert_eq!(node.fabric(&syn(flow(21), 100)), [], "the host is full");
+    assert_eq!(node.wait(200), [], "and stays so while the caller may still send");
+}
