--- a/crates/poplarpaddle-bench/src/bin/measure.rs
+++ b/crates/poplarpaddle-bench/src/bin/measure.rs
@@ -65,11 +65,12 @@
     if let Some(path) = &arguments.generate {
         return generate(&arguments, path);
     }
-    let (gate, path) = (scenarios(&arguments), path_scenarios(&arguments));
-    if gate.is_empty() && path.is_empty() {
+    let (gate, path, floods) = (scenarios(&arguments), path_scenarios(&arguments), floods(&arguments));
+    if gate.is_empty() && path.is_empty() && floods.is_empty() {
         let names = SCENARIOS.map(|scenario| scenario.name).join(", ");
+        let floods = net::flood::SCENARIOS.map(|scenario| scenario.name).join(", ");
         let path_names: Vec<&str> = net::plan::SCENARIOS.iter().map(|scenario| scenario.name).collect();
-        eyre::bail!("no scenario {:?}; use one of {names}, {}", arguments.scenario, path_names.join(", "));
+        eyre::bail!("no scenario {:?}; use one of {names}, {floods}, {}", arguments.scenario, path_names.join(", "));
     }
     for _ in 0..arguments.random_seeds {
         measure_path(&arguments, &path, rand::random())?;
@@ -82,6 +83,15 @@
             measure(&arguments, deployment, scenario)?;
         }
     }
+    for deployment in deployments(&arguments)? {
+        let Arguments { seed, balancers, seconds, .. } = arguments;
+        for &scenario in floods.iter().filter(|_| arguments.trace.is_none()) {
+            let plan = net::flood::Plan { deployment, scenario, seed, balancers, seconds };
+            for is_design in [true, false] {
+                writeln!(std::io::stdout(), "{}", serde_json::to_string(&plan.measure(is_design)?)?)?;
+            }
+        }
+    }
     if arguments.trace.is_none() { measure_path(&arguments, &path, arguments.seed) } else { Ok(()) }
 }
 
@@ -142,6 +152,12 @@
     SCENARIOS.into_iter().filter(wanted).collect()
 }
 
+fn floods(arguments: &Arguments) -> Vec<net::flood::Scenario> {
+    let wanted =
+        |scenario: &net::flood::Scenario| arguments.scenario.as_deref().is_none_or(|name| name == scenario.name);
+    net::flood::SCENARIOS.into_iter().filter(wanted).collect()
+}
+
 fn path_scenarios(arguments: &Arguments) -> Vec<net::plan::Scenario> {
     let wanted =
         |scenario: &&net::plan::Scenario| arguments.scenario.as_deref().is_none_or(|name| name == scenario.name);
--- a/crates/poplarpaddle-bench/src/net.rs
+++ b/crates/poplarpaddle-bench/src/net.rs
@@ -11,6 +11,7 @@
 
 pub mod balancer;
 pub mod callers;
+pub mod flood;
 pub mod history;
 pub mod packet;
 pub mod plan;
--- a/crates/poplarpaddle-bench/src/net/callers.rs
+++ b/crates/poplarpaddle-bench/src/net/callers.rs
@@ -138,6 +138,12 @@
         self.flows[self.works[work].flow].flow
     }
 
+    /// Returns true when a flow belongs to a caller that opens it for one request.
+    #[must_use]
+    pub fn is_passing(&self, flow: &Flow) -> bool {
+        self.current.get(flow).is_some_and(|&index| !self.flows[index].is_standing)
+    }
+
     /// Returns the number of requests on flows that still wait for an answer.
     #[must_use]
     pub fn waiting(&self) -> usize {
@@ -150,7 +156,8 @@
     }
 
     /// A request arrives.
-    pub fn arrive(&mut self, work: usize, out: &mut Out) {
+    pub fn arrive(&mut self, now: Time, work: usize, out: &mut Out) {
+        self.works[work].arrived = now;
         let index = self.works[work].flow;
         self.flows[index].pending.push_back(work);
         match self.flows[index].phase {
--- /dev/null
+++ b/crates/poplarpaddle-bench/src/net/flood.rs
@@ -0,0 +1,271 @@
+//! Floods through the engines.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddrV4;
+use std::time::Duration;
+
+use poplarpaddle::packet::Flow;
+use poplarpaddle::time::Time;
+use serde::Serialize;
+
+use super::history::Work;
+use super::plan::Setup;
+use super::views;
+use super::world::{START, World};
+use crate::report::{ratio, rounded};
+use crate::scenario::{Deployment, Flood, PRIORITIES, of_port};
+use crate::trace::{Generator, Record};
+
+/// Time in which the standing flows open before the trace begins.
+const LEAD: Duration = Duration::from_secs(5);
+
+/// Standing flows of a host. Fewer than a host holds, so that they open within the lead.
+const STANDING: u32 = 400;
+
+/// Time after the trace, by which the last deadlines have passed.
+const SETTLE: Duration = Duration::from_secs(5);
+
+/// Per cent of the steady work that comes on new flows.
+const CHURN: u32 = 10;
+
+/// Slot time of the first request of a standing flow.
+const FIRST: Duration = Duration::from_millis(1);
+
+/// Part of the trace that is left out of the slot times at its beginning, as a divisor.
+const WARM_UP_PART: u32 = 10;
+
+/// A refusal that reaches the caller later than this came after a wait.
+const AT_ONCE: Duration = Duration::from_millis(50);
+
+/// Flows that send nothing come from here.
+const IDLE: u32 = u32::from_be_bytes([13, 0, 0, 1]);
+
+/// A flood.
+#[derive(Debug, Clone, Copy)]
+pub struct Scenario {
+    /// Name.
+    pub name: &'static str,
+    /// Requests on top of the steady ones.
+    pub flood: Option<Flood>,
+    /// Openings a second on which the caller sends nothing.
+    pub idle: u32,
+}
+
+/// All scenarios.
+pub const SCENARIOS: [Scenario; 3] = [
+    Scenario { name: "path_least_urgent_flood", flood: Some(Flood { priority: 2, load: 1_000 }), idle: 0 },
+    Scenario { name: "path_most_urgent_flood", flood: Some(Flood { priority: 0, load: 500 }), idle: 0 },
+    Scenario { name: "path_idle_openings", flood: None, idle: 1_000 },
+];
+
+/// Steady work as per cent of what the hosts take.
+const LOAD: u32 = 50;
+
+/// One line of output.
+#[derive(Debug, Clone, Serialize)]
+pub struct Line {
+    /// Deployment.
+    pub deployment: &'static str,
+    /// Scenario.
+    pub scenario: &'static str,
+    /// Policy.
+    pub policy: &'static str,
+    /// Seed.
+    pub seed: u64,
+    /// Number of balancers.
+    pub balancers: usize,
+    /// Requests, those of the flood included.
+    pub requests: u64,
+    /// Flows that opened.
+    pub flows: u64,
+    /// Flows that ended although neither end closed them.
+    pub broken_flows: u64,
+    /// The same by cause.
+    pub broken_causes: BTreeMap<String, u64>,
+    /// Share of the steady work that was answered in time.
+    pub in_time: f64,
+    /// Work of other priorities than the flood's, answered in time, over the same without the flood.
+    pub kept: f64,
+    /// The same for each priority; none for the priority of the flood.
+    pub kept_by_priority: [Option<f64>; PRIORITIES.len()],
+    /// Share of the flood that was answered in time.
+    pub flood_served: f64,
+    /// Share of slot time that went to work answered in time.
+    pub slots_busy_useful: f64,
+    /// Share of the openings sent to targets that did not lead to an answer in time.
+    pub wasted_tries: f64,
+    /// Share of the refused requests that were refused after a wait.
+    pub refused_late: f64,
+    /// Requests that are not idempotent and ran more than once.
+    pub run_twice: u64,
+    /// Requests that ran although their caller was told that they did not.
+    pub refused_but_run: u64,
+    /// Packets of one service at a target of another.
+    pub misrouted: u64,
+    /// Answers that belong to another request.
+    pub wrong_answers: u64,
+}
+
+/// What to measure.
+#[derive(Debug, Clone, Copy)]
+pub struct Plan<'a> {
+    /// Fleet.
+    pub deployment: &'a Deployment,
+    /// What happens.
+    pub scenario: Scenario,
+    /// Seed of everything random.
+    pub seed: u64,
+    /// Balancers.
+    pub balancers: usize,
+    /// Length of the trace in seconds.
+    pub seconds: u64,
+}
+
+impl Plan<'_> {
+    /// Runs the scenario with and without the flood, with the design or with the baseline.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a record has a port that no service of the deployment has.
+    pub fn measure(&self, is_design: bool) -> eyre::Result<Line> {
+        let setup = Setup {
+            deployment: self.deployment,
+            seed: self.seed,
+            balancers: self.balancers,
+            is_design,
+            length: LEAD + self.length() + SETTLE,
+            steps: Vec::new(),
+            retries: false,
+        };
+        let calm = self.run(&setup, false)?;
+        let flood = self.run(&setup, true)?;
+        Ok(self.line(is_design, &calm, &flood))
+    }
+
+    const fn length(&self) -> Duration {
+        Duration::from_secs(self.seconds)
+    }
+
+    fn run<'a>(&self, setup: &'a Setup<'a>, is_flooded: bool) -> eyre::Result<World<'a>> {
+        let generator = Generator { deployment: self.deployment, seed: self.seed, seconds: self.seconds };
+        let mut world = World::new(setup);
+        load(&mut world, &generator.steady(LOAD, CHURN, STANDING), false)?;
+        if let Some(flood) = self.scenario.flood.filter(|_| is_flooded) {
+            load(&mut world, &generator.flood(flood.priority, flood.load), true)?;
+        }
+        if is_flooded {
+            self.add_idle(&mut world);
+        }
+        world.go();
+        Ok(world)
+    }
+
+    /// Adds flows on which the callers send nothing.
+    fn add_idle(&self, world: &mut World<'_>) {
+        let count = self.scenario.idle * u32::try_from(self.seconds).unwrap_or(0);
+        for number in 0..count {
+            let port = u16::try_from(number % 40_000).unwrap_or(0) + 1_024;
+            let caller = SocketAddrV4::new((IDLE + number / 40_000).into(), port);
+            let service = usize::from(number % 4 == 3);
+            let flow = Flow { caller, service: views::service(service, 0) };
+            let index = world.callers.add_flow(flow, true);
+            world.schedule_idle(LEAD + self.length() * number / count, index);
+        }
+    }
+
+    fn line(&self, is_design: bool, calm: &World<'_>, flood: &World<'_>) -> Line {
+        let works = &flood.callers.works;
+        // Requests that may be answered after the flood would show less of it.
+        let end = START + LEAD + self.length();
+        let counts = |work: &Work| work.deadline <= end;
+        let flooded = self.scenario.flood.map(|flood| flood.priority);
+        let kept = |wanted: &dyn Fn(usize) -> bool| {
+            let in_time = |world: &World<'_>| {
+                count(&world.callers.works, |work| {
+                    counts(work) && !work.flood && wanted(work.priority) && work.is_in_time()
+                })
+            };
+            ratio(in_time(flood), in_time(calm))
+        };
+        let by_priority = |priority| (flooded != Some(priority)).then(|| kept(&|other| other == priority));
+        let on_new_flows = count(works, |work| work.is_opening && work.is_in_time());
+        let share = |of: &dyn Fn(&Work) -> bool| {
+            ratio(count(works, |work| of(work) && work.is_in_time()), count(works, |work| of(work)))
+        };
+        let late = |work: &Work| work.refused().is_some_and(|time| time.since(work.arrived) > AT_ONCE);
+        Line {
+            deployment: self.deployment.name,
+            scenario: self.scenario.name,
+            policy: if is_design { "design" } else { "naive" },
+            seed: self.seed,
+            balancers: self.balancers,
+            requests: works.len() as u64,
+            flows: flood.callers.opened,
+            broken_flows: flood.callers.broken.values().sum(),
+            broken_causes: flood.callers.broken.clone(),
+            in_time: share(&|work| counts(work) && !work.flood),
+            kept: kept(&|priority| flooded != Some(priority)),
+            kept_by_priority: [0, 1, 2].map(by_priority),
+            flood_served: share(&|work| counts(work) && work.flood),
+            slots_busy_useful: self.useful(flood),
+            wasted_tries: rounded(1.0 - ratio(on_new_flows, flood.openings)),
+            refused_late: ratio(count(works, late), count(works, |work| work.refused().is_some())),
+            run_twice: count(works, Work::is_run_twice),
+            refused_but_run: count(works, Work::is_denied_but_run),
+            misrouted: flood.misrouted,
+            wrong_answers: flood.callers.wrong_answers,
+        }
+    }
+
+    fn useful(&self, world: &World<'_>) -> f64 {
+        let (from, to) = (START + LEAD + self.length() / WARM_UP_PART, START + LEAD + self.length());
+        let useful = |work: &Work| work.used(from, to).as_secs_f64();
+        let busy: f64 = world.callers.works.iter().filter(|work| work.is_in_time()).map(useful).sum();
+        let slots: u32 = world.targets.hosts.iter().map(|host| u32::from(host.target.slots)).sum();
+        rounded(busy / (f64::from(slots) * to.since(from).as_secs_f64()))
+    }
+}
+
+fn count(works: &[Work], wanted: impl Fn(&Work) -> bool) -> u64 {
+    works.iter().map(|work| u64::from(wanted(work))).sum()
+}
+
+/// Adds the records of a trace. Standing flows open in the lead with a short request.
+fn load(world: &mut World<'_>, records: &[Record], flood: bool) -> eyre::Result<()> {
+    let mut flows: BTreeMap<(SocketAddrV4, u16), usize> = BTreeMap::new();
+    let standing = records.iter().filter(|record| record.is_standing()).count();
+    for (number, record) in records.iter().enumerate() {
+        let (service, priority) =
+            of_port(record.port).ok_or_else(|| eyre::eyre!("no service has port {} of {record:?}", record.port))?;
+        let is_standing = record.is_standing();
+        let key = (record.caller, record.port);
+        let is_opening = !flows.contains_key(&key);
+        let index = *flows.entry(key).or_insert_with(|| {
+            let flow = Flow { caller: record.caller, service: views::service(service, priority) };
+            world.callers.add_flow(flow, is_standing)
+        });
+        let at = LEAD + Duration::from_micros(record.time_us);
+        let (at, took, deadline) = if is_standing {
+            let position = u32::try_from(number).unwrap_or(0);
+            (LEAD / 2 * position / u32::try_from(standing).unwrap_or(1), FIRST, Time::NEVER)
+        } else {
+            let deadline = START + LEAD + Duration::from_micros(record.deadline_us);
+            (at, Duration::from_micros(record.service_us), deadline)
+        };
+        let work = world.callers.add_work(Work {
+            flow: index,
+            priority,
+            flood,
+            is_opening: is_opening && !is_standing,
+            idempotent: false,
+            service_time: took,
+            arrived: Time::default(),
+            deadline,
+            attempts: 0,
+            told: Vec::new(),
+            runs: Vec::new(),
+        });
+        world.schedule(at, work);
+    }
+    Ok(())
+}
--- a/crates/poplarpaddle-bench/src/net/history.rs
+++ b/crates/poplarpaddle-bench/src/net/history.rs
@@ -26,8 +26,10 @@
     pub attempt: u8,
     /// Where.
     pub host: Ipv4Addr,
-    /// When.
+    /// When it began.
     pub time: Time,
+    /// Slot time.
+    pub took: Duration,
 }
 
 /// A request.
@@ -39,10 +41,14 @@
     pub priority: usize,
     /// True when it belongs to a flood.
     pub flood: bool,
+    /// True when it opens its flow after the start of the trace.
+    pub is_opening: bool,
     /// True when running it twice is harmless.
     pub idempotent: bool,
     /// Slot time on a warm host.
     pub service_time: Duration,
+    /// When its caller had it.
+    pub arrived: Time,
     /// When an answer is of no use any more.
     pub deadline: Time,
     /// Submissions so far.
@@ -60,6 +66,19 @@
         self.told.iter().any(|(_, told)| matches!(told, Told::Answer(time) if *time <= self.deadline))
     }
 
+    /// Returns when the caller was last told that it did not run.
+    #[must_use]
+    pub fn refused(&self) -> Option<Time> {
+        let (_, told) = self.told.last()?;
+        if let Told::NotRun(time) = told { Some(*time) } else { None }
+    }
+
+    /// Returns the slot time that it used between two times.
+    #[must_use]
+    pub fn used(&self, from: Time, to: Time) -> Duration {
+        self.runs.iter().map(|run| (run.time + run.took).min(to).since(run.time.max(from))).sum()
+    }
+
     /// Returns true when the caller was told that a submission did not run although it did.
     #[must_use]
     pub fn is_denied_but_run(&self) -> bool {
--- a/crates/poplarpaddle-bench/src/net/world.rs
+++ b/crates/poplarpaddle-bench/src/net/world.rs
@@ -25,7 +25,7 @@
 use super::views::{self, Knowledge, News, ZONES};
 
 /// Virtual time at which a run begins.
-const START: Time = Time::from_millis(1_000);
+pub const START: Time = Time::from_millis(1_000);
 
 /// One-way time within a zone.
 const LOCAL_HOP: Duration = Duration::from_micros(100);
@@ -103,6 +103,8 @@
     pub callers: Callers,
     /// Packets of one service at a target of another.
     pub misrouted: u64,
+    /// Openings that reached targets, without those of standing flows.
+    pub openings: u64,
     /// Open flows of a host over the mean of its service, over hosts and samples.
     pub flow_balance: Vec<f64>,
     /// Targets.
@@ -129,6 +131,7 @@
         let mut world = Self {
             callers: Callers::new(setup.seed, setup.retries),
             misrouted: 0,
+            openings: 0,
             flow_balance: Vec::new(),
             targets: Targets::new(setup.deployment),
             setup,
@@ -205,8 +208,8 @@
     fn handle(&mut self, event: Event) {
         match event {
             Event::Act(step) => self.act(&self.setup.steps[step].action),
-            Event::Arrive(work) => self.call(|callers, _, out| {
-                callers.arrive(work, out);
+            Event::Arrive(work) => self.call(|callers, now, out| {
+                callers.arrive(now, work, out);
                 None
             }),
             Event::Idle(flow) => self.call(|callers, _, out| {
@@ -347,6 +350,7 @@
 
     fn target(&mut self, address: Ipv4Addr, packet: &Packet) {
         let Some(host) = self.targets.get(address) else { return };
+        self.openings += u64::from(packet.kind == Kind::Opening && self.callers.is_passing(&packet.flow));
         self.misrouted += u64::from(host.service != views::service_of(*packet.flow.service.ip()));
         if host.target.silent || host.is_silent(&packet.flow) {
             return;
@@ -368,7 +372,7 @@
     fn serve(&mut self, address: Ipv4Addr) {
         while let Some((request, took)) = self.next_request(address) {
             let (work, attempt) = of_number(request);
-            self.callers.works[work].runs.push(Run { attempt, host: address, time: self.now });
+            self.callers.works[work].runs.push(Run { attempt, host: address, time: self.now, took });
             self.at(self.now + took, Event::Done(address, request));
         }
     }
--- a/crates/poplarpaddle-bench/src/report.rs
+++ b/crates/poplarpaddle-bench/src/report.rs
@@ -171,11 +171,15 @@
     ratio(count(works, |work| of(work) && wanted(work)), count(works, of))
 }
 
-fn ratio(part: u64, whole: u64) -> f64 {
+/// Returns a part of a whole, 0 without a whole.
+#[must_use]
+pub fn ratio(part: u64, whole: u64) -> f64 {
     rounded(part as f64 / whole.max(1) as f64)
 }
 
-fn rounded(value: f64) -> f64 {
+/// Returns a value with 4 decimals.
+#[must_use]
+pub fn rounded(value: f64) -> f64 {
     (value * 1e4).round() / 1e4
 }
 
@@ -184,6 +188,7 @@
 }
 
 /// Returns the nearest-rank percentile, 0 without values.
+#[must_use]
 pub fn percentile(values: &[f64], per_cent: usize) -> f64 {
     let mut sorted = values.to_vec();
     sorted.sort_by(f64::total_cmp);
