--- a/crates/poplarpaddle/src/path/engine.rs
+++ b/crates/poplarpaddle/src/path/engine.rs
@@ -6,6 +6,7 @@
 
 use super::account::Shards;
 use super::hold::Holds;
+use super::reserve::Reservations;
 use super::settings::{Counters, Factory, Settings, Timings};
 use super::sweep::Sweep;
 use super::{Hop, MemberId, Outlet, Reason, Source};
@@ -41,6 +42,7 @@
     /// Until when another balancer is taken to serve flows of this one too, as on the two sides of a partition.
     pub(super) shared_until: Time,
     pub(super) sweep: Sweep,
+    pub(super) reservations: Reservations,
     pub(super) counters: Counters,
 }
 
@@ -66,6 +68,7 @@
             heard: map::seeded(seed),
             shared_until: Time::default(),
             sweep: Sweep::default(),
+            reservations: Reservations::default(),
             counters: Counters::default(),
         }
     }
@@ -95,6 +98,7 @@
             self.overdue(now, slot, outlet);
         }
         self.sweep(now);
+        self.give_up_places(now);
         self.start_all(now, outlet);
     }
 
@@ -102,7 +106,8 @@
     #[must_use]
     pub fn deadline(&self) -> Time {
         let sweep = if self.table.is_empty() { Time::NEVER } else { self.sweep.deadline() };
-        self.holds.deadline().min(sweep).min(self.shards.deadline())
+        let places = self.reservations.deadline(self.timings.first_payload);
+        self.holds.deadline().min(sweep).min(places).min(self.shards.deadline())
     }
 
     /// Takes over a new view of the fleet. Entries of flows stay; shards and their gates follow the view.
