--- a/crates/poplarpaddle/src/path/sweep.rs
+++ b/crates/poplarpaddle/src/path/sweep.rs
@@ -56,8 +56,7 @@
         let is_gone = now.reached(entry.active + self.keep(entry));
         let is_unanswered = entry.stage == Stage::Pending && !self.is_shared(now);
         let end = if is_unanswered { End::Unanswered } else { End::Closed };
-        let is_unheard = entry.silent != Time::NEVER && now.reached(entry.silent + self.timings.unacknowledged);
-        let is_stale = entry.has(Flag::Working) && (is_unheard || now.reached(self.work_deadline(now, entry)));
+        let is_stale = entry.has(Flag::Working) && now.reached(self.work_deadline(now, entry));
         if !is_gone && !is_stale {
             return;
         }
@@ -95,7 +94,7 @@
         // Payload without any sign of its target is not worked on. Its caller may repeat it by way of another owner, so
         // that this one learns no more of it.
         let unacknowledged =
-            if entry.silent == Time::NEVER { Time::NEVER } else { entry.silent + self.timings.opening_reply };
+            if entry.silent == Time::NEVER { Time::NEVER } else { entry.silent + self.timings.unacknowledged };
         (entry.started + limit).min(unacknowledged)
     }
 
--- a/crates/poplarpaddle/tests/path/accounts.rs
+++ b/crates/poplarpaddle/tests/path/accounts.rs
@@ -162,7 +162,7 @@
     node.open(flow(1));
     node.fabric(&data(flow(1), 101, 501, 10));
     node.wait(1_600);
-    assert_eq!(node.fabric(&syn(flow(2), 100)), [target(2, Kind::Opening, 100)]);
+    assert_eq!(node.fabric(&syn(flow(2), 100)), [target(Kind::Opening, 100)]);
 }
 
 /// Guards against places that a request loses although its target acknowledged it and goes on working.
@@ -184,7 +184,7 @@
     let mut node = node(Bounds::default());
     node.open(flow(1));
     assert_eq!(node.fabric(&syn(flow(2), 100)), [], "the host is full");
-    assert_eq!(node.wait(290), [target(2, Kind::Opening, 100)], "before the deadline of the queue");
+    assert_eq!(node.wait(290), [target(Kind::Opening, 100)], "before the deadline of the queue");
 }
 
 /// Guards against places that distant callers lose during their handshake.
