--- a/crates/poplarpaddle/src/config.rs
+++ b/crates/poplarpaddle/src/config.rs
@@ -10,8 +10,9 @@
 //! ```
 //!
 //! A [`Manifest`] lists the digests of [`Part`]s. A part holds the services of one bucket with their targets, so a change
-//! of one object rewrites one part and the manifest. A node fetches both for each change: more buckets make the part
-//! smaller and the manifest longer, and [`buckets`] keeps the two at a similar size.
+//! of one object rewrites one part and the manifest. A relay fetches both for each change: more buckets make the part
+//! smaller and the manifest longer, and [`buckets`] keeps the two at a similar size. Peers that have the generation
+//! before get an update with the changed services only, see [`State::update`].
 //!
 //! Manifest and parts are JSON with sorted keys, see [`encode`]. The bytes are the same from the store and from peers,
 //! which lets one digest stand for both. JSON costs more bytes than a binary form; targets are written as rows without
