--- a/crates/poplarpaddle/tests/control_untrusted.rs
+++ b/crates/poplarpaddle/tests/control_untrusted.rs
@@ -135,7 +135,7 @@
         for action in node.actions() {
             match action {
                 // The liar serves a manifest whose parts do not exist.
-                Action::FetchManifest { peer } => {
+                Action::FetchManifest { peer, .. } => {
                     let false_one = serde_json::to_vec(&net::manifest(1 << 50, &["none"])).unwrap();
                     let bytes = if peer == address(9) { &false_one } else { &manifest };
                     let _ = node.answer(time, &Answer::Manifest { peer, outcome: Ok(bytes) });
