Tell other balancers of misplaced targets

Cause: a balancer that gained a shard took a target that runs another service for a serving one until its own first poll, and placed flows on it. Change: a balancer that finds a target misplaced passes it on like a leaving one, so that the others give it no new flows before they have polled it. Result: the new test of the control side fails before and passes after.

--- a/crates/poplarpaddle/src/control.rs
+++ b/crates/poplarpaddle/src/control.rs
@@ -170,7 +170,9 @@
             }
             Answer::Load { host, outcome } => {
                 self.hosts_changed = true;
-                self.health.answer(*host, *outcome)
+                let result = self.health.answer(*host, *outcome);
+                self.warn_of(now, *host);
+                result
             }
         };
         self.settle(now);
@@ -247,6 +249,16 @@
         }
     }
 
+    /// Tells the others of a misplaced host. They give it no new flows, as if it were leaving, so that an owner of its
+    /// shard which has not polled it yet does not either.
+    fn warn_of(&mut self, now: Time, host: Ipv4Addr) {
+        let is_misplaced = self.health.host_of(host).is_some_and(|known| known.state == view::HostState::Misplaced);
+        if is_misplaced && self.departures.note(now, Leaving { host, ttl_ms: departure::TTL_MS }) {
+            self.membership.urge();
+            self.event(now, "host.misplaced", host.to_string(), String::new());
+        }
+    }
+
     fn gossip_answer(
         &mut self,
         now: Time,
--- a/crates/poplarpaddle/src/health.rs
+++ b/crates/poplarpaddle/src/health.rs
@@ -187,6 +187,12 @@
         self.hosts.iter().map(|(host, polled)| (*host, self.host(*host, polled)))
     }
 
+    /// Returns what is known of a host, none when it is not polled.
+    #[must_use]
+    pub fn host_of(&self, host: Ipv4Addr) -> Option<Host> {
+        self.hosts.get(&host).map(|polled| self.host(host, polled))
+    }
+
     /// Returns the time of the next tick.
     #[must_use]
     pub fn deadline(&self) -> Time {
--- a/crates/poplarpaddle/tests/control.rs
+++ b/crates/poplarpaddle/tests/control.rs
@@ -307,6 +307,23 @@
     assert_eq!(net.host(0).views.len(), views, "load figures alone are no reason for a view");
 }
 
+/// Guards against new flows on a misplaced target at members that gain its shard and have not polled it yet.
+#[test]
+fn misplaced_host_is_known_everywhere() {
+    let mut net = Net::fleet(9, 16, 15_000);
+    net.store.publish(1, &["a"]);
+    net.run(7_000);
+    let host = std::net::Ipv4Addr::new(10, 1, 0, 8);
+    net.loads.insert(host, r#"{"service":"crewdocs","slots":3,"busy":0,"connections":0,"state":"serving"}"#.into());
+    let now = net.now;
+    net.host(0).node.poll(now, &[host]);
+    let state = |net: &Net, n: u16| net.hosts[&address(n)].view.as_ref()?.hosts.get(&host).map(|known| known.state);
+    let took = net.until(3_000, |net| (1..16).all(|n| state(net, n) == Some(HostState::Draining)));
+    assert!(took.is_some(), "some member gives new flows to a misplaced host after 3 s");
+    assert_eq!(state(&net, 0), Some(HostState::Misplaced));
+    println!("misplaced host known after {took:?} ms");
+}
+
 /// Guards against gossip beyond the control budget of 4 KB/s for each node. `examples/gossip.rs` measures larger fleets.
 #[test]
 fn gossip_stays_within_the_budget() {
--- a/crates/poplarpaddle/tests/control/net.rs
+++ b/crates/poplarpaddle/tests/control/net.rs
@@ -50,6 +50,25 @@
     Ok((value["generation"].as_u64().unwrap_or(0), parts.iter().map(digest).collect()))
 }
 
+/// A service with one target, for load reports that name another service.
+fn service() -> view::Service {
+    view::Service {
+        name: "bookings".into(),
+        address: std::net::Ipv4Addr::new(10, 0, 0, 1),
+        ports: Vec::new(),
+        shards: 1,
+        targets: vec![view::Target {
+            name: "target-8".into(),
+            zone: "zone-0".into(),
+            address: std::net::Ipv4Addr::new(10, 1, 0, 8),
+            slots: 3,
+            connections: 4400,
+            draining: false,
+            released: false,
+        }],
+    }
+}
+
 impl FakeConfig {
     /// Returns a configuration that is in force.
     pub fn with(generation: u64, parts: &[&str]) -> Self {
@@ -73,7 +92,7 @@
         self.current = Some(Arc::new(view::Config {
             generation,
             seed: 0,
-            services: Vec::new(),
+            services: vec![service()],
             priorities: Vec::new(),
             addresses: map::seeded(0),
             endpoints: map::seeded(0),
