Keep flows whose target may be in a zone that is cut off

Cause: a probe took a host that fails its health checks for one that lost its connections. While a zone is cut off, the balancers on one side so reset flows that the other side still serves.

Change: a down host counts as having lost its connections only while another host of the service in its zone answers.

--- a/crates/poplarpaddle-bench/src/net/world.rs
+++ b/crates/poplarpaddle-bench/src/net/world.rs
@@ -148,6 +148,9 @@
             delays: false,
         };
         world.truth.learn(1, News::Config(Arc::new(views::config(setup.deployment, setup.seed))));
+        for host in &world.targets.hosts {
+            world.truth.learn(1, News::Host(host.address, HostState::Serving));
+        }
         for index in 0..setup.balancers {
             world.add_node(index % ZONES);
         }
--- a/crates/poplarpaddle/src/path/probing.rs
+++ b/crates/poplarpaddle/src/path/probing.rs
@@ -72,20 +72,36 @@
 
     /// A candidate answered nothing in time.
     fn skip(&mut self, now: Time, place: &Place, slot: Slot, outlet: &mut dyn Outlet) {
-        let Some(Hold { packets, phase: Phase::Probe(probe), .. }) = self.holds.get_mut(slot) else { return };
+        let Some(Hold { packets, phase: Phase::Probe(probe), .. }) = self.holds.get(slot) else { return };
         let is_bare = packets.front().is_some_and(|held| is_bare(&held.view()));
         let host = probe.current();
-        // A host that fails its health checks too is taken to have lost its connections.
-        let is_down = host.and_then(|host| self.hosts.get(&host)).is_some_and(|host| host.state == HostState::Down);
+        // A host that fails its health checks too is taken to have lost its connections, unless nothing of its zone is
+        // heard: balancers on the other side of a partition may still serve the flow.
+        let is_down = host.is_some_and(|host| self.is_down_alone(place, host));
         if is_bare && !is_down {
             // A target answers no bare acknowledgement of a connection that it knows, so it has probably arrived.
             self.remove(now, place.key, slot);
             return;
         }
-        probe.advance(is_down);
+        if let Some(Hold { phase: Phase::Probe(probe), .. }) = self.holds.get_mut(slot) {
+            probe.advance(is_down);
+        }
         self.ask(now, place, slot, outlet);
     }
 
+    /// Returns true when a host is down while another host of the service in its zone answers.
+    fn is_down_alone(&self, place: &Place, host: Ipv4Addr) -> bool {
+        let state = |host: &Ipv4Addr| self.hosts.get(host).map(|host| host.state);
+        let Some(service) = self.config.as_ref().and_then(|config| config.services.get(place.service.0 as usize))
+        else {
+            return false;
+        };
+        let zone = service.targets.iter().find(|target| target.address == host).map(|target| &target.zone);
+        let mut others = service.targets.iter().filter(|target| Some(&target.zone) == zone);
+        let is_heard = |host: &Ipv4Addr| state(host).is_some_and(|state| state != HostState::Down);
+        state(&host) == Some(HostState::Down) && others.any(|target| is_heard(&target.address))
+    }
+
     /// Handles a further packet of a caller while its flow is under probe.
     pub(super) fn wait_for_probe(
         &mut self,
--- a/crates/poplarpaddle/tests/path/recovery.rs
+++ b/crates/poplarpaddle/tests/path/recovery.rs
@@ -61,6 +61,35 @@
     assert_eq!(acts[1..], [Act::Discard(Reason::UnknownFlow)]);
 }
 
+/// Probes all targets of a service whose hosts 2 and 3 are in another zone, and returns how the probe ends. Hosts that are
+/// down do not answer; the others do not know the connection.
+fn end_of_probe(down: &[u8]) -> Vec<Act> {
+    let mut config = config(&[4, 2], 1);
+    config.services[0].targets[2..].iter_mut().for_each(|target| target.zone = "b".into());
+    let state = |number| if down.contains(&number) { HostState::Down } else { HostState::Serving };
+    let states: Vec<_> = (0..4).map(|number| (host(0, number), state(number))).collect();
+    let mut node = Node::new(Settings::default(), &view(1, &config, &members(&[1], &[]), &states));
+    let mut acts = node.fabric(&data(flow(1), 700, 900, 10));
+    for _ in 0..4 {
+        let target = probed(&acts);
+        let is_down = states.contains(&(target, HostState::Down));
+        acts = if is_down { node.wait(200) } else { node.fabric(&reset(flow(1), target, 0)) };
+    }
+    acts
+}
+
+/// Guards against a reset of flows that the balancers in a zone which is cut off still serve.
+#[test]
+fn zone_without_contact_may_hold_the_connection() {
+    assert!(end_of_probe(&[2, 3]).contains(&Act::Discard(Reason::UnknownFlow)));
+}
+
+/// Guards against a caller that waits for ever for a host that died alone.
+#[test]
+fn host_that_died_alone_has_lost_the_connection() {
+    assert!(end_of_probe(&[2]).contains(&Act::ResetCaller(Reason::Unrecoverable)));
+}
+
 /// Guards against a claim that a flow is lost when the misplaced target was not asked.
 #[test]
 fn misplaced_target_gets_no_packet() {
