Let work from before a change of members expire soon

Cause: when a zone is cut off, the answer of a request that its target had acknowledged can go to an owner on the other side. The owner that started the work never saw its end and kept the place for a minute.

Change: work that started before the last change of the members expires 5 s (adopted) after that change. A longer request loses its place early, which only lets its host take more for a while.

--- a/crates/poplarpaddle/src/path/engine.rs
+++ b/crates/poplarpaddle/src/path/engine.rs
@@ -37,6 +37,8 @@
     pub(super) heard: Map<Ipv4Addr, Time>,
     pub(super) sweep: Sweep,
     pub(super) reservations: Reservations,
+    /// When the set of members changed last. Answers to work from before may have gone to another owner.
+    pub(super) changed: Time,
     pub(super) counters: Counters,
 }
 
@@ -60,6 +62,7 @@
             heard: map::seeded(seed),
             sweep: Sweep::default(),
             reservations: Reservations::default(),
+            changed: Time::default(),
             counters: Counters::default(),
         }
     }
@@ -104,6 +107,9 @@
     /// Takes over a new view of the fleet. Entries of flows stay; shards and their gates follow the view.
     pub fn apply(&mut self, now: Time, view: &view::View, outlet: &mut dyn Outlet) {
         self.me = view.me;
+        if !self.members.iter().map(|member| member.id).eq(view.members.iter().map(|member| member.id)) {
+            self.changed = now;
+        }
         self.members = Arc::clone(&view.members);
         self.hosts = Arc::clone(&view.hosts);
         self.reassign(now, view.config.as_ref(), outlet);
--- a/crates/poplarpaddle/src/path/sweep.rs
+++ b/crates/poplarpaddle/src/path/sweep.rs
@@ -85,7 +85,10 @@
         // that this one learns no more of it.
         let unacknowledged =
             if entry.silent == Time::NEVER { Time::NEVER } else { entry.silent + self.timings.opening_reply };
-        (entry.started + limit).min(unacknowledged)
+        // A long request loses its place too early this way, which only lets its host take more for a while.
+        let may_have_ended =
+            if entry.started < self.changed { self.changed + self.timings.adopted } else { Time::NEVER };
+        (entry.started + limit).min(unacknowledged).min(may_have_ended)
     }
 
     /// Makes room for one entry; false when none of the sampled entries can go.
--- a/crates/poplarpaddle/tests/path/accounts.rs
+++ b/crates/poplarpaddle/tests/path/accounts.rs
@@ -152,6 +152,20 @@
     assert_eq!(node.fabric(&syn(flow(2), 100)), [target(2, Kind::Opening, 100)]);
 }
 
+/// Guards against work that holds its place for a minute because its answer went to another owner, as when a zone that
+/// was cut off comes back.
+#[test]
+fn work_from_before_a_change_of_members_frees_its_place() {
+    let mut node = node(Bounds::default());
+    node.open(flow(1));
+    node.fabric(&data(flow(1), 101, 501, 10));
+    node.fabric(&answer(flow(1), host(0, 0), 501, 111, 0));
+    node.wait(1_000);
+    node.apply(&view(1, &config(&[1, 1], 1), &members(&[1], &[2]), &[]));
+    node.wait(6_200);
+    assert_eq!(node.fabric(&syn(flow(2), 100)), [target(2, Kind::Opening, 100)]);
+}
+
 /// Guards against places that a request loses although its target acknowledged it and goes on working.
 #[test]
 fn acknowledged_request_keeps_its_place() {
