--- a/crates/poplarpaddle/src/path/engine.rs
+++ b/crates/poplarpaddle/src/path/engine.rs
@@ -43,6 +43,8 @@
     pub(super) shared_until: Time,
     pub(super) sweep: Sweep,
     pub(super) reservations: Reservations,
+    /// When the set of members changed last. Answers to work from before may have gone to another owner.
+    pub(super) changed: Time,
     pub(super) counters: Counters,
 }
 
@@ -69,6 +71,7 @@
             shared_until: Time::default(),
             sweep: Sweep::default(),
             reservations: Reservations::default(),
+            changed: Time::default(),
             counters: Counters::default(),
         }
     }
@@ -114,6 +117,9 @@
     pub fn apply(&mut self, now: Time, view: &view::View, outlet: &mut dyn Outlet) {
         let is_same = self.me == view.me && self.members == view.members && self.has_config(view.config.as_ref());
         self.me = view.me;
+        if !self.members.iter().map(|member| member.id).eq(view.members.iter().map(|member| member.id)) {
+            self.changed = now;
+        }
         self.members = Arc::clone(&view.members);
         self.hosts = Arc::clone(&view.hosts);
         if is_same {
--- a/crates/poplarpaddle/tests/control/net.rs
+++ b/crates/poplarpaddle/tests/control/net.rs
@@ -92,7 +92,7 @@
         self.current = Some(Arc::new(view::Config {
             generation,
             seed: 0,
-            services: vec![service()],
+            services: vec![std::sync::Arc::new(service())],
             priorities: Vec::new(),
             addresses: map::seeded(0),
             endpoints: map::seeded(0),
