Let a stale opening give way to a newer connection

Cause: a balancer that was frozen handled an old opening when it resumed and kept an unacknowledged entry. Packets of the connection that its caller had opened through another owner meanwhile were dropped as late for a minute.

Change: after 3 s (opening) without acknowledgement, a packet of another connection removes the entry, closes the half-open connection at its target and is recovered.

--- a/crates/poplarpaddle/src/path/caller.rs
+++ b/crates/poplarpaddle/src/path/caller.rs
@@ -46,6 +46,12 @@
         let Some(entry) = self.table.at(slot).copied() else { return };
         let is_fresh = matches!(entry.stage, Stage::Queued | Stage::Pending | Stage::Accepted);
         if is_fresh && recovery::is_late(&entry, packet) {
+            // An opening that its caller never took up is the older one: another owner opened the newer connection.
+            let is_stale = entry.stage == Stage::Accepted && now.reached(entry.active + self.timings.opening);
+            if is_stale && packet.kind != Kind::Reset {
+                self.forget(now, place, slot, &entry, outlet);
+                return self.recover(now, source, place, packet, outlet);
+            }
             return self.pass_late(place, &entry, packet, outlet);
         }
         match entry.stage {
--- a/crates/poplarpaddle/tests/path/flows.rs
+++ b/crates/poplarpaddle/tests/path/flows.rs
@@ -62,3 +62,19 @@
     let request = data(flow(1), FAR + 1, 2 * FAR + 1, 10);
     assert_eq!(node.fabric(&request), [Act::Target(target, Kind::Data, FAR + 1)]);
 }
+
+/// Guards against a stale opening that stops a newer connection of the same caller port, as at an owner that was frozen
+/// while another one opened that connection.
+#[test]
+fn opening_that_was_never_acknowledged_gives_way() {
+    const FAR: u32 = 1 << 30;
+    let mut node = node();
+    let acts = node.fabric(&syn(flow(1), 100));
+    let [Act::Target(target, ..)] = acts[..] else { panic!("{acts:?}") };
+    node.fabric(&syn_ack(flow(1), target, 500, 101));
+    let request = data(flow(1), FAR + 1, 2 * FAR + 1, 10);
+    assert_eq!(node.fabric(&request), [Act::Discard(Reason::UnknownFlow)], "late at first");
+    node.wait(3_100);
+    let acts = node.fabric(&request);
+    assert!(matches!(acts[..], [Act::ResetTarget(reset), Act::Target(..)] if reset == target), "{acts:?}");
+}
