--- a/crates/poplarpaddle/src/flow.rs
+++ b/crates/poplarpaddle/src/flow.rs
@@ -86,11 +86,7 @@
 }
 
 /// What the owner knows of one flow.
-///
-/// The alignment keeps an entry within one cache line; an allocator aligns chunks to 16 bytes only, so that every entry
-/// would lie on two lines.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-#[repr(align(64))]
 pub struct Entry {
     /// The flow.
     pub flow: Flow,
