Let openings wait for the first load report of a host

Cause: a host counted as serving until its first report, so the first flows of a new owner could reach a target that runs another service than its object says. Ruled out: the spread of misplaced targets between balancers, which works once one of them has read a report. Change: a polled host is unknown until its first poll is answered or fails; openings wait in the gate meanwhile. First polls are spread over 50 ms instead of 1 s, and the data path sees newly polled hosts as unknown in the same view.

--- a/crates/poplarpaddle-balancer/src/control.rs
+++ b/crates/poplarpaddle-balancer/src/control.rs
@@ -2,6 +2,7 @@
 //!
 //! Each action runs as a task of its own and sends its outcome back, so a slow peer or store never holds up the node.
 
+use std::collections::VecDeque;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
@@ -154,21 +155,28 @@
         }
     }
 
-    /// Hands the view to the data path and polls the hosts of the shards that this balancer owns.
-    fn apply(&mut self, now: Time, view: view::View) {
+    /// Polls the hosts of the shards that this balancer owns in `view`.
+    fn poll(&mut self, now: Time, view: &view::View) {
         self.ownership.set_members(&view.members);
         if let Some(config) = &view.config {
             self.ownership.set_config(config);
             self.node.poll(now, &owned_hosts(&self.ownership, config, view.me));
         }
-        // The data path is gone only while the process stops.
-        drop(self.path.send(carrier::Command::Apply(view)));
     }
 
     fn act(&mut self, now: Time) {
-        for action in self.node.actions() {
+        let mut actions = VecDeque::from(self.node.actions());
+        while let Some(action) = actions.pop_front() {
             match action {
-                Action::Apply(view) => self.apply(now, view),
+                Action::Apply(mut view) => {
+                    self.poll(now, &view);
+                    // Hosts that are polled from now on are unknown until they report, so the data path must not see the
+                    // shards without that.
+                    view.hosts = self.node.hosts();
+                    actions.extend(self.node.actions());
+                    // The data path is gone only while the process stops.
+                    drop(self.path.send(carrier::Command::Apply(view)));
+                }
                 Action::Event(event) => {
                     info!(self.logger, "{}", event.name; "subject" => &event.subject, "detail" => &event.detail);
                     self.events.push(event);
--- a/crates/poplarpaddle/src/admission/host.rs
+++ b/crates/poplarpaddle/src/admission/host.rs
@@ -37,7 +37,7 @@
     /// Openings in flight are not yet counted as connections, so all work in flight is added.
     pub(super) const fn usable(&self) -> bool {
         self.listed
-            && matches!(self.state, HostState::Serving | HostState::Cold)
+            && matches!(self.state, HostState::Serving | HostState::Unknown | HostState::Cold)
             && self.connections.saturating_add(self.in_flight) < self.max_connections
     }
 
@@ -46,7 +46,7 @@
     }
 
     fn takes_opening(&self, now: Time) -> bool {
-        self.usable() && self.has_room() && now.reached(self.limit.paused_until())
+        self.usable() && self.state != HostState::Unknown && self.has_room() && now.reached(self.limit.paused_until())
     }
 
     /// Returns true when payload of an established flow may start. A misplaced host gets no packet at all.
--- a/crates/poplarpaddle/src/control.rs
+++ b/crates/poplarpaddle/src/control.rs
@@ -191,6 +191,12 @@
         self.settle(now);
     }
 
+    /// Returns what is known of the hosts now, as the next [`Action::Apply`] has it.
+    #[must_use]
+    pub fn hosts(&self) -> Arc<Map<Ipv4Addr, view::Host>> {
+        Arc::new(self.hosts.clone())
+    }
+
     /// Returns the time of the next tick.
     #[must_use]
     pub fn deadline(&self) -> Time {
@@ -351,7 +357,7 @@
         hosts.extend(self.health.hosts());
         for address in self.departures.hosts() {
             let host: &mut view::Host = hosts.entry(address).or_default();
-            if matches!(host.state, view::HostState::Serving | view::HostState::Cold) {
+            if !matches!(host.state, view::HostState::Down | view::HostState::Misplaced) {
                 host.state = view::HostState::Draining;
             }
         }
@@ -376,12 +382,8 @@
     }
 
     fn push_view(&mut self, members: Arc<[view::Member]>) {
-        let view = view::View {
-            me: self.settings.id,
-            config: self.config.current().cloned(),
-            members,
-            hosts: Arc::new(self.hosts.clone()),
-        };
+        let view =
+            view::View { me: self.settings.id, config: self.config.current().cloned(), members, hosts: self.hosts() };
         self.actions.push(Action::Apply(view));
     }
 
--- a/crates/poplarpaddle/src/control/status.rs
+++ b/crates/poplarpaddle/src/control/status.rs
@@ -124,6 +124,7 @@
 const fn target(address: Ipv4Addr, host: &Host) -> Target {
     let state = match host.state {
         HostState::Serving => "serving",
+        HostState::Unknown => "unknown",
         HostState::Cold => "cold",
         HostState::Draining => "draining",
         HostState::Down => "down",
--- a/crates/poplarpaddle/src/health.rs
+++ b/crates/poplarpaddle/src/health.rs
@@ -29,6 +29,9 @@
 /// Longest load report, in bytes.
 pub const MAX_REPORT: usize = 4096;
 
+/// Time over which the first polls of hosts are spread, in milliseconds.
+const FIRST_SPREAD_MS: u64 = 50;
+
 /// Settings of [`Health`]. Times are in milliseconds.
 #[derive(Debug, Clone)]
 pub struct Settings {
@@ -114,6 +117,8 @@
     /// When the poll under way counts as failed, [`Time::NEVER`] for none.
     answer: Time,
     failures: u32,
+    /// True once a poll was answered or failed.
+    heard: bool,
     report: Option<Report>,
 }
 
@@ -152,11 +157,11 @@
     pub fn watch(&mut self, now: Time, hosts: &[Ipv4Addr]) {
         let wanted: BTreeSet<_> = hosts.iter().copied().take(self.settings.limit).collect();
         self.hosts.retain(|host, _| wanted.contains(host));
-        let poll = self.settings.poll_ms.max(1);
         for host in wanted {
-            // Polls are spread over the period, so that many hosts do not answer at once.
-            let offset = map::hash(0, &host) % poll;
-            let polled = Polled { next: now + millis(offset), answer: Time::NEVER, failures: 0, report: None };
+            // Openings wait for the first report, so the first polls are spread over a short time only.
+            let offset = map::hash(0, &host) % FIRST_SPREAD_MS;
+            let next = now + millis(offset);
+            let polled = Polled { next, answer: Time::NEVER, failures: 0, heard: false, report: None };
             self.hosts.entry(host).or_insert(polled);
         }
         self.place();
@@ -194,6 +199,7 @@
             if now.reached(polled.answer) {
                 polled.answer = Time::NEVER;
                 polled.failures = polled.failures.saturating_add(1);
+                polled.heard = true;
             }
             if now.reached(polled.next) && polled.answer == Time::NEVER {
                 polled.next = now + millis(polled.pause_ms(*host, shortest, period));
@@ -221,6 +227,7 @@
             return Ok(());
         }
         polled.answer = Time::NEVER;
+        polled.heard = true;
         let Ok(body) = outcome else {
             polled.failures = polled.failures.saturating_add(1);
             return Ok(());
@@ -253,7 +260,8 @@
 
     fn host(&self, host: Ipv4Addr, polled: &Polled) -> Host {
         let Some(report) = &polled.report else {
-            return Host { state: self.silent(polled, HostState::Serving), ..Host::default() };
+            let state = if polled.heard { HostState::Serving } else { HostState::Unknown };
+            return Host { state: self.silent(polled, state), ..Host::default() };
         };
         let foreign = self.is_foreign(host, &report.service);
         let state = match report.state {
--- a/crates/poplarpaddle/src/path/probing.rs
+++ b/crates/poplarpaddle/src/path/probing.rs
@@ -98,7 +98,8 @@
         };
         let zone = service.targets.iter().find(|target| target.address == host).map(|target| &target.zone);
         let mut others = service.targets.iter().filter(|target| Some(&target.zone) == zone);
-        let is_heard = |host: &Ipv4Addr| state(host).is_some_and(|state| state != HostState::Down);
+        let is_heard =
+            |host: &Ipv4Addr| state(host).is_some_and(|state| !matches!(state, HostState::Down | HostState::Unknown));
         state(&host) == Some(HostState::Down) && others.any(|target| is_heard(&target.address))
     }
 
--- a/crates/poplarpaddle/src/view.rs
+++ b/crates/poplarpaddle/src/view.rs
@@ -109,9 +109,11 @@
 /// What health checks and the VM list say of a host.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Default)]
 pub enum HostState {
-    /// Takes new flows; also when nothing is known.
+    /// Takes new flows; also for a host that nobody polls.
     #[default]
     Serving,
+    /// Polled but not heard yet: openings wait, because the host may run another service than its object says.
+    Unknown,
     /// Takes new flows slowly at first.
     Cold,
     /// Takes no new flows.
--- a/crates/poplarpaddle/tests/admission.rs
+++ b/crates/poplarpaddle/tests/admission.rs
@@ -395,3 +395,23 @@
     gate.finish(ms(2), hosts[0], 0, End::Answered(ms(2) + Duration::ZERO));
     assert_eq!(gate.next(ms(2)), Some(Departure::Start(id, hosts[0])));
 }
+
+/// Guards against openings that reach a host before its first report tells which service runs there.
+#[test]
+fn openings_wait_for_the_first_report() {
+    let mut gate = gate(0, settings());
+    let candidates = [address(0)];
+    gate.set_hosts(ms(0), &[Host { state: HostState::Unknown, ..host(0) }]);
+    let id = waiting(gate.offer(ms(0), &ticket(0, &candidates)));
+    assert_eq!(gate.next(ms(100)), None);
+    gate.set_hosts(ms(110), &[host(0)]);
+    assert_eq!(gate.next(ms(110)), Some(Departure::Start(id, address(0))));
+    let second = waiting_for_unknown(&mut gate, &candidates);
+    gate.set_hosts(ms(130), &[Host { state: HostState::Misplaced, ..host(0) }]);
+    assert_ne!(gate.next(ms(130)), Some(Departure::Start(second, address(0))));
+}
+
+fn waiting_for_unknown(gate: &mut Queue, candidates: &[Ipv4Addr]) -> TicketId {
+    gate.set_hosts(ms(120), &[Host { state: HostState::Unknown, ..host(0) }]);
+    waiting(gate.offer(ms(120), &ticket(0, candidates)))
+}
--- a/crates/poplarpaddle/tests/health.rs
+++ b/crates/poplarpaddle/tests/health.rs
@@ -134,3 +134,23 @@
         assert!(polls >= 12 * u32::try_from(hosts.len()).unwrap());
     }
 }
+
+/// Guards against new work for a host that nobody has heard of yet, which may run another service, and against a host
+/// that takes none for good because its report cannot be read.
+#[test]
+fn host_is_unknown_until_its_first_poll_ends() {
+    let failure = Error::new(Kind::Unavailable, "refused");
+    let good: &[u8] = br#"{"service":"bookings","slots":3,"busy":0,"connections":0,"state":"serving"}"#;
+    for outcome in [Ok(good), Ok(&b"no report"[..]), Err(&failure)] {
+        let mut health = Health::new(Settings::default());
+        health.configure(&Arc::new(config()));
+        health.watch(Time::from_millis(0), &[HOST]);
+        assert_eq!(health.host_of(HOST).map(|host| host.state), Some(HostState::Unknown));
+        let first = health.deadline();
+        assert!(first <= Time::from_millis(100), "openings wait for the first poll, so it must not be late: {first}");
+        assert_eq!(health.tick(first), [HOST]);
+        assert_eq!(health.host_of(HOST).map(|host| host.state), Some(HostState::Unknown));
+        let _ = health.answer(HOST, outcome);
+        assert_eq!(health.host_of(HOST).map(|host| host.state), Some(HostState::Serving));
+    }
+}
