Reset silent connections by a deadline, also on hosts that nobody else talks to

Two causes were found by recording why a due flow was not reset: the reset waited for the caller's next repeat, which TCP sends later and later; and it needed other traffic of the host, which new flows avoided because they go to the host with fewer connections. Ruled out: held payload and lost slots. A host that answered its polls without a break when it got the last copy, and 7 s longer, counts as up. An entry keeps the caller's latest acknowledgement; more of it ends the silence, since the answers come another way.

--- a/crates/poplarpaddle-balancer/src/carrier.rs
+++ b/crates/poplarpaddle-balancer/src/carrier.rs
@@ -297,7 +297,12 @@
     }
 
     fn reset_caller(&mut self, packet: &View<'_>, _reason: Reason) {
-        let written = ip::reset_for(packet.bytes, &mut self.scratch);
+        let written = if packet.bytes.is_empty() {
+            ip::reset_caller(&packet.flow, packet.acknowledgement, &mut self.scratch);
+            Ok(())
+        } else {
+            ip::reset_for(packet.bytes, &mut self.scratch)
+        };
         self.send_scratch(&written);
     }
 
--- a/crates/poplarpaddle/src/flow.rs
+++ b/crates/poplarpaddle/src/flow.rs
@@ -83,6 +83,8 @@
     Adopted = 256,
     /// The host answered others shortly before it got the last payload of the flow.
     Awake = 512,
+    /// The caller repeated payload that the target has not answered.
+    Repeated = 1024,
 }
 
 /// What the owner knows of one flow.
@@ -100,6 +102,8 @@
     pub next: u32,
     /// Sequence number of the first payload that the target has not answered.
     pub unanswered: u32,
+    /// Latest acknowledgement number of the caller, 0 for none: the next sequence number that it takes from the target.
+    pub acknowledged: u32,
     /// When the last packet passed.
     pub active: Time,
     /// When the first payload that the target has not answered was forwarded, `NEVER` for none.
@@ -124,6 +128,7 @@
             accept: 0,
             next: 0,
             unanswered: 0,
+            acknowledged: 0,
             active: now,
             silent: Time::NEVER,
             started: now,
--- a/crates/poplarpaddle/src/ip.rs
+++ b/crates/poplarpaddle/src/ip.rs
@@ -146,11 +146,20 @@
     builder.write(out, &[]).map_err(|error| Error::new(ErrorKind::Packet, format!("reset of {from} for {to}: {error}")))
 }
 
+/// Replaces `out` by a reset of `flow` at its caller. The caller accepts it when `sequence` is the next that it expects.
+pub fn reset_caller(flow: &Flow, sequence: u32, out: &mut Vec<u8>) {
+    bare_reset(flow.service, flow.caller, sequence, out);
+}
+
 /// Replaces `out` by a reset of `flow` at `target`. The target accepts it when `sequence` is the next that it expects.
 pub fn reset_target(target: Ipv4Addr, flow: &Flow, sequence: u32, out: &mut Vec<u8>) {
+    bare_reset(flow.caller, SocketAddrV4::new(target, flow.service.port()), sequence, out);
+}
+
+fn bare_reset(from: SocketAddrV4, to: SocketAddrV4, sequence: u32, out: &mut Vec<u8>) {
     out.clear();
-    let builder = PacketBuilder::ipv4(flow.caller.ip().octets(), target.octets(), TTL);
-    let builder = builder.tcp(flow.caller.port(), flow.service.port(), sequence, 0).rst();
+    let builder = PacketBuilder::ipv4(from.ip().octets(), to.ip().octets(), TTL);
+    let builder = builder.tcp(from.port(), to.port(), sequence, 0).rst();
     let written = builder.write(out, &[]);
     debug_assert!(written.is_ok(), "a packet without payload has a valid length");
 }
--- a/crates/poplarpaddle/src/path.rs
+++ b/crates/poplarpaddle/src/path.rs
@@ -149,7 +149,8 @@
     /// Tells the caller that the flow is refused; no payload of it was forwarded to a target.
     fn refuse(&mut self, packet: &View<'_>, reason: Reason);
 
-    /// Resets the flow at the caller, in answer to `packet`. Says nothing about whether a request ran.
+    /// Resets the flow at the caller, in answer to `packet`. Says nothing about whether a request ran. Without a packet at
+    /// hand the bytes are empty, and the acknowledgement number is the sequence number that the caller expects.
     fn reset_caller(&mut self, packet: &View<'_>, reason: Reason);
 
     /// Resets the flow at `target`. `sequence` is the next sequence number of the caller as far as known.
--- a/crates/poplarpaddle/src/path/caller.rs
+++ b/crates/poplarpaddle/src/path/caller.rs
@@ -8,7 +8,7 @@
 use crate::admission::{Decision, End, Ticket};
 use crate::flow::{Entry, Flag, Slot, Stage};
 use crate::ownership::Place;
-use crate::packet::{Kind, View};
+use crate::packet::{Direction, Kind, View};
 use crate::recovery;
 use crate::time::Time;
 
@@ -199,10 +199,47 @@
         let is_owner = place.owner == Some(self.me);
         let is_due = entry.silent != Time::NEVER && now.reached(entry.silent + self.timings.answer_due);
         let is_repeat = packet.sequence.wrapping_sub(entry.unanswered).cast_signed() <= 0;
-        // A host that was paused answers again; only one that answered others before and after it got the last copy of
-        // the payload has lost the connection.
-        let answers_others = || self.heard.get(&entry.target).is_some_and(|heard| *heard > entry.active);
-        is_owner && is_due && is_repeat && entry.has(Flag::Awake) && answers_others()
+        is_owner && is_due && is_repeat && self.has_lost(now, entry)
+    }
+
+    /// Returns true when the host was up when it got the last copy of the flow's payload, so that only the connection can
+    /// be lost.
+    fn has_lost(&self, now: Time, entry: &Entry) -> bool {
+        self.answers_others(entry) || self.is_steady(now, entry)
+    }
+
+    /// Returns true when the host answered its polls when it got the last copy of the flow's payload. A host that nobody
+    /// else talks to gives no other sign. One that stopped just then would be down by now.
+    fn is_steady(&self, now: Time, entry: &Entry) -> bool {
+        let was_up = self.steady.get(&entry.target).is_some_and(|since| *since <= entry.active);
+        was_up && now.reached(entry.active + self.timings.down)
+    }
+
+    /// Returns true when the host answered others before and after it got the last copy of the flow's payload. One that
+    /// was paused answers again; one that answers others has lost the connection.
+    fn answers_others(&self, entry: &Entry) -> bool {
+        entry.has(Flag::Awake) && self.heard.get(&entry.target).is_some_and(|heard| *heard > entry.active)
+    }
+
+    /// Resets a silent flow whose caller waits longer than `answer_due` before its next repeat.
+    ///
+    /// Callers double the time between repeats, so that the next one may come long after the deadline. A repeat has to
+    /// have passed before, because one copy alone may have been lost.
+    pub(super) fn reset_silent(&mut self, now: Time, slot: Slot, outlet: &mut dyn Outlet) -> bool {
+        let Some(entry) = self.table.at(slot).copied() else { return false };
+        let is_due = entry.silent != Time::NEVER && now.reached(entry.silent + self.timings.answer_due);
+        let is_proven = entry.stage == Stage::Confirmed && entry.has(Flag::Repeated) && entry.acknowledged != 0;
+        if !is_due || !is_proven || self.is_shared(now) || !self.has_lost(now, &entry) {
+            return false;
+        }
+        let Ok(place) = self.locate(&entry.flow) else { return false };
+        if place.owner != Some(self.me) {
+            return false;
+        }
+        let last = View::new(entry.flow, Direction::FromCaller, Kind::Data, &[]);
+        let last = View { sequence: entry.next, acknowledgement: entry.acknowledged, ..last };
+        self.give_up(now, &place, slot, &entry, &last, outlet);
+        true
     }
 
     fn give_up(
@@ -354,6 +391,7 @@
 fn note(now: Time, answer_due: Duration, entry: &mut Entry, packet: &View<'_>) {
     entry.active = now;
     let is_current = recovery::is_current(entry, packet);
+    note_acknowledgement(entry, packet);
     if matches!(entry.stage, Stage::Accepted | Stage::Learned) {
         entry.stage = Stage::Confirmed;
     }
@@ -367,10 +405,27 @@
     }
 }
 
+/// A caller that acknowledges more of the target's bytes than before gets answers, by another way if not by this one.
+fn note_acknowledgement(entry: &mut Entry, packet: &View<'_>) {
+    let known = entry.acknowledged;
+    let is_more = packet.acknowledgement.wrapping_sub(known).cast_signed() > 0;
+    if known == 0 || is_more {
+        entry.acknowledged = packet.acknowledgement;
+    }
+    if known != 0 && is_more {
+        entry.silent = Time::NEVER;
+    }
+}
+
 fn note_payload(now: Time, answer_due: Duration, entry: &mut Entry, packet: &View<'_>) {
     if !recovery::is_repeated(entry, packet) {
         entry.next = packet.sequence.wrapping_add(packet.payload);
     }
+    if entry.silent == Time::NEVER {
+        entry.clear(Flag::Repeated);
+    } else if packet.sequence.wrapping_sub(entry.unanswered).cast_signed() <= 0 {
+        entry.set(Flag::Repeated);
+    }
     // A caller that sends later bytes after the deadline may have its answers by another way; it gets a new deadline.
     let is_later = packet.sequence.wrapping_sub(entry.unanswered).cast_signed() > 0;
     if entry.silent == Time::NEVER || (is_later && now.reached(entry.silent + answer_due)) {
--- a/crates/poplarpaddle/src/path/engine.rs
+++ b/crates/poplarpaddle/src/path/engine.rs
@@ -18,7 +18,7 @@
 use crate::placement;
 use crate::recovery;
 use crate::time::Time;
-use crate::view::{self, Config, Host, Presence};
+use crate::view::{self, Config, Host, HostState, Presence};
 
 /// Shortest time for a reply. A deadline that is due at once would be set again without end in one tick.
 const SHORTEST: Duration = Duration::from_millis(1);
@@ -41,6 +41,8 @@
     pub(super) heard: Map<Ipv4Addr, Time>,
     /// Until when another balancer is taken to serve flows of this one too, as on the two sides of a partition.
     pub(super) shared_until: Time,
+    /// Since when each polled host is known to answer its polls without a break.
+    pub(super) steady: Map<Ipv4Addr, Time>,
     pub(super) sweep: Sweep,
     pub(super) reservations: Reservations,
     /// When the set of members changed last. Answers to work from before may have gone to another owner.
@@ -68,6 +70,7 @@
             holds: Holds::new(seed, bounds.held_bytes, bounds.held_packets),
             shards: Shards::default(),
             heard: map::seeded(seed),
+            steady: map::seeded(seed),
             shared_until: Time::default(),
             sweep: Sweep::default(),
             reservations: Reservations::default(),
@@ -100,7 +103,7 @@
         while let Some(slot) = self.holds.due(now) {
             self.overdue(now, slot, outlet);
         }
-        self.sweep(now);
+        self.sweep(now, outlet);
         self.give_up_places(now);
         self.start_all(now, outlet);
     }
@@ -122,6 +125,7 @@
         }
         self.members = Arc::clone(&view.members);
         self.hosts = Arc::clone(&view.hosts);
+        self.note_steady(now);
         if is_same {
             self.refresh_hosts(now);
         } else {
@@ -156,6 +160,15 @@
         entry.stage.is_bound().then_some(entry.target)
     }
 
+    fn note_steady(&mut self, now: Time) {
+        let answers = |state| matches!(state, HostState::Serving | HostState::Cold | HostState::Draining);
+        let hosts = &self.hosts;
+        self.steady.retain(|address, _| hosts.get(address).is_some_and(|host| answers(host.state)));
+        for (address, _) in self.hosts.iter().filter(|(_, host)| answers(host.state)) {
+            self.steady.entry(*address).or_insert(now);
+        }
+    }
+
     fn has_config(&self, config: Option<&Arc<Config>>) -> bool {
         match (&self.config, config) {
             (Some(current), Some(offered)) => Arc::ptr_eq(current, offered),
--- a/crates/poplarpaddle/src/path/settings.rs
+++ b/crates/poplarpaddle/src/path/settings.rs
@@ -36,6 +36,8 @@
 pub struct Timings {
     /// A target that answered no payload of a flow for this long, while its host answers others, is silent.
     pub answer_due: Duration,
+    /// Longest time from the moment a polled host stops answering until it counts as down.
+    pub down: Duration,
     /// A candidate that did not answer a probe for this long is left for the next.
     pub probe_reply: Duration,
     /// A target that did not answer an opening for this long is left for another.
@@ -70,6 +72,8 @@
     fn default() -> Self {
         Self {
             answer_due: Duration::from_secs(10),
+            // Polls at most 4 s apart, then two more failures in a row at 1 s, with 0.8 s for the answer.
+            down: Duration::from_secs(7),
             probe_reply: Duration::from_millis(200),
             opening_reply: Duration::from_millis(500),
             opening: Duration::from_secs(3),
--- a/crates/poplarpaddle/src/path/sweep.rs
+++ b/crates/poplarpaddle/src/path/sweep.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::Engine;
+use super::{Engine, Outlet};
 use crate::admission::End;
 use crate::flow::{Entry, Flag, Slot, Stage};
 use crate::time::Time;
@@ -35,14 +35,16 @@
 
 impl Engine {
     /// Sweeps the next part of the table when it is due.
-    pub(super) fn sweep(&mut self, now: Time) {
+    pub(super) fn sweep(&mut self, now: Time, outlet: &mut dyn Outlet) {
         if self.table.is_empty() || !now.reached(self.sweep.deadline) {
             return;
         }
         let size = self.table.slots().div_ceil(PARTS);
         let first = self.sweep.part * size;
         for slot in (first..first + size).map(Slot) {
-            self.expire_entry(now, slot);
+            if !self.reset_silent(now, slot, outlet) {
+                self.expire_entry(now, slot);
+            }
         }
         self.sweep.part = (self.sweep.part + 1) % PARTS;
         self.sweep.deadline = now + if self.is_shared(now) { SHARED_INTERVAL } else { INTERVAL };
--- a/crates/poplarpaddle/tests/path/recovery.rs
+++ b/crates/poplarpaddle/tests/path/recovery.rs
@@ -204,6 +204,64 @@
     assert_eq!(node.fabric(&request), [Act::ResetTarget(target), Act::ResetCaller(Reason::Silent)]);
 }
 
+/// Guards against callers that wait for the next repeat, which TCP sends later and later, after the deadline has passed;
+/// and against resets of flows whose answers take another way, of one lost copy, or of a host that answers nobody.
+#[test]
+fn silent_connection_is_reset_without_another_repeat() {
+    // Whether the caller repeats, whether it acknowledges more of the target, whether the host answers others after it.
+    let cases = [
+        (true, false, true, true),
+        (false, false, true, false),
+        (true, true, true, false),
+        (true, false, false, false),
+    ];
+    for (repeats, acknowledges, answers_others, expected) in cases {
+        let mut node = node();
+        let target = node.open(flow(1));
+        let request = data(flow(1), 101, 501, 10);
+        node.fabric(&answer(flow(2), target, 4, 5, 6));
+        node.fabric(&request);
+        node.wait(3000);
+        node.fabric(&answer(flow(2), target, 10, 5, 6));
+        if repeats {
+            node.fabric(&request);
+        }
+        if acknowledges {
+            node.fabric(&data(flow(1), 111, 551, 0));
+        }
+        node.wait(100);
+        if answers_others {
+            node.fabric(&answer(flow(2), target, 16, 5, 6));
+        }
+        let acts = node.wait(9000);
+        let is_reset = acts == [Act::ResetTarget(target), Act::ResetCaller(Reason::Silent)];
+        assert_eq!(is_reset, expected, "{repeats} {acknowledges} {answers_others}: {acts:?}");
+    }
+}
+
+/// Guards against silent connections that stay on a host that nobody else talks to, and against resets of all flows of a
+/// host that was down when it got the last copy.
+#[test]
+fn silent_connection_is_reset_on_a_quiet_host() {
+    for (down, expected) in [(false, true), (true, false)] {
+        let mut node = node();
+        let target = node.open(flow(1));
+        let state = |state| view(1, &config(&[4, 2], 1), &members(&[1], &[]), &[(target, state)]);
+        node.apply(&state(HostState::Serving));
+        let request = data(flow(1), 101, 501, 10);
+        node.fabric(&request);
+        node.wait(3000);
+        if down {
+            node.apply(&state(HostState::Down));
+        }
+        node.fabric(&request);
+        node.wait(500);
+        node.apply(&state(HostState::Serving));
+        let acts = node.wait(9000);
+        assert_eq!(acts.contains(&Act::ResetCaller(Reason::Silent)), expected, "down {down}: {acts:?}");
+    }
+}
+
 /// Guards against resets of all flows of a host that was paused for longer than the deadline.
 #[test]
 fn paused_host_keeps_its_flows() {
