Decide in one place which host states take new flows

Cause: five places listed the same states, and a new state had to be added to each; the daemon built the gate anew beside admission::gate. Change: view::HostState::takes_new_flows, and the daemon calls admission::gate. Behaviour stays.

--- a/crates/poplarpaddle-balancer/src/daemon.rs
+++ b/crates/poplarpaddle-balancer/src/daemon.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use eyre::Context as _;
-use poplarpaddle::admission::{self, Gate, Queue};
+use poplarpaddle::admission::{self, Gate};
 use poplarpaddle::config;
 use poplarpaddle::control::{self, Node};
 use poplarpaddle::membership;
@@ -164,6 +164,6 @@
 impl path::Factory for Gates {
     fn gate(&self, _service: &str, _shard: u16, priorities: &[Priority]) -> Box<dyn Gate> {
         let settings = admission::Settings { priorities: priorities.to_vec(), ..admission::Settings::default() };
-        Box::new(Queue::new(settings))
+        admission::gate(settings)
     }
 }
--- a/crates/poplarpaddle/src/admission/host.rs
+++ b/crates/poplarpaddle/src/admission/host.rs
@@ -37,7 +37,7 @@
     /// Openings in flight are not yet counted as connections, so all work in flight is added.
     pub(super) const fn usable(&self) -> bool {
         self.listed
-            && matches!(self.state, HostState::Serving | HostState::Unknown | HostState::Cold)
+            && self.state.takes_new_flows()
             && self.connections.saturating_add(self.in_flight) < self.max_connections
     }
 
--- a/crates/poplarpaddle/src/control.rs
+++ b/crates/poplarpaddle/src/control.rs
@@ -357,7 +357,7 @@
         hosts.extend(self.health.hosts());
         for address in self.departures.hosts() {
             let host: &mut view::Host = hosts.entry(address).or_default();
-            if !matches!(host.state, view::HostState::Down | view::HostState::Misplaced) {
+            if host.state.takes_new_flows() {
                 host.state = view::HostState::Draining;
             }
         }
--- a/crates/poplarpaddle/src/path/account.rs
+++ b/crates/poplarpaddle/src/path/account.rs
@@ -121,8 +121,7 @@
         let Some(config) = &self.config else { return Vec::new() };
         let Some(service) = config.services.get(service.0 as usize) else { return Vec::new() };
         let mut hosts: Vec<Host> = placement::dealt(service, index).map(|target| self.host(target)).collect();
-        let is_usable = |state| matches!(state, HostState::Serving | HostState::Unknown | HostState::Cold);
-        if hosts.iter().all(|host| !is_usable(host.state)) {
+        if hosts.iter().all(|host| !host.state.takes_new_flows()) {
             // New flows then go to the whole service, see `placement::usable`.
             hosts = service.targets.iter().filter(|target| !target.released).map(|target| self.host(target)).collect();
         }
@@ -131,8 +130,7 @@
 
     fn host(&self, target: &view::Target) -> Host {
         let known = self.hosts.get(&target.address).copied().unwrap_or_default();
-        let drains =
-            target.draining && matches!(known.state, HostState::Serving | HostState::Unknown | HostState::Cold);
+        let drains = target.draining && known.state.takes_new_flows();
         Host {
             address: target.address,
             slots: target.slots,
--- a/crates/poplarpaddle/src/placement.rs
+++ b/crates/poplarpaddle/src/placement.rs
@@ -91,7 +91,7 @@
 #[must_use]
 pub fn is_usable(hosts: &Map<Ipv4Addr, Host>, target: &Target) -> bool {
     let state = hosts.get(&target.address).copied().unwrap_or_default().state;
-    !target.released && !target.draining && matches!(state, HostState::Serving | HostState::Unknown | HostState::Cold)
+    !target.released && !target.draining && state.takes_new_flows()
 }
 
 /// Returns the hosts for a new flow: the usable targets of its shard, or of the whole service when none is usable.
--- a/crates/poplarpaddle/src/view.rs
+++ b/crates/poplarpaddle/src/view.rs
@@ -124,6 +124,14 @@
     Misplaced,
 }
 
+impl HostState {
+    /// Returns true when new flows may go to the host now or soon: openings for an unknown one wait for its first report.
+    #[must_use]
+    pub const fn takes_new_flows(self) -> bool {
+        matches!(self, Self::Serving | Self::Unknown | Self::Cold)
+    }
+}
+
 /// Latest report of a host.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct Host {
