--- a/crates/poplarpaddle-io/src/log.rs
+++ b/crates/poplarpaddle-io/src/log.rs
@@ -8,6 +8,8 @@
 //! A thread of its own writes the lines, so a slow terminal does not delay the data path. When it falls behind, lines
 //! are dropped and their number is logged.
 
+use std::io::Write;
+
 use slog::{Drain as _, FnValue, Logger, Record, o};
 use slog_async::AsyncGuard;
 
@@ -16,10 +18,22 @@
 /// Lines that wait for the writing thread.
 const QUEUE: usize = 4096;
 
+/// Lines that wait on a VM with little memory.
+const SMALL_QUEUE: usize = 512;
+
 /// Returns a logger to standard error and a guard that writes the remaining lines when it is dropped.
 pub fn stderr(process: &str, level: slog::Level) -> (Logger, AsyncGuard) {
+    start(std::io::stderr(), QUEUE, process, level)
+}
+
+/// Returns a logger to standard output with a short queue, and a guard as [`stderr`] does.
+pub fn stdout(process: &str, level: slog::Level) -> (Logger, AsyncGuard) {
+    start(std::io::stdout(), SMALL_QUEUE, process, level)
+}
+
+fn start(output: impl Write + Send + 'static, queue: usize, process: &str, level: slog::Level) -> (Logger, AsyncGuard) {
     let clock = Clock::new();
-    let json = slog_json::Json::new(std::io::stderr())
+    let json = slog_json::Json::new(output)
         .add_key_value(o!(
             "msg" => FnValue(move |record: &Record<'_>| record.msg().to_string()),
             "level" => FnValue(move |record: &Record<'_>| record.level().as_str().to_ascii_lowercase()),
@@ -27,7 +41,7 @@
         ))
         .build();
     let drain = slog::LevelFilter::new(json, level).fuse();
-    let (drain, guard) = slog_async::Async::new(drain).chan_size(QUEUE).build_with_guard();
+    let (drain, guard) = slog_async::Async::new(drain).chan_size(queue).build_with_guard();
     let logger = Logger::root(drain.fuse(), o!("process" => process.to_owned()));
     (logger, guard)
 }
--- a/crates/poplarpaddle-io/src/store.rs
+++ b/crates/poplarpaddle-io/src/store.rs
@@ -160,7 +160,11 @@
 }
 
 /// Reads a body of at most `limit` bytes.
-pub(crate) async fn body(response: &mut reqwest::Response, limit: usize) -> Result<Vec<u8>, String> {
+///
+/// # Errors
+///
+/// A text that says why the body cannot be read or that it is longer.
+pub async fn body(response: &mut reqwest::Response, limit: usize) -> Result<Vec<u8>, String> {
     let mut body = Vec::new();
     while let Some(chunk) = response.chunk().await.map_err(|error| cause(&error))? {
         if body.len() + chunk.len() > limit {
@@ -172,7 +176,8 @@
 }
 
 /// Returns the innermost message of `error`, which names the cause better than the outer ones.
-pub(crate) fn cause(error: &reqwest::Error) -> String {
+#[must_use]
+pub fn cause(error: &reqwest::Error) -> String {
     let mut message = error.to_string();
     let mut source = std::error::Error::source(error);
     while let Some(inner) = source {
--- /dev/null
+++ b/crates/poplarpaddle/src/direct/engine.rs
@@ -0,0 +1,323 @@
+//! The engine: packets in, forwarding decisions out.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+
+use rand::{RngExt as _, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+use super::link::{Change, Link};
+use super::opening::Pending;
+use super::{Counters, Decision, Hop, Outlet, Reason, Settings, Verdict, host, route};
+use crate::limit::Limit;
+use crate::map::{self, Map};
+use crate::mark::Mark;
+use crate::packet::{Flow, Kind, View};
+use crate::registry::{self, Address, Route};
+use crate::retry::Budget;
+use crate::time::Time;
+
+/// Time between two looks for idle flows and forgotten hosts.
+const SWEEP_EVERY: std::time::Duration = std::time::Duration::from_millis(500);
+
+/// What the engine knows of a flow that it saw.
+#[derive(Debug)]
+pub(super) struct Entry {
+    pub(super) host: host::Index,
+    /// Sequence number of the opening, to tell a new connection from a repeated packet.
+    pub(super) opening: u32,
+    pub(super) active: Time,
+    /// True while the flow counts as work of its host.
+    pub(super) busy: bool,
+    /// What the caller had acknowledged when it sent its last payload.
+    pub(super) asked: Option<u32>,
+    /// The opening, until the caller shows that a host answered it.
+    pub(super) pending: Option<Box<Pending>>,
+}
+
+/// Data path of one balancer.
+#[derive(Debug)]
+pub struct Engine {
+    pub(super) settings: Settings,
+    pub(super) flows: Map<Flow, Entry>,
+    pub(super) due: BinaryHeap<Reverse<(Time, Flow)>>,
+    pub(super) hosts: host::Table,
+    routes: route::Table,
+    pub(super) links: Vec<Link>,
+    pub(super) retries: Budget,
+    pub(super) random: Pcg64Mcg,
+    pub(super) counters: Counters,
+    next_sweep: Time,
+}
+
+impl Engine {
+    /// Returns an engine without hosts and routes.
+    #[must_use]
+    pub fn new(settings: Settings) -> Self {
+        Self {
+            flows: map::seeded(settings.seed),
+            due: BinaryHeap::new(),
+            hosts: host::Table::default(),
+            routes: route::Table::default(),
+            links: vec![Link::new(&settings.zone)],
+            retries: Budget::new(settings.retry),
+            random: Pcg64Mcg::seed_from_u64(settings.seed),
+            counters: Counters::default(),
+            next_sweep: Time::NEVER,
+            settings,
+        }
+    }
+
+    /// Returns the counters.
+    #[must_use]
+    pub fn counters(&self) -> Counters {
+        Counters { flows: self.flows.len() as u64, ..self.counters }
+    }
+
+    /// Counts a datagram that is no packet of a caller.
+    pub const fn refuse(&mut self, reason: Reason) {
+        self.count(Verdict::Dropped, Some(reason));
+    }
+
+    /// Takes a registration, or its end. A host whose registration ends before `grace` takes new flows until then.
+    pub fn set_host(&mut self, now: Time, name: &str, host: Option<&registry::Host>, grace: Time) {
+        let forget = now + self.settings.linger;
+        let known = self.hosts.find(name);
+        let Some(host) = host else {
+            if let Some(index) = known {
+                self.hosts.unlist(index, grace, forget);
+            }
+            return;
+        };
+        let zone = self.zone_index(&host.zone);
+        let (settings, slots) = (self.settings.limit, host.slots);
+        self.hosts.set(name, host, zone, || Limit::new(settings, slots));
+        if let Some(index) = known.filter(|index| self.hosts.find(name) != Some(*index)) {
+            self.hosts.unlist(index, now, forget);
+        }
+        if self.next_sweep == Time::NEVER {
+            self.next_sweep = now + SWEEP_EVERY;
+        }
+    }
+
+    /// Puts a route into force, or drops it.
+    pub fn set_route(&mut self, now: Time, address: Address, route: Option<&Route>) {
+        let linger = now + self.settings.linger;
+        self.routes.set(address, route, linger, now);
+    }
+
+    /// Takes a message of a member in `zone`.
+    pub fn heard(&mut self, now: Time, zone: &str, outlet: &mut dyn Outlet) {
+        if let Some(index) = self.links.iter().position(|link| link.zone == zone) {
+            self.alive(now, index, "a member of the zone was heard", outlet);
+        }
+    }
+
+    /// Takes a packet of a caller. `mark` is the mark that it carries.
+    pub fn packet(&mut self, now: Time, mark: Mark, packet: &View<'_>, outlet: &mut dyn Outlet) {
+        if self.routes.is_empty() || self.hosts.is_empty() {
+            // Repeats of the packet come until hosts and routes are known.
+            return self.drop(packet.flow, Reason::Starting, None, outlet);
+        }
+        if self.routes.get(packet.flow.service).is_none() {
+            return self.reset(now, packet, Reason::UnknownRoute, outlet);
+        }
+        match packet.kind {
+            Kind::Opening => self.opening(now, packet, outlet),
+            Kind::Accept => self.drop(packet.flow, Reason::NotFromCaller, None, outlet),
+            Kind::Data | Kind::Closing | Kind::Reset => self.established(now, mark, packet, outlet),
+        }
+    }
+
+    /// Performs what is due.
+    pub fn tick(&mut self, now: Time, outlet: &mut dyn Outlet) {
+        self.tick_links(now, outlet);
+        self.tick_openings(now, outlet);
+        if now.reached(self.next_sweep) {
+            self.next_sweep = now + SWEEP_EVERY;
+            self.sweep(now);
+        }
+    }
+
+    /// Returns the time of the next tick.
+    #[must_use]
+    pub fn deadline(&self) -> Time {
+        let opening = self.due.peek().map_or(Time::NEVER, |Reverse((due, _))| *due);
+        let links = self.links.iter().map(|link| link.deadline(self.settings.link));
+        links.chain([opening, self.next_sweep]).min().unwrap_or(Time::NEVER)
+    }
+
+    /// Returns the service for a new flow of the route.
+    pub(super) fn service(&mut self, flow: &Flow) -> Option<String> {
+        let dice = self.random.random();
+        self.routes.get(flow.service).map(|route| route::choose(route, dice).to_owned())
+    }
+
+    pub(super) fn send(&mut self, hop: &Hop, bytes: &[u8], outlet: &mut dyn Outlet) {
+        self.counters.forwarded += 1;
+        outlet.forward(hop, bytes);
+    }
+
+    pub(super) const fn count(&mut self, verdict: Verdict, reason: Option<Reason>) {
+        self.counters.verdicts[verdict as usize] += 1;
+        if let Some(reason) = reason {
+            self.counters.reasons[reason as usize] += 1;
+        }
+    }
+
+    pub(super) fn decide(&mut self, decision: &Decision<'_>, outlet: &mut dyn Outlet) {
+        self.count(decision.verdict, decision.reason);
+        outlet.decided(decision);
+    }
+
+    pub(super) fn reset(&mut self, now: Time, packet: &View<'_>, reason: Reason, outlet: &mut dyn Outlet) {
+        if packet.kind == Kind::Reset {
+            return self.drop(packet.flow, reason, None, outlet);
+        }
+        let verdict = if packet.kind == Kind::Opening { Verdict::Refused } else { Verdict::Reset };
+        outlet.reset(&packet.flow, packet.acknowledgement);
+        self.forget(now, &packet.flow);
+        let flow = packet.flow;
+        let decision = Decision { flow, verdict, reason: Some(reason), host: None, busy: 0, unanswered: 0, attempt: 0 };
+        self.decide(&decision, outlet);
+    }
+
+    pub(super) fn alive(&mut self, now: Time, zone: usize, why: &str, outlet: &mut dyn Outlet) {
+        if self.links[zone].alive(now) == Some(Change::Regained) {
+            outlet.believed(now, "zone.regained", &self.links[zone].zone, why);
+        }
+    }
+
+    /// Ends the work that the entry of a flow counts for, and the entry.
+    pub(super) fn forget(&mut self, _now: Time, flow: &Flow) -> Option<Entry> {
+        let mut entry = self.flows.remove(flow)?;
+        self.end_work(&mut entry);
+        Some(entry)
+    }
+
+    pub(super) fn end_work(&mut self, entry: &mut Entry) {
+        if std::mem::take(&mut entry.busy)
+            && let Some(host) = self.hosts.get_mut(entry.host)
+        {
+            host.busy = host.busy.saturating_sub(1);
+        }
+    }
+
+    fn drop(&mut self, flow: Flow, reason: Reason, host: Option<&str>, outlet: &mut dyn Outlet) {
+        let verdict = Verdict::Dropped;
+        let decision = Decision { flow, verdict, reason: Some(reason), host, busy: 0, unanswered: 0, attempt: 0 };
+        self.decide(&decision, outlet);
+    }
+
+    fn established(&mut self, now: Time, mark: Mark, packet: &View<'_>, outlet: &mut dyn Outlet) {
+        let index = match self.holder(now, mark, packet) {
+            Ok(index) => index,
+            Err(reason) => return self.drop(packet.flow, reason, None, outlet),
+        };
+        self.account(now, index, packet, outlet);
+        let Some(host) = self.hosts.get(index) else { return };
+        let hop = Hop { host: host.record.id, address: host.record.address, mark: None };
+        self.send(&hop, packet.bytes, outlet);
+    }
+
+    /// Returns the host that holds an established flow.
+    fn holder(&self, now: Time, mark: Mark, packet: &View<'_>) -> Result<host::Index, Reason> {
+        let marked = self.hosts.of_mark(mark);
+        if marked.is_empty() || mark == Mark::NONE {
+            return Err(Reason::UnknownMark);
+        }
+        let own = self.flows.get(&packet.flow).map(|entry| entry.host);
+        let allowed = |index: &&host::Index| {
+            let host = self.hosts.get(**index);
+            host.is_some_and(|host| self.routes.may_hold(now, packet.flow.service, &host.record.service))
+        };
+        let mut allowed = marked.iter().filter(allowed).copied();
+        let first = allowed.next().ok_or(Reason::ForeignHost)?;
+        // Of two hosts with one mark, the one that this balancer placed the flow on.
+        let placed = own.filter(|own| *own == first || allowed.any(|index| index == *own));
+        Ok(placed.unwrap_or(first))
+    }
+
+    /// Keeps the count of work, and takes what the packet shows about an opening.
+    fn account(&mut self, now: Time, index: host::Index, packet: &View<'_>, outlet: &mut dyn Outlet) {
+        if matches!(packet.kind, Kind::Closing | Kind::Reset) {
+            if let Some(entry) = self.forget(now, &packet.flow) {
+                self.opened(now, &entry, index, outlet);
+            }
+            return;
+        }
+        let Some(mut entry) = self.flows.remove(&packet.flow) else {
+            return self.adopt(now, index, packet);
+        };
+        self.opened(now, &entry, index, outlet);
+        entry.pending = None;
+        entry.active = now;
+        if entry.host != index {
+            self.end_work(&mut entry);
+            entry.host = index;
+        }
+        self.note_work(&mut entry, packet);
+        self.flows.insert(packet.flow, entry);
+    }
+
+    /// Counts the work of a flow that another balancer placed, once it sends a request by way of this one.
+    fn adopt(&mut self, now: Time, index: host::Index, packet: &View<'_>) {
+        if !packet.has_payload() || self.flows.len() >= self.settings.flows {
+            return;
+        }
+        let (opening, active) = (0, now);
+        let mut entry = Entry { host: index, opening, active, busy: false, asked: None, pending: None };
+        self.note_work(&mut entry, packet);
+        self.flows.insert(packet.flow, entry);
+    }
+
+    /// A request is at work from its payload until the caller acknowledges the first bytes of the answer.
+    fn note_work(&mut self, entry: &mut Entry, packet: &View<'_>) {
+        if packet.has_payload() {
+            entry.asked = Some(packet.acknowledgement);
+            if !entry.busy
+                && let Some(host) = self.hosts.get_mut(entry.host)
+            {
+                entry.busy = true;
+                host.busy += 1;
+            }
+        } else if entry.asked.is_some_and(|asked| asked != packet.acknowledgement) {
+            self.end_work(entry);
+        }
+    }
+
+    fn zone_index(&mut self, zone: &str) -> usize {
+        if let Some(index) = self.links.iter().position(|link| link.zone == zone) {
+            return index;
+        }
+        self.links.push(Link::new(zone));
+        self.links.len() - 1
+    }
+
+    fn tick_links(&mut self, now: Time, outlet: &mut dyn Outlet) {
+        let mut lost = Vec::new();
+        for (index, link) in self.links.iter_mut().enumerate() {
+            let (ping, change) = link.tick(now, self.settings.link);
+            if ping {
+                outlet.ping(&link.zone);
+            }
+            if change == Some(Change::Lost) {
+                outlet.believed(now, "zone.lost", &link.zone, "openings and pings got no answer");
+                lost.push(index);
+            }
+        }
+        for zone in lost {
+            self.hurry(now, zone);
+        }
+    }
+
+    fn sweep(&mut self, now: Time) {
+        let idle = self.settings.idle;
+        let expired = |(flow, entry): (&Flow, &Entry)| now.reached(entry.active + idle).then_some(*flow);
+        let due: Vec<Flow> = self.flows.iter().filter_map(expired).collect();
+        for flow in due {
+            self.forget(now, &flow);
+        }
+        self.hosts.forget(now);
+    }
+}
--- /dev/null
+++ b/crates/poplarpaddle/src/direct/host.rs
@@ -0,0 +1,183 @@
+//! Hosts as the data path needs them: by mark, by service, with the work that this balancer gave them.
+
+use smallvec::SmallVec;
+
+use crate::limit::Limit;
+use crate::map::{self, Map};
+use crate::mark::Mark;
+use crate::registry::{self, State};
+use crate::time::Time;
+
+/// Index of a host; stays with its registration.
+pub(super) type Index = u32;
+
+/// A host that is or was registered.
+#[derive(Debug)]
+pub(super) struct Host {
+    pub(super) name: String,
+    pub(super) record: registry::Host,
+    pub(super) mark: Mark,
+    /// Index of its zone in the links.
+    pub(super) zone: usize,
+    /// Flows with work that this balancer placed.
+    pub(super) busy: u32,
+    pub(super) limit: Limit,
+    /// Openings in a row without an answer.
+    pub(super) misses: u32,
+    /// When the last opening was answered.
+    pub(super) answered: Time,
+    /// Until when new flows are placed although the registration is gone; the default while it is there.
+    pub(super) grace: Option<Time>,
+    /// When the host is forgotten.
+    pub(super) forget: Time,
+}
+
+impl Host {
+    /// Returns true when the host takes new flows by its registration.
+    pub(super) fn takes_new(&self, now: Time) -> bool {
+        let listed = self.grace.is_none_or(|until| !now.reached(until));
+        listed && self.record.state == State::Ready
+    }
+
+    pub(super) const fn is_listed(&self) -> bool {
+        self.grace.is_none()
+    }
+}
+
+/// Every host that a packet may belong to.
+#[derive(Debug)]
+pub(super) struct Table {
+    hosts: Map<Index, Host>,
+    names: Map<String, Index>,
+    marks: Map<Mark, SmallVec<[Index; 1]>>,
+    services: Map<String, Vec<Index>>,
+    next: Index,
+}
+
+impl Default for Table {
+    fn default() -> Self {
+        Self { hosts: map::seeded(0), names: map::seeded(0), marks: map::seeded(0), services: map::seeded(0), next: 0 }
+    }
+}
+
+impl Table {
+    pub(super) fn get(&self, index: Index) -> Option<&Host> {
+        self.hosts.get(&index)
+    }
+
+    pub(super) fn get_mut(&mut self, index: Index) -> Option<&mut Host> {
+        self.hosts.get_mut(&index)
+    }
+
+    pub(super) fn find(&self, name: &str) -> Option<Index> {
+        self.names.get(name).copied()
+    }
+
+    pub(super) fn is_empty(&self) -> bool {
+        self.hosts.is_empty()
+    }
+
+    /// Returns the hosts of a service, those that are gone included.
+    pub(super) fn of_service(&self, service: &str) -> &[Index] {
+        self.services.get(service).map_or(&[], Vec::as_slice)
+    }
+
+    /// Returns the hosts with a mark: listed ones first, then by their creation.
+    pub(super) fn of_mark(&self, mark: Mark) -> &[Index] {
+        self.marks.get(&mark).map_or(&[], |hosts| hosts.as_slice())
+    }
+
+    /// Returns true when `index` is the host that the packets with its mark go to.
+    pub(super) fn owns_mark(&self, index: Index) -> bool {
+        let Some(host) = self.hosts.get(&index) else { return false };
+        self.of_mark(host.mark).first() == Some(&index)
+    }
+
+    /// Takes a registration. `limit` is the limit of a host that was not known.
+    pub(super) fn set(&mut self, name: &str, host: &registry::Host, zone: usize, limit: impl FnOnce() -> Limit) {
+        let known = self.find(name).filter(|index| self.hosts.get(index).is_some_and(|old| is_same(&old.record, host)));
+        if let Some(index) = known
+            && let Some(entry) = self.hosts.get_mut(&index)
+        {
+            entry.limit.set_slots(host.slots);
+            if entry.record.born != host.born {
+                entry.misses = 0;
+            }
+            entry.record = host.clone();
+            entry.grace = None;
+            entry.forget = Time::NEVER;
+            self.sort(entry_mark(host));
+            return;
+        }
+        // Another host under the same name: the former one keeps its mark for the flows that it may hold.
+        let index = self.next;
+        self.next = self.next.wrapping_add(1);
+        let entry = Host {
+            name: name.to_owned(),
+            mark: entry_mark(host),
+            record: host.clone(),
+            zone,
+            busy: 0,
+            limit: limit(),
+            misses: 0,
+            answered: Time::default(),
+            grace: None,
+            forget: Time::NEVER,
+        };
+        self.hosts.insert(index, entry);
+        self.names.insert(name.to_owned(), index);
+        self.marks.entry(entry_mark(host)).or_default().push(index);
+        self.services.entry(host.service.clone()).or_default().push(index);
+        self.sort(entry_mark(host));
+    }
+
+    /// Takes the end of a registration.
+    pub(super) fn unlist(&mut self, index: Index, grace: Time, forget: Time) {
+        let Some(host) = self.hosts.get_mut(&index) else { return };
+        if host.is_listed() {
+            host.grace = Some(grace);
+            host.forget = forget;
+        }
+        let mark = host.mark;
+        self.sort(mark);
+    }
+
+    /// Forgets hosts that have been gone for long.
+    pub(super) fn forget(&mut self, now: Time) {
+        let due: Vec<Index> =
+            self.hosts.iter().filter(|(_, host)| now.reached(host.forget)).map(|(index, _)| *index).collect();
+        for index in due {
+            let Some(host) = self.hosts.remove(&index) else { continue };
+            if self.names.get(&host.name) == Some(&index) {
+                self.names.remove(&host.name);
+            }
+            if let Some(marked) = self.marks.get_mut(&host.mark) {
+                marked.retain(|other| *other != index);
+            }
+            if let Some(same) = self.services.get_mut(&host.record.service) {
+                same.retain(|other| *other != index);
+            }
+            if self.of_mark(host.mark).is_empty() {
+                self.marks.remove(&host.mark);
+            }
+        }
+    }
+
+    fn sort(&mut self, mark: Mark) {
+        let hosts = &self.hosts;
+        let rank =
+            |index: &Index| hosts.get(index).map(|host| (!host.is_listed(), host.record.created, host.record.id));
+        if let Some(marked) = self.marks.get_mut(&mark) {
+            marked.sort_by_key(rank);
+        }
+    }
+}
+
+fn entry_mark(host: &registry::Host) -> Mark {
+    Mark::of(host.id)
+}
+
+/// Returns true when both registrations are of one host, so that flows and counts of the first stay valid.
+fn is_same(one: &registry::Host, other: &registry::Host) -> bool {
+    (one.id, one.address, &one.service, &one.zone) == (other.id, other.address, &other.service, &other.zone)
+}
--- /dev/null
+++ b/crates/poplarpaddle/src/direct/link.rs
@@ -0,0 +1,144 @@
+//! Links to the zones, judged by openings and by signs of life from members.
+
+use std::time::Duration;
+
+use crate::time::Time;
+
+/// Openings in a row without an answer after which a silent zone counts as cut off.
+const MISSES: u32 = 2;
+
+/// Time between two pings of a zone in doubt.
+const PING_EVERY: Duration = Duration::from_millis(25);
+
+/// Time between two pings of a zone that is cut off, and between two openings that try it.
+const RETRY_EVERY: Duration = Duration::from_millis(100);
+
+/// Time between two openings that try a zone that is cut off.
+const TRIAL_EVERY: Duration = Duration::from_secs(1);
+
+/// Time in which a message that was on its way can arrive after a cut.
+const IN_FLIGHT: Duration = Duration::from_millis(20);
+
+/// What is believed of a zone.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum State {
+    Up,
+    /// Openings got no answer since this time.
+    Doubt(Time),
+    Down(Time),
+}
+
+/// The link to one zone.
+#[derive(Debug)]
+pub(super) struct Link {
+    pub(super) zone: String,
+    state: State,
+    misses: u32,
+    next_ping: Time,
+    next_trial: Time,
+    /// Smoothed time from an opening to the caller's next packet, and its mean deviation, in microseconds.
+    smoothed: u64,
+    deviation: u64,
+}
+
+/// A change of the belief about a zone.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Change {
+    Lost,
+    Regained,
+}
+
+impl Link {
+    pub(super) fn new(zone: &str) -> Self {
+        Self {
+            zone: zone.to_owned(),
+            state: State::Up,
+            misses: 0,
+            next_ping: Time::NEVER,
+            next_trial: Time::NEVER,
+            smoothed: 0,
+            deviation: 0,
+        }
+    }
+
+    pub(super) const fn is_down(&self) -> bool {
+        matches!(self.state, State::Down(_))
+    }
+
+    /// Returns how long to wait for the answer to an opening: the smoothed time and four deviations, as TCP does.
+    pub(super) fn patience(&self, (least, most): (Duration, Duration)) -> Duration {
+        if self.smoothed == 0 {
+            return most.min(least * 2);
+        }
+        Duration::from_micros(self.smoothed + 4 * self.deviation).clamp(least, most)
+    }
+
+    /// Takes the time from an opening to its answer.
+    pub(super) fn sample(&mut self, time: Duration) {
+        let micros = u64::try_from(time.as_micros()).unwrap_or(u64::MAX).clamp(1, 1_000_000);
+        if self.smoothed == 0 {
+            self.smoothed = micros;
+            self.deviation = micros / 2;
+            return;
+        }
+        let distance = self.smoothed.abs_diff(micros);
+        self.deviation = (3 * self.deviation + distance) / 4;
+        self.smoothed = (7 * self.smoothed + micros) / 8;
+    }
+
+    /// Takes an opening without an answer.
+    pub(super) fn miss(&mut self, now: Time) {
+        self.misses = self.misses.saturating_add(1);
+        if self.state == State::Up {
+            self.state = State::Doubt(now);
+            self.next_ping = now;
+        }
+    }
+
+    /// Takes a sign of life: the answer to an opening, or a message of a member.
+    pub(super) fn alive(&mut self, now: Time) -> Option<Change> {
+        let change = match self.state {
+            State::Up | State::Doubt(_) => None,
+            State::Down(since) if !now.reached(since + IN_FLIGHT) => return None,
+            State::Down(_) => Some(Change::Regained),
+        };
+        self.state = State::Up;
+        self.misses = 0;
+        self.next_ping = Time::NEVER;
+        change
+    }
+
+    /// Performs what is due. `wait` is the time for a zone in doubt to answer. Returns whether to ping the zone now.
+    pub(super) fn tick(&mut self, now: Time, wait: Duration) -> (bool, Option<Change>) {
+        let mut change = None;
+        if let State::Doubt(since) = self.state
+            && self.misses >= MISSES
+            && now.reached(since + wait)
+        {
+            self.state = State::Down(now);
+            self.next_trial = now + TRIAL_EVERY;
+            change = Some(Change::Lost);
+        }
+        let ping = now.reached(self.next_ping);
+        if ping {
+            self.next_ping = now + if self.is_down() { RETRY_EVERY } else { PING_EVERY };
+        }
+        (ping, change)
+    }
+
+    /// Returns true when an opening may try the zone although it is cut off.
+    pub(super) fn try_once(&mut self, now: Time) -> bool {
+        let due = self.is_down() && now.reached(self.next_trial);
+        if due {
+            self.next_trial = now + TRIAL_EVERY;
+        }
+        due
+    }
+
+    pub(super) fn deadline(&self, wait: Duration) -> Time {
+        match self.state {
+            State::Doubt(since) if self.misses >= MISSES => self.next_ping.min(since + wait),
+            _ => self.next_ping,
+        }
+    }
+}
--- /dev/null
+++ b/crates/poplarpaddle/src/direct/route.rs
@@ -0,0 +1,87 @@
+//! Routes as the data path needs them.
+
+use crate::map::{self, Map};
+use crate::registry::{Address, Route};
+use crate::time::Time;
+
+/// A service that took new flows of a route before a change.
+#[derive(Debug)]
+struct Former {
+    service: String,
+    until: Time,
+}
+
+#[derive(Debug)]
+struct Entry {
+    route: Route,
+    former: Vec<Former>,
+}
+
+/// Routes in force.
+#[derive(Debug)]
+pub(super) struct Table {
+    entries: Map<Address, Entry>,
+}
+
+impl Default for Table {
+    fn default() -> Self {
+        Self { entries: map::seeded(0) }
+    }
+}
+
+impl Table {
+    /// Puts a route into force, or drops it.
+    pub(super) fn set(&mut self, address: Address, route: Option<&Route>, linger: Time, now: Time) {
+        let Some(route) = route else {
+            self.entries.remove(&address);
+            return;
+        };
+        let Some(entry) = self.entries.get_mut(&address) else {
+            self.entries.insert(address, Entry { route: route.clone(), former: Vec::new() });
+            return;
+        };
+        entry.former.retain(|former| !now.reached(former.until));
+        for service in services(&entry.route).filter(|service| !route.allows(service)) {
+            entry.former.push(Former { service: service.to_owned(), until: linger });
+        }
+        entry.route = route.clone();
+    }
+
+    pub(super) fn get(&self, address: Address) -> Option<&Route> {
+        self.entries.get(&address).map(|entry| &entry.route)
+    }
+
+    /// Returns true when an established flow of the route may be at a host of `service`.
+    pub(super) fn may_hold(&self, now: Time, address: Address, service: &str) -> bool {
+        let Some(entry) = self.entries.get(&address) else { return false };
+        let was = |former: &Former| former.service == service && !now.reached(former.until);
+        entry.route.allows(service) || entry.former.iter().any(was)
+    }
+
+    pub(super) fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+}
+
+/// Returns the services that take new flows of `route`.
+fn services(route: &Route) -> impl Iterator<Item = &str> {
+    let only = route.shares.is_empty().then_some(route.service.as_str());
+    only.into_iter().chain(route.shares.iter().map(|share| share.service.as_str()))
+}
+
+/// Returns the service for a new flow. `dice` is a random number.
+pub(super) fn choose(route: &Route, dice: u64) -> &str {
+    let sum: u64 = route.shares.iter().map(|share| u64::from(share.weight)).sum();
+    if sum == 0 {
+        return &route.service;
+    }
+    let mut rest = dice % sum;
+    for share in &route.shares {
+        let weight = u64::from(share.weight);
+        if rest < weight {
+            return &share.service;
+        }
+        rest -= weight;
+    }
+    &route.service
+}
--- /dev/null
+++ b/crates/poplarpaddle/src/direct/settings.rs
@@ -0,0 +1,77 @@
+//! Settings and counters of the engine.
+
+use std::time::Duration;
+
+use super::{Reason, Verdict};
+use crate::{limit, retry};
+
+/// Settings of an [`Engine`](super::Engine).
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Settings {
+    /// Zone of this balancer.
+    pub zone: String,
+    /// Seed of random choices and of the hash of flows; callers must not know it.
+    pub seed: u64,
+    /// Most flows with an entry.
+    pub flows: usize,
+    /// Time without packets after which a flow no longer counts as work of its host.
+    pub idle: Duration,
+    /// Time for which the hosts and services that a flow may have had before a change are remembered.
+    pub linger: Duration,
+    /// Shortest and longest time before an opening counts as unanswered.
+    pub answer: (Duration, Duration),
+    /// Time for a zone to answer a ping before it counts as cut off.
+    pub link: Duration,
+    /// Most times that the engine sends an opening by itself.
+    pub attempts: u8,
+    /// Limit of a host, which pauses one that does not answer.
+    pub limit: limit::Settings,
+    /// Budget of openings that are sent again.
+    pub retry: retry::Settings,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            zone: String::new(),
+            seed: 0,
+            flows: 65_536,
+            idle: Duration::from_secs(3),
+            linger: Duration::from_mins(1),
+            // A round trip by way of the caller takes 7 to 10 ms; hosts answer the handshake in less than 1 ms.
+            answer: (Duration::from_millis(30), Duration::from_millis(150)),
+            link: Duration::from_millis(30),
+            attempts: 3,
+            limit: limit::Settings::default(),
+            // A whole zone can be lost at once, with a third of the openings of some tenths of a second.
+            retry: retry::Settings { percent: 20, reserve: 50, burst: 200, ..retry::Settings::default() },
+        }
+    }
+}
+
+/// Counters of an [`Engine`](super::Engine).
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Counters {
+    /// Packets forwarded.
+    pub forwarded: u64,
+    /// Openings placed, repeated, moved, refused; established flows reset; packets dropped.
+    pub verdicts: [u64; 6],
+    /// Not forwarded, by reason.
+    pub reasons: [u64; Reason::ALL.len()],
+    /// Entries of flows.
+    pub flows: u64,
+}
+
+impl Counters {
+    /// Returns how often a verdict was given.
+    #[must_use]
+    pub const fn verdict(&self, verdict: Verdict) -> u64 {
+        self.verdicts[verdict as usize]
+    }
+
+    /// Returns how often a reason was given.
+    #[must_use]
+    pub const fn reason(&self, reason: Reason) -> u64 {
+        self.reasons[reason as usize]
+    }
+}
--- /dev/null
+++ b/crates/poplarpaddle/src/feed.rs
@@ -0,0 +1,405 @@
+//! Which members read the store, and how the others hear of changes.
+//!
+//! Each zone has one reader: the first of its members in the order of their identifiers. It watches the store and tells
+//! the other members of the zone after each answer, along a tree with [`FANOUT`] children a member. The others pull what
+//! they lack from whoever told them. A member that has heard no confirmation of its state for too long reads the store
+//! itself: first the next members in the order, later everyone.
+//!
+//! ```
+//! use std::time::Duration;
+//! use poplarpaddle::feed::{Action, Feed, Settings, Topic};
+//! use poplarpaddle::path::MemberId;
+//! use poplarpaddle::time::Time;
+//!
+//! let now = Time::from_millis(1);
+//! let mut feed = Feed::new(now, Settings { grace: Duration::ZERO, ..Default::default() }, MemberId(1));
+//! feed.tick(now, &[MemberId(1)]);
+//! assert_eq!(feed.actions(), [Action::Read(Topic::Hosts), Action::Read(Topic::Routes)]);
+//! ```
+//!
+//! # Trade-offs
+//!
+//! A reader holds no lease and writes nothing, so two members that both think that they come first cost one more watch
+//! and nothing else. Confirmations cost a message to each member about once in a third of [`Settings::bound`]; in return
+//! a member that is cut off from its reader, but not from the store, notices it within the bound.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::path::MemberId;
+use crate::time::Time;
+
+/// Members that one member tells in the tree of its zone.
+pub const FANOUT: usize = 8;
+
+/// First pause after a failed call to the store; doubles with each further failure.
+const FIRST_PAUSE: Duration = Duration::from_millis(100);
+
+/// Largest exponent of the pause.
+const MAX_PAUSE_STEPS: u32 = 4;
+
+/// Time for the answer of a peer to a pull before another one is asked.
+const PULL_TIME: Duration = Duration::from_millis(300);
+
+/// A collection in the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize, derive_more::Display)]
+pub enum Topic {
+    /// Registered hosts.
+    #[display("hosts")]
+    Hosts,
+    /// Routes of the configuration.
+    #[display("routes")]
+    Routes,
+}
+
+impl Topic {
+    /// Every topic, in the order of [`News::positions`].
+    pub const ALL: [Self; 2] = [Self::Hosts, Self::Routes];
+}
+
+/// State of one topic at a member.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct Position {
+    /// Revision of the last change.
+    pub revision: u64,
+    /// Revision of the store at which the state was the latest.
+    pub as_of: u64,
+    /// Time since the store confirmed that the state was the latest, in milliseconds. Relative times need no common
+    /// clock.
+    pub age_ms: u32,
+}
+
+/// What a member says of its state.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct News {
+    /// The member that heard it from the store; root of the tree along which it is told.
+    pub root: MemberId,
+    /// Positions in the order of [`Topic::ALL`].
+    pub positions: [Position; 2],
+}
+
+/// Settings of a [`Feed`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Settings {
+    /// Time after which a change in the store has to be in force at every member that reaches the store.
+    pub bound: Duration,
+    /// Time after the start in which peers may bring the state before a member reads the store itself.
+    pub grace: Duration,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        // The target is 7 s for a change to be in force everywhere.
+        Self { bound: Duration::from_secs(7), grace: Duration::from_millis(150) }
+    }
+}
+
+impl Settings {
+    /// Returns how long a watch waits for a change.
+    #[must_use]
+    pub fn watch(&self) -> Duration {
+        self.bound.mul_f64(0.35)
+    }
+
+    /// Returns the age of the last confirmation from peers at which the member of this rank reads the store itself.
+    ///
+    /// The ranks follow one another, so that the failure of a reader does not send its whole zone to the store at once.
+    /// The last value leaves 0.15 of the bound for the calls.
+    #[must_use]
+    pub fn patience(&self, rank: usize) -> Duration {
+        match rank {
+            0 => Duration::ZERO,
+            1 => self.bound.mul_f64(0.55),
+            2 => self.bound.mul_f64(0.70),
+            _ => self.bound.mul_f64(0.85),
+        }
+    }
+}
+
+/// What to do.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Action {
+    /// Read a whole collection from the store.
+    Read(Topic),
+    /// Wait for changes after a revision.
+    Watch {
+        /// The collection.
+        topic: Topic,
+        /// Revision of the store up to which the own state is known.
+        revision: u64,
+        /// When the store answers without a change.
+        until: Time,
+    },
+    /// Ask a member for what changed.
+    Pull(MemberId),
+    /// Tell a member the own positions.
+    Tell(MemberId, News),
+}
+
+/// What became of a call to the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Outcome {
+    /// The state was the latest when the answer came.
+    Confirmed {
+        /// Revision of the last change.
+        revision: u64,
+        /// Revision of the store.
+        as_of: u64,
+    },
+    /// The store has dropped the history after the revision of the watch.
+    HistoryGone,
+    /// No usable answer.
+    Failed,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Call {
+    Idle,
+    Open,
+    Pause(Time),
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Source {
+    revision: u64,
+    as_of: u64,
+    /// When the store confirmed the state, by any way.
+    confirmed: Time,
+    /// When the store confirmed the state to another member, as far as heard.
+    heard: Time,
+    call: Call,
+    failures: u32,
+    reread: bool,
+}
+
+/// Reading and spreading of one member.
+#[derive(Debug)]
+pub struct Feed {
+    settings: Settings,
+    me: MemberId,
+    quiet_until: Time,
+    sources: [Source; 2],
+    /// Members of the own zone that can be reached, this one included, in the order of their identifiers.
+    zone: Vec<MemberId>,
+    pull: Option<(MemberId, Time)>,
+    /// Root and sender of news that waits for a pull before it is told on.
+    pending: Option<MemberId>,
+    actions: Vec<Action>,
+}
+
+impl Feed {
+    /// Returns a feed without state.
+    #[must_use]
+    pub fn new(now: Time, settings: Settings, me: MemberId) -> Self {
+        let source = Source {
+            revision: 0,
+            as_of: 0,
+            confirmed: Time::default(),
+            heard: Time::default(),
+            call: Call::Idle,
+            failures: 0,
+            reread: false,
+        };
+        Self {
+            settings,
+            me,
+            quiet_until: now + settings.grace,
+            sources: [source; 2],
+            zone: vec![me],
+            pull: None,
+            pending: None,
+            actions: Vec::new(),
+        }
+    }
+
+    /// Takes the actions since the last call.
+    pub fn actions(&mut self) -> Vec<Action> {
+        std::mem::take(&mut self.actions)
+    }
+
+    /// Returns the own positions.
+    #[must_use]
+    pub fn news(&self, now: Time, root: MemberId) -> News {
+        let position = |source: &Source| Position {
+            revision: source.revision,
+            as_of: source.as_of,
+            age_ms: age_ms(now, source.confirmed),
+        };
+        News { root, positions: self.sources.each_ref().map(position) }
+    }
+
+    /// Returns when the store last confirmed the state of `topic`.
+    #[must_use]
+    pub const fn confirmed(&self, topic: Topic) -> Time {
+        self.sources[topic as usize].confirmed
+    }
+
+    /// Returns the revision of the store at which the state of `topic` was the latest.
+    #[must_use]
+    pub const fn as_of(&self, topic: Topic) -> u64 {
+        self.sources[topic as usize].as_of
+    }
+
+    /// Returns true when this member reads `topic` from the store.
+    #[must_use]
+    pub fn is_reader(&self, now: Time, topic: Topic) -> bool {
+        let source = &self.sources[topic as usize];
+        now.reached(source.heard + self.settings.patience(self.rank()))
+    }
+
+    /// Performs what is due. `zone` holds the members of the own zone that can be reached, in the order of their
+    /// identifiers, this one included.
+    pub fn tick(&mut self, now: Time, zone: &[MemberId]) {
+        if self.zone != zone {
+            self.zone = zone.to_vec();
+        }
+        self.pull = self.pull.filter(|(_, until)| !now.reached(*until));
+        for topic in Topic::ALL {
+            self.call(now, topic);
+        }
+    }
+
+    /// Returns the time of the next tick.
+    #[must_use]
+    pub fn deadline(&self) -> Time {
+        let patience = self.settings.patience(self.rank());
+        let due = self.sources.iter().map(|source| match source.call {
+            Call::Open => Time::NEVER,
+            Call::Pause(until) => until.max(source.heard + patience),
+            Call::Idle => (source.heard + patience).max(self.quiet_until),
+        });
+        due.min().unwrap_or(Time::NEVER)
+    }
+
+    /// Takes the outcome of a call to the store. The state has been brought to the revision before.
+    pub fn answered(&mut self, now: Time, topic: Topic, outcome: Outcome) {
+        let source = &mut self.sources[topic as usize];
+        match outcome {
+            Outcome::Confirmed { revision, as_of } => {
+                source.revision = source.revision.max(revision);
+                source.as_of = source.as_of.max(as_of);
+                source.confirmed = now;
+                source.call = Call::Idle;
+                source.failures = 0;
+                source.reread = false;
+                self.tell(now, self.me);
+            }
+            Outcome::HistoryGone => {
+                source.call = Call::Idle;
+                source.reread = true;
+            }
+            Outcome::Failed => {
+                let steps = source.failures.min(MAX_PAUSE_STEPS);
+                source.failures = source.failures.saturating_add(1);
+                source.call = Call::Pause(now + FIRST_PAUSE * (1 << steps));
+                // After an outage the state of the hosts may have lapsed and come back; a list shows it as it is.
+                source.reread = true;
+            }
+        }
+    }
+
+    /// Takes the positions that the member `from` told. `spread` says that they go along the tree.
+    pub fn heard(&mut self, now: Time, from: MemberId, news: &News, spread: bool) {
+        let mut behind = false;
+        let mut fresher = false;
+        for (source, position) in self.sources.iter_mut().zip(&news.positions) {
+            let confirmed = Time::from_nanos(now.as_nanos().saturating_sub(u64::from(position.age_ms) * 1_000_000));
+            if position.as_of == 0 || position.age_ms == u32::MAX {
+                continue;
+            }
+            if position.revision > source.as_of || source.as_of == 0 {
+                behind = true;
+                continue;
+            }
+            // The sender knows the store up to a revision that includes the own last change and has seen none after it.
+            if position.as_of >= source.revision {
+                source.as_of = source.as_of.max(position.as_of);
+                fresher |= confirmed > source.confirmed + self.settings.watch() / 4;
+                source.confirmed = source.confirmed.max(confirmed);
+                source.heard = source.heard.max(confirmed);
+            }
+        }
+        if behind {
+            self.pending = spread.then_some(news.root).or(self.pending);
+            self.pull(now, from);
+        } else if fresher && spread {
+            self.tell(now, news.root);
+        }
+    }
+
+    /// Takes the end of a pull from `from`. The state has been brought to the revisions of `news` before, unless the pull
+    /// failed.
+    pub fn pulled(&mut self, now: Time, from: MemberId, news: Option<&News>) {
+        if self.pull.is_some_and(|(member, _)| member == from) {
+            self.pull = None;
+        }
+        let Some(news) = news else { return };
+        for (source, position) in self.sources.iter_mut().zip(&news.positions) {
+            source.revision = source.revision.max(position.revision);
+            source.as_of = source.as_of.max(position.as_of);
+        }
+        self.heard(now, from, news, false);
+        if let Some(root) = self.pending.take() {
+            self.tell(now, root);
+        }
+    }
+
+    fn rank(&self) -> usize {
+        self.zone.iter().position(|id| *id == self.me).unwrap_or(0)
+    }
+
+    fn pull(&mut self, now: Time, from: MemberId) {
+        if self.pull.is_none() {
+            self.pull = Some((from, now + PULL_TIME));
+            self.actions.push(Action::Pull(from));
+        }
+    }
+
+    /// Starts the next call to the store when one is due.
+    fn call(&mut self, now: Time, topic: Topic) {
+        let reads = now.reached(self.quiet_until) && self.is_reader(now, topic);
+        let source = &mut self.sources[topic as usize];
+        let free = match source.call {
+            Call::Open => false,
+            Call::Idle => true,
+            Call::Pause(until) => now.reached(until),
+        };
+        if !free || !reads {
+            return;
+        }
+        source.call = Call::Open;
+        let action = if source.as_of == 0 || source.reread {
+            Action::Read(topic)
+        } else {
+            Action::Watch { topic, revision: source.as_of, until: now + self.settings.watch() }
+        };
+        self.actions.push(action);
+    }
+
+    /// Tells the children of this member in the tree of `root`.
+    fn tell(&mut self, now: Time, root: MemberId) {
+        let news = self.news(now, root);
+        for child in children(&self.zone, root, self.me) {
+            self.actions.push(Action::Tell(child, news));
+        }
+    }
+}
+
+/// Returns the children of `me` in the tree over `zone` whose root is `root`. The members follow one another from the
+/// root on, and the member at position `p` has those from `p * FANOUT + 1` on as children.
+fn children(zone: &[MemberId], root: MemberId, me: MemberId) -> impl Iterator<Item = MemberId> {
+    let count = zone.len();
+    let place = |id: MemberId| zone.iter().position(|member| *member == id);
+    let start = place(root);
+    let own = start.zip(place(me)).map(|(start, me)| (me + count - start) % count);
+    let range = own.map_or(0..0, |own| (own * FANOUT + 1).min(count)..(own * FANOUT + 1 + FANOUT).min(count));
+    range.map(move |position| zone[(position + start.unwrap_or(0)) % count])
+}
+
+fn age_ms(now: Time, confirmed: Time) -> u32 {
+    if confirmed == Time::default() {
+        return u32::MAX;
+    }
+    u32::try_from(now.since(confirmed).as_millis()).unwrap_or(u32::MAX)
+}
--- /dev/null
+++ b/crates/poplarpaddle/src/fleet.rs
@@ -0,0 +1,363 @@
+//! One balancer of a fleet whose hosts register themselves in a store.
+//!
+//! [`Node`] connects [membership](crate::membership), [feed](crate::feed) and the [registry](crate::registry): datagrams
+//! of peers, answers of the store and pulled parcels go in; datagrams, calls and changes for the data path come out.
+//!
+//! ```
+//! use poplarpaddle::fleet::{Action, Node, Settings};
+//! use poplarpaddle::path::MemberId;
+//! use poplarpaddle::time::Time;
+//! use poplarpaddle::wire::{Record, State};
+//!
+//! let address = "10.0.0.1:7000".parse().unwrap();
+//! let (name, zone, region) = ("edge-1".into(), "kitami".into(), "okhotsk".into());
+//! let (id, incarnation, state) = (MemberId(1), 0, State::Alive);
+//! let me = Record { id, name, zone, region, peer: address, relay: address, incarnation, state };
+//! let mut node = Node::new(Time::from_millis(1), Settings::default(), me);
+//! node.tick(Time::from_millis(500));
+//! assert!(node.actions().iter().any(|action| matches!(action, Action::Read(_))));
+//! ```
+//!
+//! # Trade-offs
+//!
+//! The node writes nothing to the store. Members find each other through seeds and gossip alone; a member that knows
+//! nobody reads the store by itself and serves all the same, at the price of its own calls.
+
+mod intake;
+mod letters;
+
+use std::net::SocketAddr;
+use std::pin::Pin;
+
+use crate::error::{Error, Result};
+use crate::event::Event;
+use crate::feed::{self, Feed, News, Topic};
+use crate::map::{self, Map};
+use crate::membership::{self, Membership};
+use crate::path::MemberId;
+use crate::registry::{Address, General, HostDelta, Hosts, Route, Routes};
+use crate::time::Time;
+use crate::wire::{Parcel, Record, State, VERSION};
+
+use letters::Letters;
+
+/// Settings of a [`Node`].
+#[derive(Debug, Clone, Default)]
+pub struct Settings {
+    /// Settings of the membership.
+    pub membership: membership::Settings,
+    /// Settings of the feed.
+    pub feed: feed::Settings,
+}
+
+/// What to do.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Action {
+    /// Send a datagram to a peer.
+    Send(SocketAddr, Vec<u8>),
+    /// Read a whole collection from the store.
+    Read(Topic),
+    /// Wait for changes of a collection.
+    Watch {
+        /// The collection.
+        topic: Topic,
+        /// Revision of the store up to which the state is known.
+        revision: u64,
+        /// When the store answers without a change.
+        until: Time,
+    },
+    /// Fetch the parcel of a peer.
+    Pull {
+        /// The member.
+        member: MemberId,
+        /// Its address.
+        peer: SocketAddr,
+        /// Known revision of the hosts.
+        hosts: u64,
+        /// Known revision of the routes.
+        routes: u64,
+    },
+    /// Hosts changed in the own state.
+    HostsChanged(Vec<String>),
+    /// Routes changed in the own state.
+    RoutesChanged(Vec<Address>),
+    /// A member of the zone was heard.
+    Heard(String),
+    /// An event for the time line.
+    Event(Event),
+}
+
+/// What the store says about a topic.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Reading {
+    /// Registered hosts, or their changes.
+    Hosts {
+        /// The changes.
+        delta: HostDelta,
+        /// Registrations that cannot be read; they name no host to use.
+        faults: Vec<Fault>,
+    },
+    /// The whole configuration, or none when the operator has not written one yet.
+    Routes {
+        /// Revision of the store.
+        as_of: u64,
+        /// Routes and what holds for all of them.
+        content: Option<(General, Vec<(Address, Route)>)>,
+    },
+    /// A configuration that cannot be read.
+    Unreadable {
+        /// Revision of the store.
+        as_of: u64,
+        /// Field, value, and what is allowed.
+        text: String,
+    },
+    /// Nothing changed up to a revision of the store.
+    Unchanged {
+        /// Revision of the store.
+        as_of: u64,
+    },
+    /// The history after the revision of the watch is gone.
+    HistoryGone,
+}
+
+/// A registration that cannot be read.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Fault {
+    /// Name of the registration.
+    pub name: String,
+    /// Its revision.
+    pub revision: u64,
+    /// Field, value, and what is allowed.
+    pub text: String,
+}
+
+/// Future of a call to the store.
+pub type Pending<'a> = Pin<Box<dyn Future<Output = Result<Reading>> + Send + 'a>>;
+
+/// Reads hosts and routes from a store.
+pub trait Store: Send + Sync {
+    /// Reads a whole collection.
+    fn read(&self, topic: Topic, deadline: Time) -> Pending<'_>;
+
+    /// Waits for a change after `revision`, until the time `until` at the store. An answer is of use until `deadline`.
+    fn watch(&self, topic: Topic, revision: u64, until: Time, deadline: Time) -> Pending<'_>;
+}
+
+/// One balancer.
+#[derive(Debug)]
+pub struct Node {
+    membership: Membership,
+    feed: Feed,
+    hosts: Hosts,
+    routes: Routes,
+    general: General,
+    letters: Letters,
+    /// Revisions of unreadable registrations that were reported.
+    reported: Map<String, u64>,
+    /// Members of the own zone as the feed was told last, and the revision of the membership then.
+    zone: Vec<MemberId>,
+    revision: u64,
+    actions: Vec<Action>,
+}
+
+impl Node {
+    /// Returns a node that knows only itself.
+    #[must_use]
+    pub fn new(now: Time, settings: Settings, me: Record) -> Self {
+        let feed = Feed::new(now, settings.feed, me.id);
+        Self {
+            zone: vec![me.id],
+            membership: Membership::new(now, settings.membership, me),
+            feed,
+            hosts: Hosts::default(),
+            routes: Routes::default(),
+            general: General::default(),
+            letters: Letters::default(),
+            reported: map::seeded(0),
+            revision: 0,
+            actions: Vec::new(),
+        }
+    }
+
+    /// Returns the registered hosts.
+    #[must_use]
+    pub const fn hosts(&self) -> &Hosts {
+        &self.hosts
+    }
+
+    /// Returns the routes in force.
+    #[must_use]
+    pub const fn routes(&self) -> &Routes {
+        &self.routes
+    }
+
+    /// Returns what holds for all routes.
+    #[must_use]
+    pub const fn general(&self) -> General {
+        self.general
+    }
+
+    /// Returns the membership.
+    #[must_use]
+    pub const fn membership(&self) -> &Membership {
+        &self.membership
+    }
+
+    /// Returns the feed.
+    #[must_use]
+    pub const fn feed(&self) -> &Feed {
+        &self.feed
+    }
+
+    /// Returns true once hosts and routes are known.
+    #[must_use]
+    pub const fn is_ready(&self) -> bool {
+        self.hosts.as_of() > 0 && self.general.version > 0
+    }
+
+    /// Takes the actions since the last call.
+    pub fn actions(&mut self) -> Vec<Action> {
+        std::mem::take(&mut self.actions)
+    }
+
+    /// Performs what is due.
+    pub fn tick(&mut self, now: Time) {
+        for to in self.letters.expired(now) {
+            self.membership.failed(now, to);
+        }
+        self.membership.tick(now);
+        self.settle(now);
+    }
+
+    /// Returns the time of the next tick.
+    #[must_use]
+    pub fn deadline(&self) -> Time {
+        self.membership.deadline().min(self.feed.deadline()).min(self.letters.deadline())
+    }
+
+    /// Replaces the addresses through which members find each other.
+    pub fn set_seeds(&mut self, seeds: Vec<SocketAddr>) {
+        self.membership.set_vms(seeds);
+    }
+
+    /// Announces that this member leaves.
+    pub fn leave(&mut self, now: Time) {
+        self.membership.leave(now);
+        self.settle(now);
+    }
+
+    /// Tells several members that this one stops now.
+    pub fn stop(&mut self, now: Time) {
+        self.membership.stop(now);
+        self.settle(now);
+    }
+
+    /// Takes the answer of the store to a call about `topic`.
+    pub fn answered(&mut self, now: Time, topic: Topic, reading: Result<Reading>) {
+        let outcome = match reading.and_then(|reading| self.take(now, topic, reading)) {
+            Ok(outcome) => outcome,
+            Err(error) => {
+                self.event(now, "store.failed", &topic.to_string(), error.to_string());
+                feed::Outcome::Failed
+            }
+        };
+        self.feed.answered(now, topic, outcome);
+        self.settle(now);
+    }
+
+    /// Returns what changed after the revisions that a peer knows.
+    #[must_use]
+    pub fn parcel(&self, now: Time, hosts: u64, routes: u64) -> Parcel {
+        let mut delta = self.hosts.delta(hosts);
+        for item in &mut delta.put {
+            item.value.cold_until = Time::default() + item.value.cold_until.since(now);
+        }
+        Parcel {
+            version: VERSION,
+            news: self.news(now),
+            hosts: delta,
+            routes: self.routes.delta(routes),
+            general: self.general,
+        }
+    }
+
+    /// Takes the outcome of a pull.
+    pub fn pulled(&mut self, now: Time, member: MemberId, parcel: Result<Parcel>) {
+        let news = parcel.and_then(|parcel| self.unpack(now, parcel));
+        if let Err(error) = &news {
+            self.event(now, "pull.failed", &member.to_string(), error.to_string());
+        }
+        self.feed.pulled(now, member, news.as_ref().ok());
+        self.settle(now);
+    }
+
+    /// Asks up to `count` members of `zone` for a sign of life. Returns how many were asked.
+    pub fn ping_zone(&mut self, now: Time, zone: &str, count: usize) -> usize {
+        let alive = |record: &&Record| record.zone == zone && matches!(record.state, State::Alive | State::Suspect);
+        let mut peers: Vec<SocketAddr> = self.membership.others().filter(alive).map(|record| record.peer).collect();
+        let asked = peers.len().min(count);
+        if asked > 0 {
+            let start = self.letters.turn() % peers.len();
+            peers.rotate_left(start);
+        }
+        for peer in peers.into_iter().take(asked) {
+            self.ping(now, peer);
+        }
+        asked
+    }
+
+    fn news(&self, now: Time) -> News {
+        self.feed.news(now, self.membership.me().id)
+    }
+
+    /// Passes on what the parts want to do.
+    fn settle(&mut self, now: Time) {
+        self.refresh_zone();
+        self.hosts.advance(self.feed.as_of(Topic::Hosts));
+        self.routes.advance(self.feed.as_of(Topic::Routes));
+        self.feed.tick(now, &self.zone);
+        self.send_letters(now);
+        for event in self.membership.events() {
+            self.actions.push(Action::Event(event));
+        }
+        for action in self.feed.actions() {
+            self.perform(action);
+        }
+    }
+
+    fn perform(&mut self, action: feed::Action) {
+        match action {
+            feed::Action::Read(topic) => self.actions.push(Action::Read(topic)),
+            feed::Action::Watch { topic, revision, until } => {
+                self.actions.push(Action::Watch { topic, revision, until });
+            }
+            feed::Action::Pull(member) => {
+                let Some(peer) = self.membership.record(member).map(|record| record.peer) else { return };
+                let (hosts, routes) = (self.hosts.as_of(), self.routes.as_of());
+                self.actions.push(Action::Pull { member, peer, hosts, routes });
+            }
+            feed::Action::Tell(member, news) => self.tell(member, news),
+        }
+    }
+
+    fn refresh_zone(&mut self) {
+        if self.revision == self.membership.revision() {
+            return;
+        }
+        self.revision = self.membership.revision();
+        let me = self.membership.me();
+        let near = |record: &&Record| record.zone == me.zone && record.state == State::Alive;
+        self.zone = self.membership.others().filter(near).map(|record| record.id).collect();
+        self.zone.push(me.id);
+        self.zone.sort_unstable();
+    }
+
+    fn event(&mut self, now: Time, name: &str, subject: &str, detail: String) {
+        let event = Event { time: now, name: name.to_owned(), subject: subject.to_owned(), detail };
+        self.actions.push(Action::Event(event));
+    }
+}
+
+fn stale(text: String) -> Error {
+    Error::new(crate::error::Kind::Stale, text)
+}
--- /dev/null
+++ b/crates/poplarpaddle/src/fleet/intake.rs
@@ -0,0 +1,103 @@
+//! How readings of the store and parcels of peers change the state.
+
+use super::{Action, Fault, Node, Reading, stale};
+use crate::error::Result;
+use crate::feed::{News, Outcome, Topic};
+use crate::registry::{General, HostDelta, RouteDelta};
+use crate::time::Time;
+use crate::wire::Parcel;
+
+/// Unreadable registrations that are remembered as reported.
+const MAX_REPORTED: usize = 1024;
+
+impl Node {
+    pub(super) fn take(&mut self, now: Time, topic: Topic, reading: Reading) -> Result<Outcome> {
+        match reading {
+            Reading::Hosts { delta, faults } => {
+                self.report(now, faults);
+                self.merge_hosts(now, delta)?;
+            }
+            Reading::Routes { as_of, content: Some((general, routes)) } => {
+                let delta = self.routes.difference(as_of, routes);
+                self.merge_routes(now, general, delta)?;
+            }
+            Reading::Routes { as_of, content: None } => self.routes.advance(as_of),
+            Reading::Unreadable { as_of, text } => {
+                self.event(now, "config.unreadable", &as_of.to_string(), text);
+                self.routes.advance(as_of);
+            }
+            Reading::Unchanged { as_of } => match topic {
+                Topic::Hosts => self.hosts.advance(as_of),
+                Topic::Routes => self.routes.advance(as_of),
+            },
+            Reading::HistoryGone => {
+                self.event(now, "store.history_gone", &topic.to_string(), "reads the whole collection".to_owned());
+                return Ok(Outcome::HistoryGone);
+            }
+        }
+        let (revision, as_of) = match topic {
+            Topic::Hosts => (self.hosts.revision(), self.hosts.as_of()),
+            Topic::Routes => (self.routes.revision(), self.routes.as_of()),
+        };
+        Ok(Outcome::Confirmed { revision, as_of })
+    }
+
+    pub(super) fn unpack(&mut self, now: Time, mut parcel: Parcel) -> Result<News> {
+        for item in &mut parcel.hosts.put {
+            item.value.cold_until = now + item.value.cold_until.since(Time::default());
+        }
+        self.merge_hosts(now, parcel.hosts)?;
+        self.merge_routes(now, parcel.general, parcel.routes)?;
+        Ok(parcel.news)
+    }
+
+    /// Reports each unreadable registration once a revision.
+    fn report(&mut self, now: Time, faults: Vec<Fault>) {
+        for fault in faults {
+            if self.reported.get(&fault.name) == Some(&fault.revision) {
+                continue;
+            }
+            if self.reported.len() >= MAX_REPORTED {
+                self.reported.clear();
+            }
+            self.event(
+                now,
+                "registration.unreadable",
+                &fault.name,
+                format!("revision {}: {}", fault.revision, fault.text),
+            );
+            self.reported.insert(fault.name, fault.revision);
+        }
+    }
+
+    fn merge_hosts(&mut self, now: Time, delta: HostDelta) -> Result<()> {
+        let changed = self.hosts.merge(delta)?;
+        if !changed.is_empty() {
+            let detail = format!("revision {}: {}", self.hosts.revision(), changed.join(" "));
+            self.event(now, "hosts.changed", &changed.len().to_string(), detail);
+            self.actions.push(Action::HostsChanged(changed));
+        }
+        Ok(())
+    }
+
+    /// Brings a newer version into force. A version never gives way to a lower one within the life of the process.
+    fn merge_routes(&mut self, now: Time, general: General, delta: RouteDelta) -> Result<()> {
+        if delta.to <= self.routes.as_of() {
+            return Ok(());
+        }
+        if general.version < self.general.version {
+            let text = format!("version {} of the configuration is below {}", general.version, self.general.version);
+            return Err(stale(text));
+        }
+        let changed = self.routes.merge(delta)?;
+        if general != self.general {
+            self.general = general;
+            let detail = format!("revision {}, {} routes changed", self.routes.revision(), changed.len());
+            self.event(now, "config.applied", &general.version.to_string(), detail);
+        }
+        if !changed.is_empty() {
+            self.actions.push(Action::RoutesChanged(changed));
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/poplarpaddle/src/mark.rs
@@ -0,0 +1,54 @@
+//! Marks that carry the host of a flow in the flow's own packets.
+//!
+//! A carrier with room in its packets needs no flow table to find the host of an established flow: the balancer that
+//! places the flow writes the mark of the host into the opening, both ends repeat it, and every balancer maps a mark to
+//! the same host.
+//!
+//! ```
+//! use poplarpaddle::mark::{HostId, Mark};
+//!
+//! let host = HostId(0x7f3a_91c2);
+//! assert_eq!(Mark::of(host), Mark::of(host));
+//! assert_ne!(Mark::of(host), Mark::NONE);
+//! ```
+//!
+//! # Trade-offs
+//!
+//! A mark has 32 bits and a host identifier up to 64, so two hosts can share a mark; among 73,000 hosts one such pair is
+//! likely. Of two listed hosts with one mark the one that was created first has it, and the other gets no new flows until
+//! the first has left. Every balancer derives this from the same registry, so none of them has to agree with another.
+
+use serde::{Deserialize, Serialize};
+
+/// Identifies a host for as long as its registration lasts.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Default, Serialize, Deserialize, derive_more::Display,
+)]
+#[display("{_0:x}")]
+pub struct HostId(pub u64);
+
+/// The mark of a host.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Default, Serialize, Deserialize, derive_more::Display,
+)]
+#[display("{_0:08x}")]
+pub struct Mark(pub u32);
+
+impl Mark {
+    /// The mark of no host; openings carry it.
+    pub const NONE: Self = Self(0);
+
+    /// Returns the mark of a host: the upper half of the `SplitMix64` finalizer of its identifier.
+    ///
+    /// The function is part of the protocol between balancers. It must not change with a library, because balancers of
+    /// two releases serve the same flows during an upgrade.
+    #[must_use]
+    pub const fn of(host: HostId) -> Self {
+        let mut bits = host.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        bits = (bits ^ (bits >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        bits = (bits ^ (bits >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        bits ^= bits >> 31;
+        let upper = (bits >> 32) as u32;
+        Self(if upper == 0 { 1 } else { upper })
+    }
+}
--- a/crates/poplarpaddle/src/membership.rs
+++ b/crates/poplarpaddle/src/membership.rs
@@ -86,6 +86,8 @@
     pub forget_left_ms: u64,
     /// Period of contacts to unknown seeds once another member is known.
     pub seed_ms: u64,
+    /// Period of contacts to seeds while no other member is known.
+    pub alone_ms: u64,
     /// Period of the exchange of a page of the table, which repairs lost updates.
     pub page_ms: u64,
     /// Time for which the table has to differ from the tables of all peers heard before a whole table is read.
@@ -118,6 +120,7 @@
             answer_ms: 150,
             // 500 (next ping) + 400 + 1500 (suspicion) leaves 600 ms of the 3 s for dissemination.
             fail_ms: 400,
+            alone_ms: 500,
             helpers: 3,
             suspect_ms: 1500,
             verify_ms: 500,
@@ -371,7 +374,8 @@
         let probes = self.probes.values().map(Probe::deadline);
         let table = self.table.values().map(|entry| entry.until);
         let push = if self.urgent { self.next_push } else { Time::NEVER };
-        probes.chain(table).chain([self.next_ping, push]).min().unwrap_or(Time::NEVER)
+        let seeds = if self.ring.ids().len() == 1 { self.next_seed } else { Time::NEVER };
+        probes.chain(table).chain([self.next_ping, push, seeds]).min().unwrap_or(Time::NEVER)
     }
 
     /// Notices a pause of this process. Its timers are stale then: peers may have answered and refuted in the
--- a/crates/poplarpaddle/src/membership/probe.rs
+++ b/crates/poplarpaddle/src/membership/probe.rs
@@ -157,7 +157,7 @@
             return;
         }
         let alone = self.ring.ids().len() == 1;
-        let (pause, count) = if alone { (self.settings.ping_ms, FIRST_CONTACTS) } else { (self.settings.seed_ms, 1) };
+        let (pause, count) = if alone { (self.settings.alone_ms, FIRST_CONTACTS) } else { (self.settings.seed_ms, 1) };
         self.next_seed = now + millis(pause);
         let unknown = self.unknown_seeds();
         let page = alone.then_some(MemberId(0));
--- a/crates/poplarpaddle/src/wire.rs
+++ b/crates/poplarpaddle/src/wire.rs
@@ -1,13 +1,17 @@
 //! Messages between balancers.
 //!
 //! Peer messages are encoded by `rmp-serde`. Gossip goes over HTTP; relayed packets go over UDP, one [`Relay`] a datagram.
+//! Balancers whose hosts register themselves send gossip and short news as one [`Note`] a datagram, and pull a [`Parcel`]
+//! over HTTP.
 
 use std::net::{Ipv4Addr, SocketAddr};
 
 use serde::{Deserialize, Serialize};
 
 use crate::error::{Error, Kind, Result};
+use crate::feed::News;
 use crate::path::{Hop, MemberId};
+use crate::registry::{General, HostDelta, RouteDelta};
 
 /// Longest encoded gossip message, in bytes. A full message takes about 2 kB.
 pub const MAX_GOSSIP: usize = 16 * 1024;
@@ -122,3 +126,99 @@
     #[serde(borrow, with = "serde_bytes")]
     pub packet: &'a [u8],
 }
+
+/// What a [`Note`] does.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Body {
+    /// Gossip that asks for an answer with the same number.
+    Ask(Gossip),
+    /// The answer.
+    Answer(Gossip),
+    /// Positions that are told along the tree of a zone.
+    Tell(MemberId),
+    /// Asks for a [`Body::Pong`], to find out whether a zone can be reached.
+    Ping(MemberId),
+    /// Answers a [`Body::Ping`].
+    Pong(MemberId),
+}
+
+/// One datagram between balancers whose hosts register themselves.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Note {
+    /// [`VERSION`] of the sender.
+    pub version: u8,
+    /// Number of the question.
+    pub number: u32,
+    /// Positions of the sender.
+    pub news: News,
+    /// What the note does.
+    pub body: Body,
+}
+
+impl Note {
+    /// Returns the encoded note.
+    ///
+    /// # Errors
+    ///
+    /// [`Kind::Internal`] when the encoder fails, which no value of this type causes.
+    pub fn encode(&self) -> Result<Vec<u8>> {
+        rmp_serde::to_vec(self).map_err(|e| Error::new(Kind::Internal, format!("encoding of a note: {e}")))
+    }
+
+    /// Returns the note in `bytes`.
+    ///
+    /// # Errors
+    ///
+    /// [`Kind::Message`] when `bytes` is longer than [`MAX_GOSSIP`], no note, or of another version.
+    pub fn decode(bytes: &[u8]) -> Result<Self> {
+        if bytes.len() > MAX_GOSSIP {
+            let text = format!("note of {} bytes is longer than {MAX_GOSSIP}", bytes.len());
+            return Err(Error::new(Kind::Message, text));
+        }
+        let note: Self = rmp_serde::from_slice(bytes).map_err(|e| Error::new(Kind::Message, format!("note: {e}")))?;
+        if note.version != VERSION {
+            return Err(Error::new(Kind::Message, format!("note version: {} is not {VERSION}", note.version)));
+        }
+        Ok(note)
+    }
+}
+
+/// What changed at a member, as the answer to a pull.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Parcel {
+    /// [`VERSION`] of the sender.
+    pub version: u8,
+    /// Positions of the sender.
+    pub news: News,
+    /// Changes of the hosts. [`Host::cold_until`](crate::registry::Host::cold_until) counts from the sending.
+    pub hosts: HostDelta,
+    /// Changes of the routes.
+    pub routes: RouteDelta,
+    /// What the configuration says about all routes.
+    pub general: General,
+}
+
+impl Parcel {
+    /// Returns the encoded parcel.
+    ///
+    /// # Errors
+    ///
+    /// [`Kind::Internal`] when the encoder fails, which no value of this type causes.
+    pub fn encode(&self) -> Result<Vec<u8>> {
+        rmp_serde::to_vec(self).map_err(|e| Error::new(Kind::Internal, format!("encoding of a parcel: {e}")))
+    }
+
+    /// Returns the parcel in `bytes`.
+    ///
+    /// # Errors
+    ///
+    /// [`Kind::Message`] when `bytes` is no parcel or of another version.
+    pub fn decode(bytes: &[u8]) -> Result<Self> {
+        let parcel: Self =
+            rmp_serde::from_slice(bytes).map_err(|e| Error::new(Kind::Message, format!("parcel: {e}")))?;
+        if parcel.version != VERSION {
+            return Err(Error::new(Kind::Message, format!("parcel version: {} is not {VERSION}", parcel.version)));
+        }
+        Ok(parcel)
+    }
+}
