--- /dev/null
+++ b/crates/poplarpaddle-balancer/src/direct/daemon.rs
@@ -0,0 +1,180 @@
+//! Start and graceful stop.
+
+use std::sync::Arc;
+use std::time::{Duration, SystemTime};
+
+use eyre::Context as _;
+use poplarpaddle::direct::{Engine, Layout};
+use poplarpaddle::fleet::{Node, Store};
+use poplarpaddle::path::MemberId;
+use poplarpaddle::time::Time;
+use poplarpaddle::wire::{Record, State};
+use poplarpaddle::{direct, feed, fleet, membership};
+use poplarpaddle_io::clock::Clock;
+use poplarpaddle_io::peer::Client;
+use slog::{Logger, error, info};
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::mpsc;
+
+use super::Readiness;
+use super::journal::Journal;
+use super::server::{self, Context};
+use super::settings::Settings;
+use super::task::{Input, Task};
+use super::telemetry::Telemetry;
+
+/// Time after the start in which peers may bring the state to a process that is no seed.
+const GRACE: Duration = Duration::from_millis(150);
+
+/// Period of contacts to seeds while no other member is known, in milliseconds.
+const ALONE_MS: u64 = 50;
+
+/// Time between two looks whether the settings changed without a signal.
+const RELOAD_EVERY: Duration = Duration::from_secs(2);
+
+/// What the daemon needs of the platform that it runs on.
+#[derive(derive_more::Debug)]
+#[debug("Ports")]
+pub struct Ports {
+    /// Layout of packets.
+    pub layout: Arc<dyn Layout>,
+    /// Store of hosts and routes.
+    pub store: Arc<dyn Store>,
+    /// Reads the settings again.
+    pub reload: Box<dyn Fn() -> eyre::Result<Settings> + Send>,
+    /// When the settings were written, to notice a change without a signal.
+    pub written: Box<dyn Fn() -> Option<SystemTime> + Send>,
+}
+
+/// Runs a balancer until SIGTERM or SIGINT, then drains and returns.
+///
+/// # Errors
+///
+/// Fails when an address cannot be bound, a client cannot be set up or a part ends by itself.
+pub async fn run(settings: Settings, ports: Ports, readiness: Readiness, logger: Logger) -> eyre::Result<()> {
+    let telemetry = Telemetry::new()?;
+    let (sender, inputs) = mpsc::unbounded_channel();
+    let me = MemberId(rand::random());
+    let task = start(&settings, &ports, readiness, (sender.clone(), inputs), telemetry.clone(), &logger, me).await?;
+    let context = Context { process: settings.name.as_str().into(), inputs: sender.clone(), telemetry };
+    let peers =
+        TcpListener::bind(settings.peer).await.wrap_err_with(|| format!("cannot listen on {}", settings.peer))?;
+    let tools =
+        TcpListener::bind(settings.tools).await.wrap_err_with(|| format!("cannot listen on {}", settings.tools))?;
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let task = tokio::spawn(task.run());
+    let peer_server = tokio::spawn(axum::serve(peers, server::peers(context.clone())).into_future());
+    let tool_server = tokio::spawn(axum::serve(tools, server::tools(context)).into_future());
+    info!(logger, "started"; "member" => %me, "zone" => &settings.zone, "packets" => %settings.packets,
+        "peer" => %settings.peer, "seeds" => settings.seeds.len());
+
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+        outcome = task => eyre::bail!("the data path ended: {outcome:?}"),
+        outcome = peer_server => eyre::bail!("the server for peers ended: {outcome:?}"),
+        outcome = tool_server => eyre::bail!("the server for tools ended: {outcome:?}"),
+        outcome = reload(&ports, &sender, settings.seeds.clone(), &logger) => outcome?,
+    }
+    info!(logger, "leaving"; "drain_ms" => u64::try_from(settings.drain.as_millis()).unwrap_or(u64::MAX));
+    sender.send(Input::Leave)?;
+    tokio::time::sleep(settings.drain).await;
+    sender.send(Input::Stop)?;
+    sender.closed().await;
+    info!(logger, "stopped");
+    Ok(())
+}
+
+async fn start(
+    settings: &Settings,
+    ports: &Ports,
+    readiness: Readiness,
+    (sender, inputs): (mpsc::UnboundedSender<Input>, mpsc::UnboundedReceiver<Input>),
+    telemetry: Telemetry,
+    logger: &Logger,
+    me: MemberId,
+) -> eyre::Result<Task> {
+    let clock = Clock::new();
+    let packets =
+        UdpSocket::bind(settings.packets).await.wrap_err_with(|| format!("cannot bind {}", settings.packets))?;
+    let notes = UdpSocket::bind(settings.peer).await.wrap_err_with(|| format!("cannot bind {}", settings.peer))?;
+    Ok(Task {
+        clock,
+        node: node(clock.now(), settings, me),
+        engine: Engine::new(direct::Settings {
+            zone: settings.zone.clone(),
+            seed: rand::random(),
+            linger: settings.flow_life,
+            ..Default::default()
+        }),
+        layout: Arc::clone(&ports.layout),
+        store: Arc::clone(&ports.store),
+        peers: Client::new(Some(settings.peer.ip()))?,
+        packets,
+        notes,
+        inputs,
+        sender,
+        readiness,
+        telemetry,
+        journal: Journal::new(logger.clone()),
+        logger: logger.clone(),
+        bound: settings.bound,
+        leaving: false,
+        unsent: 0,
+        confirmed: Time::default(),
+    })
+}
+
+fn node(now: Time, settings: &Settings, me: MemberId) -> Node {
+    let is_seed = settings.seeds.contains(&settings.peer);
+    let record = Record {
+        id: me,
+        name: settings.name.clone(),
+        zone: settings.zone.clone(),
+        region: settings.region.clone(),
+        peer: settings.peer,
+        relay: settings.peer,
+        incarnation: 0,
+        state: State::Alive,
+    };
+    let membership = membership::Settings {
+        seed: rand::random(),
+        seeds: settings.seeds.clone(),
+        alone_ms: ALONE_MS,
+        ..Default::default()
+    };
+    let grace = if is_seed { Duration::ZERO } else { GRACE };
+    let feed = feed::Settings { bound: settings.bound, grace };
+    Node::new(now, fleet::Settings { membership, feed }, record)
+}
+
+/// Reads the settings again on SIGHUP and when they were written. Seeds are what a running process can take over.
+async fn reload(
+    ports: &Ports,
+    sender: &mpsc::UnboundedSender<Input>,
+    mut seeds: Vec<std::net::SocketAddr>,
+    logger: &Logger,
+) -> eyre::Result<()> {
+    let mut hangup = signal(SignalKind::hangup())?;
+    let mut written = (ports.written)();
+    loop {
+        let signalled = tokio::time::timeout(RELOAD_EVERY, hangup.recv()).await.is_ok();
+        let latest = (ports.written)();
+        if !signalled && latest == written {
+            continue;
+        }
+        written = latest;
+        match (ports.reload)() {
+            Ok(settings) => {
+                info!(logger, "reloaded"; "signal" => signalled, "seeds" => settings.seeds.len());
+                if seeds != settings.seeds {
+                    seeds.clone_from(&settings.seeds);
+                    sender.send(Input::Seeds(settings.seeds))?;
+                }
+            }
+            Err(error) => error!(logger, "reload failed, the settings before stay in force"; "error" => %error),
+        }
+    }
+}
--- /dev/null
+++ b/crates/poplarpaddle-balancer/src/direct/journal.rs
@@ -0,0 +1,115 @@
+//! Log lines of decisions, bounded in number.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use poplarpaddle::direct::{Decision, Verdict};
+use poplarpaddle::time::Time;
+use slog::{Logger, info};
+
+/// Lines a second for openings that took the usual way.
+const USUAL_PER_SECOND: u32 = 40;
+
+/// Lines a second for all other decisions.
+const OTHER_PER_SECOND: u32 = 40;
+
+/// Seconds of lines that can be saved up for a burst.
+const BURST_SECONDS: u32 = 5;
+
+/// Time between two reports of what was left out.
+const REPORT_EVERY: Duration = Duration::from_secs(5);
+
+/// Tokens of one class of lines, in thousandths of a line.
+#[derive(Debug)]
+struct Bucket {
+    per_second: u32,
+    thousandths: u64,
+    filled: Time,
+}
+
+impl Bucket {
+    const fn new(per_second: u32) -> Self {
+        Self { per_second, thousandths: per_second as u64 * BURST_SECONDS as u64 * 1000, filled: Time::NEVER }
+    }
+
+    fn take(&mut self, now: Time) -> bool {
+        let elapsed = now.since(self.filled.min(now));
+        self.filled = now;
+        let most = u64::from(self.per_second * BURST_SECONDS) * 1000;
+        let gained =
+            u64::try_from(elapsed.as_micros()).unwrap_or(u64::MAX).saturating_mul(self.per_second.into()) / 1000;
+        self.thousandths = self.thousandths.saturating_add(gained).min(most);
+        let has = self.thousandths >= 1000;
+        self.thousandths -= if has { 1000 } else { 0 };
+        has
+    }
+}
+
+/// Writes decisions to the log.
+#[derive(Debug)]
+pub(super) struct Journal {
+    logger: Logger,
+    usual: Bucket,
+    other: Bucket,
+    left_out: BTreeMap<String, u64>,
+    next_report: Time,
+}
+
+impl Journal {
+    pub(super) const fn new(logger: Logger) -> Self {
+        Self {
+            logger,
+            usual: Bucket::new(USUAL_PER_SECOND),
+            other: Bucket::new(OTHER_PER_SECOND),
+            left_out: BTreeMap::new(),
+            next_report: Time::NEVER,
+        }
+    }
+
+    /// Writes one decision, with the version of the configuration and the age of the state that it rests on.
+    pub(super) fn decided(&mut self, now: Time, decision: &Decision<'_>, version: u64, age: Duration) {
+        let is_usual = decision.verdict == Verdict::Placed;
+        let bucket = if is_usual { &mut self.usual } else { &mut self.other };
+        if !bucket.take(now) {
+            self.leave_out(now, decision.verdict.to_string());
+            return;
+        }
+        info!(self.logger, "decision";
+            "flow" => %decision.flow,
+            "verdict" => %decision.verdict,
+            "reason" => decision.reason.map(|reason| reason.to_string()),
+            "host" => decision.host,
+            "busy" => decision.busy,
+            "unanswered" => decision.unanswered,
+            "attempt" => decision.attempt,
+            "config" => version,
+            "state_age_ms" => u64::try_from(age.as_millis()).unwrap_or(u64::MAX));
+    }
+
+    /// Writes a change of what the process believes.
+    pub(super) fn believed(&self, what: &str, name: &str, detail: &str) {
+        info!(self.logger, "belief"; "event" => what, "subject" => name, "detail" => detail);
+    }
+
+    /// Writes how many lines were left out, now and then.
+    pub(super) fn report(&mut self, now: Time) {
+        if !now.reached(self.next_report) {
+            return;
+        }
+        self.next_report = Time::NEVER;
+        for (verdict, count) in std::mem::take(&mut self.left_out) {
+            info!(self.logger, "decisions left out"; "verdict" => verdict, "count" => count);
+        }
+    }
+
+    pub(super) const fn deadline(&self) -> Time {
+        self.next_report
+    }
+
+    fn leave_out(&mut self, now: Time, verdict: String) {
+        *self.left_out.entry(verdict).or_default() += 1;
+        if self.next_report == Time::NEVER {
+            self.next_report = now + REPORT_EVERY;
+        }
+    }
+}
--- /dev/null
+++ b/crates/poplarpaddle-balancer/src/direct/outlet.rs
@@ -0,0 +1,63 @@
+//! Performs the decisions of the engine.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use poplarpaddle::direct::{Decision, Hop, Layout, Outlet};
+use poplarpaddle::event::Event;
+use poplarpaddle::packet::Flow;
+use poplarpaddle::time::Time;
+use poplarpaddle_io::events::Events;
+use tokio::net::UdpSocket;
+
+use super::journal::Journal;
+
+/// Sends datagrams and writes the log for one call of the engine.
+pub(super) struct Sender<'a> {
+    pub(super) now: Time,
+    pub(super) layout: &'a dyn Layout,
+    pub(super) socket: &'a UdpSocket,
+    pub(super) datagram: &'a mut Vec<u8>,
+    pub(super) journal: &'a mut Journal,
+    pub(super) events: &'a Events,
+    pub(super) unsent: &'a mut u64,
+    /// Zones that the engine wants to ping.
+    pub(super) pings: &'a mut Vec<String>,
+    pub(super) version: u64,
+    pub(super) age: Duration,
+}
+
+impl Sender<'_> {
+    /// A datagram that cannot be sent at once is lost, as one that the network drops; the ends repeat it.
+    fn send(&mut self, to: SocketAddr) {
+        if self.socket.try_send_to(self.datagram, to).is_err() {
+            *self.unsent += 1;
+        }
+    }
+}
+
+impl Outlet for Sender<'_> {
+    fn forward(&mut self, hop: &Hop, bytes: &[u8]) {
+        self.layout.write(hop, bytes, self.datagram);
+        self.send(hop.address.into());
+    }
+
+    fn reset(&mut self, flow: &Flow, sequence: u32) {
+        let to = self.layout.write_reset(flow, sequence, self.datagram);
+        self.send(to.into());
+    }
+
+    fn ping(&mut self, zone: &str) {
+        self.pings.push(zone.to_owned());
+    }
+
+    fn decided(&mut self, decision: &Decision<'_>) {
+        self.journal.decided(self.now, decision, self.version, self.age);
+    }
+
+    fn believed(&mut self, now: Time, what: &str, name: &str, detail: &str) {
+        self.journal.believed(what, name, detail);
+        let (name, subject, detail) = (what.to_owned(), name.to_owned(), detail.to_owned());
+        self.events.push(Event { time: now, name, subject, detail });
+    }
+}
--- /dev/null
+++ b/crates/poplarpaddle-balancer/src/direct/server.rs
@@ -0,0 +1,78 @@
+//! HTTP for peers, people and tools.
+
+use std::sync::Arc;
+
+use axum::Router;
+use axum::extract::{Query, State};
+use axum::http::{StatusCode, header};
+use axum::response::{IntoResponse, Response};
+use axum::routing::get;
+use poplarpaddle_io::peer;
+use serde::Deserialize;
+use tokio::sync::{mpsc, oneshot};
+
+use super::task::Input;
+use super::telemetry::Telemetry;
+
+/// What the handlers share.
+#[derive(Debug, Clone)]
+pub(super) struct Context {
+    pub(super) process: Arc<str>,
+    pub(super) inputs: mpsc::UnboundedSender<Input>,
+    pub(super) telemetry: Telemetry,
+}
+
+/// Revisions that a peer knows.
+#[derive(Debug, Clone, Copy, Default, Deserialize)]
+struct Known {
+    #[serde(default)]
+    hosts: u64,
+    #[serde(default)]
+    routes: u64,
+}
+
+/// Returns the routes for peers.
+pub(super) fn peers(context: Context) -> Router {
+    Router::new().route("/peer/parcel", get(parcel)).with_state(context)
+}
+
+/// Returns the routes for people and tools.
+pub(super) fn tools(context: Context) -> Router {
+    Router::new()
+        .route("/status", get(status))
+        .route("/metrics", get(metrics))
+        .route("/events", get(events))
+        .with_state(context)
+}
+
+async fn parcel(State(context): State<Context>, Query(known): Query<Known>) -> Response {
+    let (sender, receiver) = oneshot::channel();
+    let stopped = || (StatusCode::SERVICE_UNAVAILABLE, "the balancer stops").into_response();
+    if context.inputs.send(Input::Parcel { hosts: known.hosts, routes: known.routes, answer: sender }).is_err() {
+        return stopped();
+    }
+    match receiver.await {
+        Ok(Ok(bytes)) => ([(header::CONTENT_TYPE, peer::MEDIA_TYPE)], bytes).into_response(),
+        Ok(Err(error)) => (StatusCode::INTERNAL_SERVER_ERROR, error.to_string()).into_response(),
+        Err(_closed) => stopped(),
+    }
+}
+
+async fn status(State(context): State<Context>) -> Response {
+    let (sender, receiver) = oneshot::channel();
+    if context.inputs.send(Input::Status(sender)).is_err() {
+        return StatusCode::SERVICE_UNAVAILABLE.into_response();
+    }
+    receiver
+        .await
+        .map_or_else(|_closed| StatusCode::SERVICE_UNAVAILABLE.into_response(), |s| axum::Json(s).into_response())
+}
+
+async fn metrics(State(context): State<Context>) -> Response {
+    ([(header::CONTENT_TYPE, "text/plain; version=0.0.4")], context.telemetry.metrics.text()).into_response()
+}
+
+async fn events(State(context): State<Context>) -> Response {
+    let lines = context.telemetry.events.lines(&context.process);
+    ([(header::CONTENT_TYPE, "application/x-ndjson")], lines).into_response()
+}
--- /dev/null
+++ b/crates/poplarpaddle-balancer/src/direct/telemetry.rs
@@ -0,0 +1,112 @@
+//! Counters, histograms and events of the daemon.
+
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Histogram, MeterProvider as _};
+use poplarpaddle::direct::{Counters, Reason, Verdict};
+use poplarpaddle_io::events::Events;
+use poplarpaddle_io::metrics::Metrics;
+
+/// Bounds of the histograms, in milliseconds.
+const BOUNDS_MS: [f64; 9] = [1.0, 5.0, 10.0, 20.0, 50.0, 100.0, 500.0, 1000.0, 5000.0];
+
+/// Verdicts with a counter.
+const VERDICTS: [Verdict; 6] =
+    [Verdict::Placed, Verdict::Repeated, Verdict::Moved, Verdict::Refused, Verdict::Reset, Verdict::Dropped];
+
+/// Latest figures.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct Snapshot {
+    pub(super) engine: Counters,
+    pub(super) unsent: u64,
+    pub(super) version: u64,
+    pub(super) hosts: u64,
+    pub(super) members: u64,
+}
+
+/// Shared by all parts of the daemon.
+#[derive(Debug, Clone)]
+pub(super) struct Telemetry {
+    pub(super) events: Events,
+    pub(super) metrics: Metrics,
+    snapshot: Arc<Mutex<Snapshot>>,
+    calls: Histogram<f64>,
+}
+
+impl Telemetry {
+    pub(super) fn new() -> eyre::Result<Self> {
+        let metrics = Metrics::new()?;
+        let calls = metrics
+            .provider()
+            .meter("poplarpaddle")
+            .f64_histogram("poplarpaddle.store.call")
+            .with_description("Time of calls to the store and to peers, in milliseconds")
+            .with_boundaries(BOUNDS_MS.to_vec())
+            .build();
+        let telemetry = Self { events: Events::new(), metrics, snapshot: Arc::default(), calls };
+        telemetry.register();
+        Ok(telemetry)
+    }
+
+    pub(super) fn set(&self, snapshot: Snapshot) {
+        *self.snapshot.lock().unwrap_or_else(PoisonError::into_inner) = snapshot;
+    }
+
+    /// Records the time of a call.
+    pub(super) fn called(&self, what: &'static str, outcome: &'static str, time: Duration) {
+        let labels = [KeyValue::new("call", what), KeyValue::new("outcome", outcome)];
+        self.calls.record(time.as_secs_f64() * 1000.0, &labels);
+    }
+
+    fn register(&self) {
+        let meter = self.metrics.provider().meter("poplarpaddle");
+        let read = self.reader();
+        let _gauge = meter
+            .u64_observable_gauge("poplarpaddle.state")
+            .with_description("Version of the configuration, hosts, members and flows known now")
+            .with_callback(move |observer| {
+                let now = read();
+                let values = [
+                    ("config", now.version),
+                    ("hosts", now.hosts),
+                    ("members", now.members),
+                    ("flows", now.engine.flows),
+                ];
+                for (what, value) in values {
+                    observer.observe(value, &[KeyValue::new("what", what)]);
+                }
+            })
+            .build();
+        let read = self.reader();
+        let _decisions = meter
+            .u64_observable_counter("poplarpaddle.decisions")
+            .with_description("Decisions about flows by verdict")
+            .with_callback(move |observer| {
+                let now = read();
+                for verdict in VERDICTS {
+                    observer.observe(now.engine.verdict(verdict), &[KeyValue::new("verdict", verdict.to_string())]);
+                }
+            })
+            .build();
+        let read = self.reader();
+        let _packets = meter
+            .u64_observable_counter("poplarpaddle.packets")
+            .with_description("Packets forwarded, not sent, and not forwarded by reason")
+            .with_callback(move |observer| {
+                let now = read();
+                observer.observe(now.engine.forwarded, &[KeyValue::new("outcome", "forwarded")]);
+                observer.observe(now.unsent, &[KeyValue::new("outcome", "unsent")]);
+                for reason in Reason::ALL {
+                    observer.observe(now.engine.reason(reason), &[KeyValue::new("outcome", reason.to_string())]);
+                }
+            })
+            .build();
+    }
+
+    fn reader(&self) -> impl Fn() -> Snapshot + Send + Sync + 'static {
+        let snapshot = Arc::clone(&self.snapshot);
+        move || *snapshot.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- a/crates/poplarpaddle-balancer/src/lib.rs
+++ b/crates/poplarpaddle-balancer/src/lib.rs
@@ -28,5 +28,6 @@
 pub mod carrier;
 pub mod control;
 pub mod daemon;
+pub mod direct;
 pub mod server;
 pub mod telemetry;
