Hold packets until hosts and routes are known, and read the store at once

Cause: after a loss of all machines a balancer was bound at 42.78 s and answered 42.94 s, 150 ms of it the grace in which peers may bring the state; nobody had any. Openings that came meanwhile were dropped and cost their callers the time until the next copy. The grace is gone, held packets are placed once hosts and routes are known.

--- a/crates/poplarpaddle-balancer/src/direct/daemon.rs
+++ b/crates/poplarpaddle-balancer/src/direct/daemon.rs
@@ -24,9 +24,6 @@
 use super::task::{Input, Task};
 use super::telemetry::Telemetry;
 
-/// Time after the start in which peers may bring the state to a process that is no seed.
-const GRACE: Duration = Duration::from_millis(150);
-
 /// Period of contacts to seeds while no other member is known, in milliseconds.
 const ALONE_MS: u64 = 50;
 
@@ -128,7 +125,6 @@
 }
 
 fn node(now: Time, settings: &Settings, me: MemberId) -> Node {
-    let is_seed = settings.seeds.contains(&settings.peer);
     let record = Record {
         id: me,
         name: settings.name.clone(),
@@ -145,8 +141,7 @@
         alone_ms: ALONE_MS,
         ..Default::default()
     };
-    let grace = if is_seed { Duration::ZERO } else { GRACE };
-    let feed = feed::Settings { bound: settings.bound, grace };
+    let feed = feed::Settings { bound: settings.bound };
     Node::new(now, fleet::Settings { membership, feed }, record)
 }
 
--- a/crates/poplarpaddle/src/direct.rs
+++ b/crates/poplarpaddle/src/direct.rs
@@ -26,6 +26,7 @@
 //! its own share of the work of a host.
 
 mod engine;
+mod hold;
 mod host;
 mod link;
 mod opening;
@@ -52,7 +53,7 @@
     /// A host sent the packet; only callers send to balancers.
     #[display("not_from_caller")]
     NotFromCaller,
-    /// Hosts or routes are not known yet.
+    /// Hosts or routes are not known yet, and there is no room to hold the packet until they are.
     #[display("starting")]
     Starting,
     /// No route has the destination address and port.
--- a/crates/poplarpaddle/src/direct/engine.rs
+++ b/crates/poplarpaddle/src/direct/engine.rs
@@ -6,6 +6,7 @@
 use rand::{RngExt as _, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
+use super::hold::Hold;
 use super::link::{Change, Link};
 use super::opening::Pending;
 use super::{Counters, Decision, Hop, Outlet, Reason, Settings, Verdict, host, route};
@@ -48,6 +49,7 @@
     pub(super) random: Pcg64Mcg,
     pub(super) counters: Counters,
     next_sweep: Time,
+    held: Hold,
 }
 
 impl Engine {
@@ -64,6 +66,7 @@
             random: Pcg64Mcg::seed_from_u64(settings.seed),
             counters: Counters::default(),
             next_sweep: Time::NEVER,
+            held: Hold::default(),
             settings,
         }
     }
@@ -115,9 +118,11 @@
 
     /// Takes a packet of a caller. `mark` is the mark that it carries.
     pub fn packet(&mut self, now: Time, mark: Mark, packet: &View<'_>, outlet: &mut dyn Outlet) {
-        if self.routes.is_empty() || self.hosts.is_empty() {
-            // Repeats of the packet come until hosts and routes are known.
-            return self.drop(packet.flow, Reason::Starting, None, outlet);
+        if !self.is_ready() {
+            if !self.held.push(now, mark, packet) {
+                self.drop(packet.flow, Reason::Starting, None, outlet);
+            }
+            return;
         }
         if self.routes.get(packet.flow.service).is_none() {
             return self.reset(now, packet, Reason::UnknownRoute, outlet);
@@ -131,6 +136,10 @@
 
     /// Performs what is due.
     pub fn tick(&mut self, now: Time, outlet: &mut dyn Outlet) {
+        if self.is_ready() && !self.held.is_empty() {
+            let mut held = std::mem::take(&mut self.held);
+            held.drain(now, |mark, packet| self.packet(now, mark, packet, outlet));
+        }
         self.tick_links(now, outlet);
         self.tick_openings(now, outlet);
         if now.reached(self.next_sweep) {
@@ -143,10 +152,18 @@
     #[must_use]
     pub fn deadline(&self) -> Time {
         let opening = self.due.peek().map_or(Time::NEVER, |Reverse((due, _))| *due);
+        if self.is_ready() && !self.held.is_empty() {
+            return Time::default();
+        }
         let links = self.links.iter().map(|link| link.deadline(self.settings.link));
         links.chain([opening, self.next_sweep]).min().unwrap_or(Time::NEVER)
     }
 
+    /// Returns true once hosts and routes are known.
+    fn is_ready(&self) -> bool {
+        !self.routes.is_empty() && !self.hosts.is_empty()
+    }
+
     /// Returns the service for a new flow of the route.
     pub(super) fn service(&mut self, flow: &Flow) -> Option<String> {
         let dice = self.random.random();
--- /dev/null
+++ b/crates/poplarpaddle/src/direct/hold.rs
@@ -0,0 +1,69 @@
+//! Packets that arrive before hosts and routes are known.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use crate::mark::Mark;
+use crate::packet::View;
+use crate::time::Time;
+
+/// Most packets that are held.
+const MAX_PACKETS: usize = 2048;
+
+/// Most bytes that are held.
+const MAX_BYTES: usize = 1 << 20;
+
+/// Longest time that a packet is held. The callers' own copies of an opening come 200 and 600 ms after it.
+const MAX_TIME: Duration = Duration::from_millis(600);
+
+/// A packet with its bytes.
+#[derive(Debug)]
+struct Held {
+    until: Time,
+    mark: Mark,
+    /// The view without its bytes.
+    view: View<'static>,
+    bytes: Box<[u8]>,
+}
+
+/// Held packets in the order of their arrival.
+#[derive(Debug, Default)]
+pub(super) struct Hold {
+    packets: VecDeque<Held>,
+    bytes: usize,
+}
+
+impl Hold {
+    /// Keeps a copy of a packet; false when there is no room.
+    pub(super) fn push(&mut self, now: Time, mark: Mark, view: &View<'_>) -> bool {
+        while self.packets.front().is_some_and(|held| now.reached(held.until)) {
+            self.pop();
+        }
+        if self.packets.len() >= MAX_PACKETS || self.bytes + view.bytes.len() > MAX_BYTES {
+            return false;
+        }
+        self.bytes += view.bytes.len();
+        let held = Held { until: now + MAX_TIME, mark, view: View { bytes: &[], ..*view }, bytes: view.bytes.into() };
+        self.packets.push_back(held);
+        true
+    }
+
+    /// Passes every packet that is not too old to `take` and forgets all.
+    pub(super) fn drain(&mut self, now: Time, mut take: impl FnMut(Mark, &View<'_>)) {
+        while let Some(held) = self.pop() {
+            if !now.reached(held.until) {
+                take(held.mark, &View { bytes: &held.bytes, ..held.view });
+            }
+        }
+    }
+
+    pub(super) fn is_empty(&self) -> bool {
+        self.packets.is_empty()
+    }
+
+    fn pop(&mut self) -> Option<Held> {
+        let held = self.packets.pop_front()?;
+        self.bytes -= held.bytes.len();
+        Some(held)
+    }
+}
--- a/crates/poplarpaddle/src/feed.rs
+++ b/crates/poplarpaddle/src/feed.rs
@@ -12,7 +12,7 @@
 //! use poplarpaddle::time::Time;
 //!
 //! let now = Time::from_millis(1);
-//! let mut feed = Feed::new(now, Settings { grace: Duration::ZERO, ..Default::default() }, MemberId(1));
+//! let mut feed = Feed::new(Settings::default(), MemberId(1));
 //! feed.tick(now, &[MemberId(1)]);
 //! assert_eq!(feed.actions(), [Action::Read(Topic::Hosts), Action::Read(Topic::Routes)]);
 //! ```
@@ -27,6 +27,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::map;
 use crate::path::MemberId;
 use crate::time::Time;
 
@@ -84,14 +85,12 @@
 pub struct Settings {
     /// Time after which a change in the store has to be in force at every member that reaches the store.
     pub bound: Duration,
-    /// Time after the start in which peers may bring the state before a member reads the store itself.
-    pub grace: Duration,
 }
 
 impl Default for Settings {
     fn default() -> Self {
         // The target is 7 s for a change to be in force everywhere.
-        Self { bound: Duration::from_secs(7), grace: Duration::from_millis(150) }
+        Self { bound: Duration::from_secs(7) }
     }
 }
 
@@ -178,7 +177,6 @@
 pub struct Feed {
     settings: Settings,
     me: MemberId,
-    quiet_until: Time,
     sources: [Source; 2],
     /// Members of the own zone that can be reached, this one included, in the order of their identifiers.
     zone: Vec<MemberId>,
@@ -191,7 +189,7 @@
 impl Feed {
     /// Returns a feed without state.
     #[must_use]
-    pub fn new(now: Time, settings: Settings, me: MemberId) -> Self {
+    pub fn new(settings: Settings, me: MemberId) -> Self {
         let source = Source {
             revision: 0,
             as_of: 0,
@@ -201,16 +199,7 @@
             failures: 0,
             reread: false,
         };
-        Self {
-            settings,
-            me,
-            quiet_until: now + settings.grace,
-            sources: [source; 2],
-            zone: vec![me],
-            pull: None,
-            pending: None,
-            actions: Vec::new(),
-        }
+        Self { settings, me, sources: [source; 2], zone: Vec::new(), pull: None, pending: None, actions: Vec::new() }
     }
 
     /// Takes the actions since the last call.
@@ -267,7 +256,7 @@
         let due = self.sources.iter().map(|source| match source.call {
             Call::Open => Time::NEVER,
             Call::Pause(until) => until.max(source.heard + patience),
-            Call::Idle => (source.heard + patience).max(self.quiet_until),
+            Call::Idle => source.heard + patience,
         });
         due.min().unwrap_or(Time::NEVER)
     }
@@ -292,7 +281,7 @@
             Outcome::Failed => {
                 let steps = source.failures.min(MAX_PAUSE_STEPS);
                 source.failures = source.failures.saturating_add(1);
-                source.call = Call::Pause(now + FIRST_PAUSE * (1 << steps));
+                source.call = Call::Pause(now + spread(FIRST_PAUSE * (1 << steps), self.me, source.failures));
                 // After an outage the state of the hosts may have lapsed and come back; a list shows it as it is.
                 source.reread = true;
             }
@@ -358,7 +347,7 @@
 
     /// Starts the next call to the store when one is due.
     fn call(&mut self, now: Time, topic: Topic) {
-        let reads = now.reached(self.quiet_until) && self.is_reader(now, topic);
+        let reads = self.is_reader(now, topic);
         let source = &mut self.sources[topic as usize];
         let free = match source.call {
             Call::Open => false,
@@ -397,6 +386,13 @@
     range.map(move |position| zone[(position + start.unwrap_or(0)) % count])
 }
 
+/// Returns between three and five quarters of `pause`, which differs between members and from failure to failure, so that
+/// members that failed together do not come back together.
+fn spread(pause: Duration, me: MemberId, failures: u32) -> Duration {
+    let percent = 75 + map::hash(u64::from(failures), &me) % 50;
+    pause * u32::try_from(percent).unwrap_or(100) / 100
+}
+
 fn age_ms(now: Time, confirmed: Time) -> u32 {
     if confirmed == Time::default() {
         return u32::MAX;
--- a/crates/poplarpaddle/src/fleet.rs
+++ b/crates/poplarpaddle/src/fleet.rs
@@ -164,7 +164,7 @@
     /// Returns a node that knows only itself.
     #[must_use]
     pub fn new(now: Time, settings: Settings, me: Record) -> Self {
-        let feed = Feed::new(now, settings.feed, me.id);
+        let feed = Feed::new(settings.feed, me.id);
         Self {
             zone: vec![me.id],
             membership: Membership::new(now, settings.membership, me),
--- /dev/null
+++ b/crates/poplarpaddle/tests/direct/main.rs
@@ -0,0 +1,8 @@
+//! Tests of the data path by marks.
+#![allow(missing_docs, clippy::pedantic, reason = "tests name their failures in their names and comments")]
+
+mod openings;
+mod routing;
+mod start;
+mod support;
+mod zones;
--- /dev/null
+++ b/crates/poplarpaddle/tests/direct/support.rs
@@ -0,0 +1,160 @@
+//! An engine with an outlet that records what it does.
+
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+use poplarpaddle::direct::{Decision, Engine, Hop, Outlet, Reason, Settings, Verdict};
+use poplarpaddle::mark::{HostId, Mark};
+use poplarpaddle::packet::{Direction, Flow, Kind, View};
+use poplarpaddle::registry::{Host, Route, State};
+use poplarpaddle::time::Time;
+
+/// A packet that was forwarded.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Sent {
+    pub hop: Hop,
+    pub bytes: Vec<u8>,
+}
+
+/// What the engine did.
+#[derive(Debug, Default)]
+pub struct Record {
+    pub sent: Vec<Sent>,
+    pub resets: Vec<(Flow, u32)>,
+    pub pings: Vec<String>,
+    pub decisions: Vec<(Flow, Verdict, Option<Reason>)>,
+    pub beliefs: Vec<String>,
+}
+
+impl Outlet for Record {
+    fn forward(&mut self, hop: &Hop, bytes: &[u8]) {
+        self.sent.push(Sent { hop: *hop, bytes: bytes.to_vec() });
+    }
+
+    fn reset(&mut self, flow: &Flow, sequence: u32) {
+        self.resets.push((*flow, sequence));
+    }
+
+    fn ping(&mut self, zone: &str) {
+        self.pings.push(zone.to_owned());
+    }
+
+    fn decided(&mut self, decision: &Decision<'_>) {
+        self.decisions.push((decision.flow, decision.verdict, decision.reason));
+    }
+
+    fn believed(&mut self, _now: Time, what: &str, name: &str, _detail: &str) {
+        self.beliefs.push(format!("{what} {name}"));
+    }
+}
+
+/// An engine in zone `a` with its record.
+pub struct World {
+    pub engine: Engine,
+    pub record: Record,
+    pub now: Time,
+}
+
+pub const ZONES: [&str; 3] = ["a", "b", "c"];
+
+pub fn route_address(port: u16) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), port)
+}
+
+pub fn flow(caller: u16, port: u16) -> Flow {
+    Flow { caller: SocketAddrV4::new(Ipv4Addr::new(100, 64, 0, 7), caller), service: route_address(port) }
+}
+
+pub fn route(service: &str) -> Route {
+    Route { name: format!("r-{service}"), service: service.to_owned(), ..Default::default() }
+}
+
+pub fn host(id: u64, service: &str, zone: &str) -> Host {
+    let last = u8::try_from(id % 250).unwrap() + 1;
+    Host {
+        id: HostId(id),
+        service: service.to_owned(),
+        address: SocketAddrV4::new(Ipv4Addr::new(10, 128, 0, last), 8080),
+        zone: zone.to_owned(),
+        slots: 3,
+        state: State::Ready,
+        cold_until: Time::default(),
+        created: id,
+        born: 1,
+    }
+}
+
+impl World {
+    pub fn new(seed: u64) -> Self {
+        let settings = Settings { zone: "a".into(), seed, ..Default::default() };
+        Self { engine: Engine::new(settings), record: Record::default(), now: Time::from_millis(1000) }
+    }
+
+    /// Returns a world with `per_zone` hosts of `bookings` in each zone and the route 443 to them.
+    pub fn with_hosts(seed: u64, per_zone: u64) -> Self {
+        let mut world = Self::new(seed);
+        for (index, zone) in ZONES.iter().enumerate() {
+            for number in 1..=per_zone {
+                world.list(&host(index as u64 * 100 + number, "bookings", zone));
+            }
+        }
+        world.route(443, Some(&route("bookings")));
+        world
+    }
+
+    pub fn list(&mut self, host: &Host) {
+        self.engine.set_host(self.now, &name(host.id), Some(host), self.now);
+    }
+
+    pub fn unlist(&mut self, id: u64) {
+        self.engine.set_host(self.now, &name(HostId(id)), None, self.now);
+    }
+
+    pub fn route(&mut self, port: u16, route: Option<&Route>) {
+        self.engine.set_route(self.now, route_address(port), route);
+    }
+
+    pub fn after(&mut self, millis: u64) {
+        let until = Time::from_nanos(self.now.as_nanos() + millis * 1_000_000);
+        while self.engine.deadline() <= until {
+            self.now = self.engine.deadline().max(self.now);
+            self.engine.tick(self.now, &mut self.record);
+        }
+        self.now = until;
+    }
+
+    /// Sends an opening; `copy` is the number that the caller gives its copies.
+    pub fn open(&mut self, flow: Flow, copy: u32) {
+        let bytes = [0, u8::try_from(copy).unwrap()];
+        let view = View {
+            sequence: 7,
+            acknowledgement: copy,
+            ..View::new(flow, Direction::FromCaller, Kind::Opening, &bytes)
+        };
+        self.engine.packet(self.now, Mark::NONE, &view, &mut self.record);
+    }
+
+    pub fn send(&mut self, flow: Flow, mark: Mark, kind: Kind, payload: u32, acknowledgement: u32) {
+        let bytes = [1];
+        let view =
+            View { payload, acknowledgement, sequence: 8, ..View::new(flow, Direction::FromCaller, kind, &bytes) };
+        self.engine.packet(self.now, mark, &view, &mut self.record);
+    }
+
+    /// The host of the latest packet.
+    pub fn last(&self) -> Hop {
+        self.record.sent.last().expect("no packet was forwarded").hop
+    }
+
+    /// Opens a flow whose host answers at once, and returns its host.
+    pub fn establish(&mut self, flow: Flow) -> HostId {
+        self.open(flow, 0);
+        let hop = self.last();
+        self.after(8);
+        self.send(flow, hop.mark.expect("an opening carries a mark"), Kind::Data, 100, 50);
+        hop.host
+    }
+}
+
+pub fn name(id: HostId) -> String {
+    format!("i-{id}")
+}
