--- a/crates/poplarpaddle/src/fleet.rs
+++ b/crates/poplarpaddle/src/fleet.rs
@@ -152,6 +152,8 @@
     routes: Routes,
     general: General,
     letters: Letters,
+    /// Topics whose last call to the store failed.
+    lost: [bool; 2],
     /// Revisions of unreadable registrations that were reported.
     reported: Map<String, u64>,
     /// Members of the own zone as the feed was told last, and the revision of the membership then.
@@ -173,6 +175,7 @@
             routes: Routes::default(),
             general: General::default(),
             letters: Letters::default(),
+            lost: [false; 2],
             reported: map::seeded(0),
             revision: 0,
             actions: Vec::new(),
@@ -254,13 +257,14 @@
 
     /// Takes the answer of the store to a call about `topic`.
     pub fn answered(&mut self, now: Time, topic: Topic, reading: Result<Reading>) {
-        let outcome = match reading.and_then(|reading| self.take(now, topic, reading)) {
-            Ok(outcome) => outcome,
-            Err(error) => {
-                self.event(now, "store.failed", &topic.to_string(), error.to_string());
-                feed::Outcome::Failed
-            }
-        };
+        let outcome = reading.and_then(|reading| self.take(now, topic, reading));
+        let was_lost = std::mem::replace(&mut self.lost[topic as usize], outcome.is_err());
+        match &outcome {
+            Err(error) if !was_lost => self.event(now, "store.lost", &topic.to_string(), error.to_string()),
+            Ok(_) if was_lost => self.event(now, "store.regained", &topic.to_string(), String::new()),
+            _ => {}
+        }
+        let outcome = outcome.unwrap_or(feed::Outcome::Failed);
         self.feed.answered(now, topic, outcome);
         self.settle(now);
     }
--- a/crates/poplarpaddle/src/fleet/intake.rs
+++ b/crates/poplarpaddle/src/fleet/intake.rs
@@ -89,8 +89,11 @@
             let text = format!("version {} of the configuration is below {}", general.version, self.general.version);
             return Err(stale(text));
         }
+        let to = delta.to;
         let changed = self.routes.merge(delta)?;
         if general != self.general {
+            // Followers compare revisions, so a new version has to count as a change even if every route is as before.
+            self.routes.touch(to);
             self.general = general;
             let detail = format!("revision {}, {} routes changed", self.routes.revision(), changed.len());
             self.event(now, "config.applied", &general.version.to_string(), detail);
--- a/crates/poplarpaddle/src/ledger.rs
+++ b/crates/poplarpaddle/src/ledger.rs
@@ -128,6 +128,11 @@
         self.entries.iter().map(|(key, entry)| (key, &entry.value))
     }
 
+    /// Counts a change that is kept beside the values, at `revision`.
+    pub fn touch(&mut self, revision: u64) {
+        self.revision = self.revision.max(revision);
+    }
+
     /// Moves the state forward and returns the keys that changed, sorted. An older delta changes nothing.
     ///
     /// # Errors
--- /dev/null
+++ b/crates/poplarpaddle/tests/fleet/main.rs
@@ -0,0 +1,7 @@
+//! Tests of nodes that read hosts and routes from a store and tell each other.
+#![allow(missing_docs, clippy::pedantic, reason = "tests name their failures in their names and comments")]
+
+mod ledger;
+mod random;
+mod spread;
+mod world;
