--- /dev/null
+++ b/crates/poplarpaddle-standins/src/bin/standin-site.rs
@@ -0,0 +1,71 @@
+//! Store, routers, hosts and consumers of the operators' platform around balancers that run already.
+
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+use std::process::ExitCode;
+use std::time::Duration;
+
+use eyre::{Result, bail};
+use poplarpaddle_standins::args::{Flag, Options, flag};
+use poplarpaddle_standins::site::router::Hash;
+use poplarpaddle_standins::site::store::Mood;
+use poplarpaddle_standins::site::{Fault, FaultKind, Plan, run};
+
+const FLAGS: &[Flag] = &[
+    flag("balancers", "N: balancers at 127.1.0.1 and up"),
+    flag("base-port", "PORT: packets; readiness at the next port, the store at the one after it"),
+    flag("rate", "N: requests a second (200)"),
+    flag("duration-ms", "MS: traffic (8000)"),
+    flag("hash", "steady or mod (steady)"),
+    flag("seed", "N: seed of random choices (1)"),
+    flag("fault", "KIND:AT_MS:FOR_MS: busy, throttle, silent, slow, lost, compact, crash, drain or configure"),
+];
+
+#[tokio::main(flavor = "current_thread")]
+async fn main() -> Result<ExitCode> {
+    let Some(options) = Options::from_env("standin-site", FLAGS)? else { return Ok(ExitCode::SUCCESS) };
+    let base: u16 = options.required("base-port")?;
+    let count: u8 = options.required("balancers")?;
+    let balancer = |number: u8| {
+        let ip = Ipv4Addr::new(127, 1, 0, number);
+        (SocketAddrV4::new(ip, base), SocketAddr::from((ip, base + 1)))
+    };
+    let hash = match options.value("hash", "steady".to_owned())?.as_str() {
+        "steady" => Hash::Steady,
+        "mod" => Hash::Mod,
+        other => bail!("--hash {other:?} is not steady or mod"),
+    };
+    let faults = options.all::<String>("fault")?.iter().map(|text| fault(text)).collect::<Result<_>>()?;
+    let plan = Plan {
+        store: SocketAddr::from((Ipv4Addr::LOCALHOST, base + 2)),
+        balancers: (1..=count).map(balancer).collect(),
+        zones: ["kitami", "abashiri", "monbetsu"].map(str::to_owned).to_vec(),
+        hosts: [9, 3],
+        rate: options.value("rate", 200.0)?,
+        duration: Duration::from_millis(options.value("duration-ms", 8000)?),
+        hash,
+        seed: options.value("seed", 1)?,
+        faults,
+    };
+    let report = run(plan).await?;
+    println!("{}", serde_json::to_string(&report)?);
+    Ok(if report.is_clean() && report.answered > 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+}
+
+/// Reads `KIND:AT_MS:FOR_MS`.
+fn fault(text: &str) -> Result<Fault> {
+    let parts: Vec<&str> = text.split(':').collect();
+    let [kind, at, lasts] = parts[..] else { bail!("--fault {text:?} is not KIND:AT_MS:FOR_MS") };
+    let kind = match kind {
+        "busy" => FaultKind::Mood(Mood::Busy),
+        "throttle" => FaultKind::Mood(Mood::Throttling),
+        "silent" => FaultKind::Mood(Mood::Silent),
+        "slow" => FaultKind::Mood(Mood::Slow(Duration::from_millis(240))),
+        "lost" => FaultKind::Mood(Mood::LosingAnswers),
+        "compact" => FaultKind::Compact,
+        "crash" => FaultKind::Crash,
+        "drain" => FaultKind::Drain,
+        "configure" => FaultKind::Configure,
+        _ => bail!("--fault {text:?}: kind {kind:?} is unknown"),
+    };
+    Ok(Fault { kind, at: Duration::from_millis(at.parse()?), lasts: Duration::from_millis(lasts.parse()?) })
+}
--- a/crates/poplarpaddle-standins/src/lib.rs
+++ b/crates/poplarpaddle-standins/src/lib.rs
@@ -29,5 +29,6 @@
 pub mod platform;
 pub mod protocol;
 pub mod record;
+pub mod site;
 pub mod stack;
 pub mod target;
--- /dev/null
+++ b/crates/poplarpaddle-standins/src/site/store.rs
@@ -0,0 +1,357 @@
+//! The platform's metadata store: lists, watches, conditional writes, and its faults.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use axum::extract::{Path, Query, State};
+use axum::http::StatusCode;
+use axum::response::{IntoResponse, Response};
+use axum::routing::get;
+use axum::{Json, Router};
+use serde::{Deserialize, Serialize};
+use serde_json::{Value, json};
+use tokio::sync::watch;
+
+/// Objects on one page.
+const PAGE: usize = 50;
+
+/// Longest wait of a watch.
+const MAX_WAIT: Duration = Duration::from_secs(30);
+
+/// How the store treats calls.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum Mood {
+    /// As it should.
+    #[default]
+    Well,
+    /// Answers 503 and does nothing.
+    Busy,
+    /// Answers 429 and does nothing.
+    Throttling,
+    /// Answers nothing.
+    Silent,
+    /// Answers after this time.
+    Slow(Duration),
+    /// Does writes and does not answer them.
+    LosingAnswers,
+}
+
+/// What the store says of an object.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Meta {
+    /// Name, unique within the kind.
+    pub name: String,
+    /// Revision of the last change.
+    #[serde(default)]
+    pub revision: u64,
+    /// Revision at which it was created.
+    #[serde(default)]
+    pub created: u64,
+    /// Names that hold up its removal.
+    #[serde(default)]
+    pub finalizers: Vec<String>,
+    /// True once it was deleted while finalizers are left.
+    #[serde(default)]
+    pub deleting: bool,
+}
+
+/// An object.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Object {
+    /// What the store says of it.
+    pub meta: Meta,
+    /// What its owner says.
+    #[serde(default)]
+    pub spec: Value,
+    /// What others say of it.
+    #[serde(default)]
+    pub status: Value,
+}
+
+#[derive(Debug, Clone)]
+struct Change {
+    kind: String,
+    object: Object,
+    deleted: bool,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    revision: u64,
+    objects: BTreeMap<(String, String), Object>,
+    changes: Vec<(u64, Change)>,
+    /// Changes up to this revision are forgotten.
+    floor: u64,
+    mood: Mood,
+    calls: u64,
+    refused: u64,
+    second: Option<(Instant, u64)>,
+}
+
+/// The store.
+#[derive(Debug, Clone)]
+pub struct Store {
+    inner: Arc<Mutex<Inner>>,
+    revision: watch::Sender<u64>,
+    reads_per_s: u64,
+}
+
+/// Query of a call.
+#[derive(Debug, Default, Deserialize)]
+struct Options {
+    after: Option<String>,
+    watch: Option<u64>,
+    wait_ms: Option<u64>,
+    revision: Option<u64>,
+}
+
+impl Store {
+    /// Returns an empty store that takes so many calls a second.
+    #[must_use]
+    pub fn new(reads_per_s: u64) -> Self {
+        let inner = Inner { revision: 100, floor: 100, ..Default::default() };
+        Self { inner: Arc::new(Mutex::new(inner)), revision: watch::Sender::new(100), reads_per_s }
+    }
+
+    /// Sets how calls are treated from now on.
+    pub fn set_mood(&self, mood: Mood) {
+        self.lock().mood = mood;
+    }
+
+    /// Forgets the history and cuts waiting watches, which end with status 410.
+    pub fn compact(&self) {
+        let mut inner = self.lock();
+        inner.revision += 1;
+        inner.floor = inner.revision;
+        inner.changes.clear();
+        let revision = inner.revision;
+        drop(inner);
+        self.revision.send_replace(revision);
+    }
+
+    /// Returns the calls so far, and how many of them were refused.
+    #[must_use]
+    pub fn calls(&self) -> (u64, u64) {
+        let inner = self.lock();
+        (inner.calls, inner.refused)
+    }
+
+    /// Writes an object without a condition, as the operator and the hosts do.
+    pub fn set(&self, kind: &str, name: &str, spec: Value) {
+        let mut inner = self.lock();
+        let key = (kind.to_owned(), name.to_owned());
+        let before = inner.objects.get(&key).cloned();
+        if before.as_ref().is_some_and(|object| object.spec == spec) {
+            return;
+        }
+        inner.revision += 1;
+        let revision = inner.revision;
+        let created = before.as_ref().map_or(revision, |object| object.meta.created);
+        let meta = Meta { name: name.to_owned(), revision, created, finalizers: Vec::new(), deleting: false };
+        let status = before.map_or(Value::Null, |object| object.status);
+        self.apply(inner, kind, Object { meta, spec, status }, false);
+    }
+
+    /// Removes an object.
+    pub fn remove(&self, kind: &str, name: &str) {
+        let mut inner = self.lock();
+        let Some(object) = inner.objects.get(&(kind.to_owned(), name.to_owned())).cloned() else { return };
+        inner.revision += 1;
+        self.apply(inner, kind, object, true);
+    }
+
+    /// Returns the server of the store.
+    pub fn router(&self) -> Router {
+        Router::new()
+            .route("/poplarpaddle/objects/{kind}", get(list).post(create))
+            .route("/poplarpaddle/objects/{kind}/{name}", get(read).put(replace).delete(delete))
+            .with_state(self.clone())
+    }
+
+    fn apply(&self, mut inner: MutexGuard<'_, Inner>, kind: &str, object: Object, deleted: bool) {
+        let revision = inner.revision;
+        let key = (kind.to_owned(), object.meta.name.clone());
+        if deleted {
+            inner.objects.remove(&key);
+        } else {
+            inner.objects.insert(key, object.clone());
+        }
+        inner.changes.push((revision, Change { kind: kind.to_owned(), object, deleted }));
+        drop(inner);
+        self.revision.send_replace(revision);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Counts a call; an answer ends it at once.
+    async fn admit(&self) -> Option<Response> {
+        let mood = {
+            let mut inner = self.lock();
+            inner.calls += 1;
+            let now = Instant::now();
+            let (start, count) = inner
+                .second
+                .filter(|(start, _)| now.duration_since(*start) < Duration::from_secs(1))
+                .unwrap_or((now, 0));
+            inner.second = Some((start, count + 1));
+            let mood = if count >= self.reads_per_s { Mood::Throttling } else { inner.mood };
+            inner.refused += u64::from(matches!(mood, Mood::Busy | Mood::Throttling));
+            mood
+        };
+        match mood {
+            Mood::Well | Mood::LosingAnswers => None,
+            Mood::Busy => Some(StatusCode::SERVICE_UNAVAILABLE.into_response()),
+            Mood::Throttling => Some(StatusCode::TOO_MANY_REQUESTS.into_response()),
+            Mood::Silent => std::future::pending().await,
+            Mood::Slow(time) => {
+                tokio::time::sleep(time).await;
+                None
+            }
+        }
+    }
+
+    /// Ends a write: its answer may be lost.
+    async fn answer(&self, response: Response) -> Response {
+        let lost = self.lock().mood == Mood::LosingAnswers;
+        if lost {
+            return std::future::pending().await;
+        }
+        response
+    }
+
+    fn events(&self, kind: &str, since: u64) -> Option<(Vec<Value>, u64)> {
+        let inner = self.lock();
+        if since < inner.floor {
+            return None;
+        }
+        let new = inner.changes.iter().filter(|(revision, change)| *revision > since && change.kind == kind);
+        let events = new.map(|(_, change)| json!({"object": change.object, "deleted": change.deleted})).collect();
+        Some((events, inner.revision))
+    }
+}
+
+async fn list(State(store): State<Store>, Path(kind): Path<String>, Query(options): Query<Options>) -> Response {
+    if let Some(answer) = store.admit().await {
+        return answer;
+    }
+    if let Some(since) = options.watch {
+        let wait = Duration::from_millis(options.wait_ms.unwrap_or_default()).min(MAX_WAIT);
+        return watch_kind(&store, &kind, since, wait).await;
+    }
+    let inner = store.lock();
+    let after = options.after.unwrap_or_default();
+    let of_kind = inner.objects.iter().filter(|((of, name), _)| *of == kind && *name > after);
+    let mut items: Vec<&Object> = of_kind.map(|(_, object)| object).take(PAGE + 1).collect();
+    let has_more = items.len() > PAGE;
+    items.truncate(PAGE);
+    Json(json!({"items": items, "has_more": has_more, "as_of": inner.revision})).into_response()
+}
+
+async fn watch_kind(store: &Store, kind: &str, since: u64, wait: Duration) -> Response {
+    let mut revision = store.revision.subscribe();
+    let end = tokio::time::Instant::now() + wait;
+    loop {
+        revision.mark_unchanged();
+        let Some((events, as_of)) = store.events(kind, since) else {
+            return StatusCode::GONE.into_response();
+        };
+        let ended = tokio::time::Instant::now() >= end;
+        if !events.is_empty() || ended {
+            return Json(json!({"events": events, "as_of": as_of})).into_response();
+        }
+        drop(tokio::time::timeout_at(end, revision.changed()).await);
+        if store.lock().mood == Mood::Silent {
+            return std::future::pending().await;
+        }
+    }
+}
+
+async fn read(State(store): State<Store>, Path((kind, name)): Path<(String, String)>) -> Response {
+    if let Some(answer) = store.admit().await {
+        return answer;
+    }
+    let inner = store.lock();
+    let object = inner.objects.get(&(kind, name));
+    object.map_or_else(|| StatusCode::NOT_FOUND.into_response(), |object| Json(object).into_response())
+}
+
+async fn create(State(store): State<Store>, Path(kind): Path<String>, Json(mut object): Json<Object>) -> Response {
+    if let Some(answer) = store.admit().await {
+        return answer;
+    }
+    let response = {
+        let mut inner = store.lock();
+        if let Some(known) = inner.objects.get(&(kind.clone(), object.meta.name.clone())) {
+            (StatusCode::CONFLICT, Json(known.clone())).into_response()
+        } else {
+            inner.revision += 1;
+            object.meta.revision = inner.revision;
+            object.meta.created = inner.revision;
+            store.apply(inner, &kind, object.clone(), false);
+            Json(object).into_response()
+        }
+    };
+    store.answer(response).await
+}
+
+async fn replace(
+    State(store): State<Store>,
+    Path((kind, name)): Path<(String, String)>,
+    Json(object): Json<Object>,
+) -> Response {
+    if let Some(answer) = store.admit().await {
+        return answer;
+    }
+    let response = {
+        let mut inner = store.lock();
+        match inner.objects.get(&(kind.clone(), name)).cloned() {
+            None => StatusCode::NOT_FOUND.into_response(),
+            Some(known) if object.meta.revision != 0 && object.meta.revision != known.meta.revision => {
+                (StatusCode::CONFLICT, Json(known)).into_response()
+            }
+            Some(known) if known.spec == object.spec && known.meta.finalizers == object.meta.finalizers => {
+                Json(known).into_response()
+            }
+            Some(mut known) => {
+                inner.revision += 1;
+                known.meta.revision = inner.revision;
+                known.meta.finalizers = object.meta.finalizers;
+                known.spec = object.spec;
+                store.apply(inner, &kind, known.clone(), false);
+                Json(known).into_response()
+            }
+        }
+    };
+    store.answer(response).await
+}
+
+async fn delete(
+    State(store): State<Store>,
+    Path((kind, name)): Path<(String, String)>,
+    Query(options): Query<Options>,
+) -> Response {
+    if let Some(answer) = store.admit().await {
+        return answer;
+    }
+    let response = {
+        let mut inner = store.lock();
+        match inner.objects.get(&(kind.clone(), name)).cloned() {
+            None => StatusCode::NOT_FOUND.into_response(),
+            Some(known) if options.revision.is_some_and(|revision| revision != known.meta.revision) => {
+                (StatusCode::CONFLICT, Json(known)).into_response()
+            }
+            Some(mut known) => {
+                inner.revision += 1;
+                let deleted = known.meta.finalizers.is_empty();
+                known.meta.revision = inner.revision;
+                known.meta.deleting = true;
+                store.apply(inner, &kind, known.clone(), deleted);
+                Json(known).into_response()
+            }
+        }
+    };
+    store.answer(response).await
+}
--- /dev/null
+++ b/crates/poplarpaddle-standins/tests/site.rs
@@ -0,0 +1,193 @@
+//! Guards against a stand-in of the operators' platform that forgives what the platform would not.
+#![allow(missing_docs, clippy::pedantic, reason = "tests name their failures in their names and comments")]
+
+use std::net::SocketAddrV4;
+use std::time::{Duration, Instant};
+
+use poplarpaddle_standins::site::consumer::{End, Try};
+use poplarpaddle_standins::site::host::{Host, Output};
+use poplarpaddle_standins::site::packet::Packet;
+use poplarpaddle_standins::site::router::{Balancer, Hash, choose};
+use poplarpaddle_standins::site::store::{Mood, Store};
+use serde_json::{Value, json};
+
+fn consumer(port: u16) -> SocketAddrV4 {
+    SocketAddrV4::new([127, 64, 0, 1].into(), port)
+}
+
+fn route() -> SocketAddrV4 {
+    "198.18.0.1:443".parse().unwrap()
+}
+
+fn addressed(id: u64, bytes: &[u8]) -> Vec<u8> {
+    [&id.to_be_bytes()[..], bytes].concat()
+}
+
+/// Plays one request against a host whose datagrams pass through `change`.
+fn play(host: &mut Host, change: impl Fn(Vec<u8>) -> Vec<u8>) -> (Option<End>, Output) {
+    let mut now = Instant::now();
+    let (mut request, opening) = Try::start(now, consumer(2000), route(), 42);
+    let mut to_host = vec![opening];
+    let mut seen = Output::default();
+    for _ in 0..400 {
+        let mut output = Output::default();
+        for bytes in to_host.drain(..) {
+            host.datagram(now, &addressed(host.id, &change(bytes)), &mut output);
+        }
+        host.tick(now, &mut output);
+        seen.started.extend(&output.started);
+        seen.altered += output.altered;
+        for (_, bytes) in output.packets {
+            if let Some(end) = request.datagram(now, &bytes, &mut to_host) {
+                return (Some(end), seen);
+            }
+        }
+        now += Duration::from_millis(5);
+        if let Some(end) = request.tick(now, &mut to_host) {
+            return (Some(end), seen);
+        }
+    }
+    (None, seen)
+}
+
+#[test]
+fn a_request_is_answered_in_full_and_runs_once() {
+    let mut host = Host::new(7, 3, Duration::from_millis(20), 9000);
+    let (end, seen) = play(&mut host, |bytes| bytes);
+    assert_eq!(end, Some(End::Answered));
+    assert_eq!(seen.started, [(42, route())]);
+}
+
+/// The checksum covers all but the echo: a balancer that changes anything else is found out.
+#[test]
+fn a_changed_packet_is_found_and_a_changed_echo_is_not() {
+    let mut host = Host::new(7, 3, Duration::from_millis(20), 100);
+    let (end, seen) = play(&mut host, |mut bytes| {
+        bytes[4..8].copy_from_slice(&[1, 2, 3, 4]);
+        bytes
+    });
+    assert_eq!((end, seen.altered), (Some(End::Answered), 0));
+    let mut host = Host::new(7, 3, Duration::from_millis(20), 100);
+    let (end, seen) = play(&mut host, |mut bytes| {
+        bytes[16] ^= 1;
+        bytes
+    });
+    assert_eq!(end, Some(End::Unopened));
+    assert!(seen.altered > 0);
+}
+
+#[test]
+fn a_host_that_is_not_meant_stays_silent() {
+    let mut host = Host::new(7, 3, Duration::from_millis(20), 100);
+    let (_, opening) = Try::start(Instant::now(), consumer(2000), route(), 42);
+    let mut output = Output::default();
+    host.datagram(Instant::now(), &addressed(8, &opening), &mut output);
+    assert!(output.packets.is_empty());
+    host.datagram(Instant::now(), &addressed(0, &opening), &mut output);
+    assert_eq!(output.packets.len(), 1);
+}
+
+#[test]
+fn a_packet_of_an_unknown_flow_is_reset() {
+    let mut host = Host::new(7, 3, Duration::from_millis(20), 100);
+    let packet =
+        Packet { source: consumer(1), destination: route(), flags: 4, echo: 0, seq: 1, ack: 2000, data: vec![] };
+    let mut output = Output::default();
+    host.datagram(Instant::now(), &addressed(7, &packet.encode()), &mut output);
+    let (reset, right) = Packet::decode(&output.packets[0].1).unwrap();
+    assert!(right && reset.has(16) && !Packet::is_reset_of_system(&output.packets[0].1));
+}
+
+#[test]
+fn a_reset_of_the_system_ends_a_flow() {
+    let (mut request, _) = Try::start(Instant::now(), consumer(2000), route(), 42);
+    let mut reset = vec![0; 32];
+    reset[8] = 16;
+    assert_eq!(request.datagram(Instant::now(), &reset, &mut Vec::new()), Some(End::Unopened));
+}
+
+#[test]
+fn routers_move_few_flows_when_steady_and_most_when_mod() {
+    let address = |number: u8| SocketAddrV4::new([127, 1, 0, number].into(), 1);
+    let all: Vec<Balancer> = (1..=10).map(|number| Balancer { packets: address(number), misses: 0 }).collect();
+    let mut fewer = all.clone();
+    fewer[3].misses = 2;
+    for (hash, moved_at_most, moved_at_least) in [(Hash::Steady, 150, 50), (Hash::Mod, 1000, 800)] {
+        let moved = (0..1000).filter(|flow| choose(hash, &all, *flow) != choose(hash, &fewer, *flow)).count();
+        assert!((moved_at_least..=moved_at_most).contains(&moved), "{hash:?} moved {moved}");
+    }
+    let mut most_out = all.clone();
+    most_out[..6].iter_mut().for_each(|balancer| balancer.misses = 2);
+    let used: std::collections::BTreeSet<_> = (0..1000).filter_map(|flow| choose(Hash::Mod, &most_out, flow)).collect();
+    assert_eq!(used.len(), 10, "with fewer than half in rotation all are used");
+}
+
+async fn serve(store: &Store) -> String {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let router = store.router();
+    tokio::spawn(async move { axum::serve(listener, router).await });
+    format!("http://{address}/poplarpaddle/objects")
+}
+
+async fn get(url: &str) -> (u16, Value) {
+    let answer = reqwest::get(url).await.unwrap();
+    (answer.status().as_u16(), answer.json().await.unwrap_or(Value::Null))
+}
+
+#[tokio::test]
+async fn lists_come_in_pages_and_watches_continue_them() {
+    let store = Store::new(10_000);
+    for number in 0..120 {
+        store.set("servers", &format!("i-{number:03}"), json!({"number": number}));
+    }
+    let url = serve(&store).await;
+    let (_, first) = get(&format!("{url}/servers")).await;
+    assert_eq!((first["items"].as_array().unwrap().len(), &first["has_more"]), (50, &json!(true)));
+    let (_, last) = get(&format!("{url}/servers?after=i-099")).await;
+    assert_eq!((last["items"].as_array().unwrap().len(), &last["has_more"]), (20, &json!(false)));
+    let as_of = last["as_of"].as_u64().unwrap();
+    store.set("servers", "i-000", json!({"number": 0}));
+    let (_, same) = get(&format!("{url}/servers?watch={as_of}&wait_ms=20")).await;
+    assert_eq!(same["events"], json!([]), "a write that changes nothing is no event");
+    store.remove("servers", "i-000");
+    let (_, events) = get(&format!("{url}/servers?watch={as_of}&wait_ms=20")).await;
+    assert_eq!(
+        (&events["events"][0]["deleted"], &events["events"][0]["object"]["meta"]["name"]),
+        (&json!(true), &json!("i-000"))
+    );
+    store.compact();
+    assert_eq!(get(&format!("{url}/servers?watch={as_of}&wait_ms=20")).await.0, 410);
+}
+
+#[tokio::test]
+async fn writes_are_conditional_and_their_answers_can_be_lost() {
+    let store = Store::new(10_000);
+    let url = serve(&store).await;
+    let client = reqwest::Client::new();
+    let object = json!({"meta": {"name": "one"}, "spec": 1});
+    let created: Value = client.post(format!("{url}/own")).json(&object).send().await.unwrap().json().await.unwrap();
+    let revision = created["meta"]["revision"].as_u64().unwrap();
+    assert_eq!(client.post(format!("{url}/own")).json(&object).send().await.unwrap().status(), 409);
+    let stale = json!({"meta": {"name": "one", "revision": revision + 5}, "spec": 2});
+    assert_eq!(client.put(format!("{url}/own/one")).json(&stale).send().await.unwrap().status(), 409);
+    store.set_mood(Mood::LosingAnswers);
+    let write = json!({"meta": {"name": "one", "revision": revision}, "spec": 3});
+    let lost = client.put(format!("{url}/own/one")).json(&write).timeout(Duration::from_millis(100)).send().await;
+    assert!(lost.unwrap_err().is_timeout());
+    store.set_mood(Mood::Well);
+    assert_eq!(get(&format!("{url}/own/one")).await.1["spec"], 3, "the write took effect");
+    store.set_mood(Mood::Busy);
+    assert_eq!(get(&format!("{url}/own/one")).await.0, 503);
+}
+
+#[tokio::test]
+async fn calls_beyond_the_rate_are_refused() {
+    let store = Store::new(5);
+    let url = serve(&store).await;
+    let mut refused = 0;
+    for _ in 0..8 {
+        refused += u32::from(get(&format!("{url}/servers")).await.0 == 429);
+    }
+    assert_eq!((refused, store.calls()), (3, (8, 3)));
+}
--- a/crates/poplarpaddle/tests/fleet/world.rs
+++ b/crates/poplarpaddle/tests/fleet/world.rs
@@ -54,13 +54,15 @@
     revision: u64,
 }
 
+type Routes = Vec<(Address, Route)>;
+
 /// The operators' store.
 #[derive(Debug, Default)]
 pub struct Store {
     pub revision: u64,
     hosts: BTreeMap<String, (Host, u64)>,
     gone: BTreeMap<String, u64>,
-    config: Option<(General, Vec<(Address, Route)>, u64)>,
+    config: Option<(General, Routes, u64)>,
     /// History before this revision is gone.
     floor: u64,
 }
@@ -301,7 +303,9 @@
                 }
                 self.act(index);
             }
-            Event::Store { node, life, topic, reading } => self.with(node, life, |node| node.answered(now, topic, reading)),
+            Event::Store { node, life, topic, reading } => {
+                self.with(node, life, |node| node.answered(now, topic, reading))
+            }
             Event::WatchEnd { node, life, call } => {
                 let open = self.places[node].path == Path::Open;
                 if let Some(position) = self.watches.iter().position(|watch| watch.call == call && open) {
--- a/scripts/local.sh
+++ b/scripts/local.sh
@@ -6,7 +6,14 @@
 # Logs and records are in a temporary folder, which is kept on failure or with --keep.
 set -euo pipefail
 
+# The same on a stand-in of the operators' platform, by a script of its own.
+if [[ ${1:-} == --platform ]]; then
+    shift
+    exec "$(dirname "${BASH_SOURCE[0]}")/platform.sh" "$@"
+fi
+
 usage() {
+    echo "usage: $0 --platform [FLAGS OF platform.sh]"
     echo "usage: $0 [--seed N] [--base-port PORT] [--duration-ms MS] [--keep] [--no-build]"
     echo "          [--balancer PROGRAM] [--ctl PROGRAM]"
 }
