--- a/crates/poplarpaddle-cli/src/arguments.rs
+++ b/crates/poplarpaddle-cli/src/arguments.rs
@@ -62,6 +62,13 @@
         /// Balancers that are asked directly.
         balancers: Vec<SocketAddr>,
     },
+    /// Shows what balancers decided about a flow.
+    Explain {
+        /// Part of the flow's name.
+        flow: String,
+        /// Log files.
+        files: Vec<PathBuf>,
+    },
     /// Merges the events of processes.
     Timeline {
         /// Processes that are asked.
@@ -110,12 +117,24 @@
     /// `timeline`.
     #[display("timeline")]
     Timeline,
+    /// `explain`.
+    #[display("explain")]
+    Explain,
 }
 
 impl Topic {
     /// Every command in the order of the help.
-    pub const ALL: [Self; 8] =
-        [Self::Check, Self::Diff, Self::Put, Self::Get, Self::Delete, Self::Publish, Self::Status, Self::Timeline];
+    pub const ALL: [Self; 9] = [
+        Self::Check,
+        Self::Diff,
+        Self::Put,
+        Self::Get,
+        Self::Delete,
+        Self::Publish,
+        Self::Status,
+        Self::Timeline,
+        Self::Explain,
+    ];
 
     /// Returns the options that the command takes, without `--help` and `--version`.
     #[must_use]
@@ -127,6 +146,7 @@
             Self::Publish => &["from", "prune", "store", "fleet"],
             Self::Status => &["json", "balancers", "store", "fleet"],
             Self::Timeline => &["from", "format", "store", "fleet"],
+            Self::Explain => &[],
         }
     }
 }
@@ -235,9 +255,10 @@
         match self.options.iter().find(|given| !allowed.contains(&given.name.as_str())) {
             None => Ok(()),
             Some(given) => {
-                let list: Vec<String> = allowed.iter().map(|name| format!("--{name}")).collect();
+                let common = ["help", "version"].iter();
+                let list: Vec<String> = allowed.iter().chain(common).map(|name| format!("--{name}")).collect();
                 let list = list.join(", ");
-                Err(fault(format!("option --{} is unknown to {topic}, allowed: {list}, --help, --version", given.name)))
+                Err(fault(format!("option --{} is unknown to {topic}, allowed: {list}", given.name)))
             }
         }
     }
@@ -295,6 +316,14 @@
                 })?;
                 Action::Timeline { from: addresses("--from", "http://", &list)?, format: self.format()? }
             }
+            Topic::Explain => {
+                let flow = self.values.pop_front().ok_or_else(|| fault("explain: FLOW is missing".to_owned()))?;
+                let files: Vec<PathBuf> = self.values.drain(..).map(PathBuf::from).collect();
+                if files.is_empty() {
+                    return Err(fault("explain: FILE is missing, allowed: one or more log files".to_owned()));
+                }
+                Action::Explain { flow: text("FLOW", flow)?, files }
+            }
         };
         Ok(action)
     }
--- /dev/null
+++ b/crates/poplarpaddle-cli/src/explain.rs
@@ -0,0 +1,116 @@
+//! The command `explain`: what balancers decided about a flow, and what they believed then.
+//!
+//! ```
+//! use poplarpaddle_cli::explain::{Log, explain};
+//!
+//! let text = r#"{"time":5,"msg":"decision","process":"e1","flow":"100.64.0.7:1024>198.18.0.1:443","verdict":"placed"}"#;
+//! let found = explain("100.64.0.7:1024", &[Log { place: "e1.jsonl", text }]);
+//! assert_eq!(found.len(), 1);
+//! ```
+//!
+//! Logs are searched as they are: lines that are no JSON objects are passed over and counted, since a process that was
+//! killed may leave half a line.
+
+use std::collections::BTreeSet;
+use std::path::PathBuf;
+
+use poplarpaddle::error::{Error, Kind, Result};
+use serde_json::Value;
+
+use crate::console::Console;
+
+/// Time around a decision in which beliefs are shown, in nanoseconds.
+const WINDOW: u64 = 5_000_000_000;
+
+/// Beliefs that bear on every flow of a process, whatever its host.
+const GENERAL: [&str; 6] =
+    ["zone.lost", "zone.regained", "config.applied", "store.lost", "store.regained", "member.paused"];
+
+/// Lines of one log file.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Log<'a> {
+    /// Where the lines come from.
+    pub place: &'a str,
+    /// The lines.
+    pub text: &'a str,
+}
+
+/// A line of a log.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Line {
+    /// Time in nanoseconds since the epoch.
+    pub time: u64,
+    /// Name of the process.
+    pub process: String,
+    /// All fields.
+    pub fields: Value,
+}
+
+pub(crate) fn run(flow: &str, files: &[PathBuf], console: &mut Console<'_>) -> Result<()> {
+    let mut texts = Vec::new();
+    for file in files {
+        let place = file.display().to_string();
+        let bytes =
+            std::fs::read(file).map_err(|error| Error::new(Kind::Io, format!("cannot read log {place}: {error}")))?;
+        texts.push((place, String::from_utf8_lossy(&bytes).into_owned()));
+    }
+    let logs: Vec<Log<'_>> = texts.iter().map(|(place, text)| Log { place, text }).collect();
+    let lines = explain(flow, &logs);
+    if lines.is_empty() {
+        let text = format!("no decision about a flow with {flow:?} in {} files; see `decisions left out`", files.len());
+        return Err(Error::new(Kind::Missing, text));
+    }
+    let text: String = lines.iter().map(render).collect();
+    console.print(&text)
+}
+
+/// Returns the decisions about flows whose name contains `flow`, and the beliefs of the same processes about the hosts in
+/// them and about everything around that time, in the order of time.
+#[must_use]
+pub fn explain(flow: &str, logs: &[Log<'_>]) -> Vec<Line> {
+    let lines: Vec<Line> = logs.iter().flat_map(|log| log.text.lines()).filter_map(parse).collect();
+    let decisions: Vec<&Line> = lines.iter().filter(|line| is_about(line, flow)).collect();
+    let hosts: BTreeSet<&str> = decisions.iter().filter_map(|line| line.fields["host"].as_str()).collect();
+    let bears = |line: &&Line| {
+        let near = decisions.iter().any(|of| of.process == line.process && of.time.abs_diff(line.time) <= WINDOW);
+        is_about(line, flow) || (near && concerns(line, &hosts))
+    };
+    let mut found: Vec<Line> = lines.iter().filter(bears).cloned().collect();
+    found.sort_by(|one, other| (one.time, &one.process).cmp(&(other.time, &other.process)));
+    found
+}
+
+fn parse(line: &str) -> Option<Line> {
+    // A bench or a supervisor may put its own time and name before the object.
+    let start = line.find('{')?;
+    let fields: Value = serde_json::from_str(&line[start..]).ok()?;
+    let time = fields["time"].as_u64()?;
+    let process = fields["process"].as_str()?.to_owned();
+    Some(Line { time, process, fields })
+}
+
+fn is_about(line: &Line, flow: &str) -> bool {
+    line.fields["msg"] == "decision" && line.fields["flow"].as_str().is_some_and(|name| name.contains(flow))
+}
+
+/// Returns true for a belief about one of the hosts, or about everything.
+fn concerns(line: &Line, hosts: &BTreeSet<&str>) -> bool {
+    let event = line.fields["event"].as_str().unwrap_or_default();
+    let text = |field: &str| line.fields[field].as_str().unwrap_or_default();
+    let names_host = hosts.iter().any(|host| text("subject") == *host || text("detail").contains(host));
+    let is_state = ["readiness changed", "started", "leaving", "stopped", "reloaded"].contains(&text("msg"));
+    GENERAL.contains(&event) || is_state || (text("msg") == "belief" && names_host)
+}
+
+fn render(line: &Line) -> String {
+    const NANOS_PER_SECOND: u64 = 1_000_000_000;
+    let shown = |value: &Value| value.as_str().map_or_else(|| value.to_string(), str::to_owned);
+    let skipped = ["time", "process", "msg", "level"];
+    let fields = line.fields.as_object().into_iter().flatten();
+    let fields = fields.filter(|(name, value)| !skipped.contains(&name.as_str()) && !value.is_null());
+    let mut fields: Vec<String> = fields.map(|(name, value)| format!("{name}={}", shown(value))).collect();
+    fields.sort_unstable();
+    let (seconds, rest) = (line.time / NANOS_PER_SECOND, line.time % NANOS_PER_SECOND);
+    let text = format!("{seconds}.{rest:09} {} {} {}", line.process, shown(&line.fields["msg"]), fields.join(" "));
+    text.chars().map(|c| if c.is_control() { ' ' } else { c }).collect::<String>() + "\n"
+}
--- a/crates/poplarpaddle-cli/src/help.rs
+++ b/crates/poplarpaddle-cli/src/help.rs
@@ -136,6 +136,15 @@
 
   --from LIST      processes to ask
   --format FORMAT  text (default), json (JSON lines) or trace (Trace Event Format, for a browser's trace viewer)
+"
+        }
+        Topic::Explain => {
+            "\
+Show what balancers decided about a flow, and what they believed around that time.
+
+usage: poplarctl explain FLOW FILE...
+
+FLOW is a part of the flow's name CALLER>SERVICE, such as the caller's IP:port. FILE is a log of one or more balancers.
 "
         }
     }
--- a/crates/poplarpaddle-cli/src/lib.rs
+++ b/crates/poplarpaddle-cli/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod console;
 mod diff;
 mod edit;
+pub mod explain;
 pub mod files;
 pub mod help;
 mod publish;
@@ -88,6 +89,7 @@
         Action::Delete { kind, name, if_version } => edit::delete(&remote()?, *kind, name, *if_version, console).await,
         Action::Publish { from, prune } => publish::run(&remote()?, fleet()?, from.as_deref(), *prune, console).await,
         Action::Status { json, balancers } => status::run(&remote()?, fleet()?, *json, balancers, console).await,
+        Action::Explain { flow, files } => explain::run(flow, files, console),
         Action::Timeline { from, format } => timeline::run(from, *format, console).await,
     }
 }
--- a/crates/poplarpaddle-cli/tests/commands/main.rs
+++ b/crates/poplarpaddle-cli/tests/commands/main.rs
@@ -2,6 +2,7 @@
 
 mod arguments;
 mod edit;
+mod explain;
 #[path = "../../../poplarpaddle/tests/objects/fake.rs"]
 mod fake;
 mod publish;
