Send an unanswered opening again after one wait each time

Cause: with waits that grew, an opening for a host that had just crashed moved after 90 ms, where the caller copies it after 200 ms. Now it moves after two waits, and a fourth attempt is left for a second dead host.

--- a/crates/poplarpaddle-cli/src/arguments.rs
+++ b/crates/poplarpaddle-cli/src/arguments.rs
@@ -322,7 +322,11 @@
                 if files.is_empty() {
                     return Err(fault("explain: FILE is missing, allowed: one or more log files".to_owned()));
                 }
-                Action::Explain { flow: text("FLOW", flow)?, files }
+                let flow = text("FLOW", flow)?;
+                if flow.is_empty() {
+                    return Err(fault("explain: FLOW is empty, allowed: a part of CALLER>SERVICE".to_owned()));
+                }
+                Action::Explain { flow, files }
             }
         };
         Ok(action)
--- a/crates/poplarpaddle/src/direct/opening.rs
+++ b/crates/poplarpaddle/src/direct/opening.rs
@@ -190,7 +190,7 @@
         entry.busy = true;
         let Some(pending) = entry.pending.as_mut() else { return };
         pending.attempts = pending.attempts.saturating_add(1);
-        pending.due = now + patience * u32::from(pending.attempts);
+        pending.due = now + patience;
         let (due, attempt) = (pending.due, u32::from(pending.attempts));
         self.due.push(Reverse((due, flow)));
         self.send(&hop, &pending.bytes, outlet);
--- a/crates/poplarpaddle/src/direct/settings.rs
+++ b/crates/poplarpaddle/src/direct/settings.rs
@@ -41,7 +41,7 @@
             // A round trip by way of the caller takes 7 to 10 ms; hosts answer the handshake in less than 1 ms.
             answer: (Duration::from_millis(30), Duration::from_millis(150)),
             link: Duration::from_millis(30),
-            attempts: 3,
+            attempts: 4,
             limit: limit::Settings::default(),
             // A whole zone can be lost at once, with a third of the openings of some tenths of a second.
             retry: retry::Settings { percent: 20, reserve: 50, burst: 200, ..retry::Settings::default() },
