Let one member read the store for all that reach one another

Cause: each zone had a reader of its own, and calls led the prices after machines and new flows. The tree of news now spans all members that reach one another; a zone that is cut off sees its own members only and gets a reader of its own.

--- a/crates/poplarpaddle/src/feed.rs
+++ b/crates/poplarpaddle/src/feed.rs
@@ -1,9 +1,10 @@
 //! Which members read the store, and how the others hear of changes.
 //!
-//! Each zone has one reader: the first of its members in the order of their identifiers. It watches the store and tells
-//! the other members of the zone after each answer, along a tree with [`FANOUT`] children a member. The others pull what
-//! they lack from whoever told them. A member that has heard no confirmation of its state for too long reads the store
-//! itself: first the next members in the order, later everyone.
+//! Of the members that reach one another, the first in the order of their identifiers is the reader. It watches the store
+//! and tells the others after each answer, along a tree with [`FANOUT`] children a member. The others pull what they lack
+//! from whoever told them. A member that has heard no confirmation of its state for too long reads the store itself: first
+//! the next members in the order, later everyone. A zone that is cut off soon sees only its own members and so has a
+//! reader of its own.
 //!
 //! ```
 //! use std::time::Duration;
@@ -31,7 +32,7 @@
 use crate::path::MemberId;
 use crate::time::Time;
 
-/// Members that one member tells in the tree of its zone.
+/// Members that one member tells in the tree.
 pub const FANOUT: usize = 8;
 
 /// First pause after a failed call to the store; doubles with each further failure.
@@ -103,7 +104,7 @@
 
     /// Returns the age of the last confirmation from peers at which the member of this rank reads the store itself.
     ///
-    /// The ranks follow one another, so that the failure of a reader does not send its whole zone to the store at once.
+    /// The ranks follow one another, so that the failure of a reader does not send all members to the store at once.
     /// The last value leaves 0.15 of the bound for the calls.
     #[must_use]
     pub fn patience(&self, rank: usize) -> Duration {
@@ -178,8 +179,8 @@
     settings: Settings,
     me: MemberId,
     sources: [Source; 2],
-    /// Members of the own zone that can be reached, this one included, in the order of their identifiers.
-    zone: Vec<MemberId>,
+    /// Members that can be reached, this one included, in the order of their identifiers.
+    members: Vec<MemberId>,
     pull: Option<(MemberId, Time)>,
     /// Root and sender of news that waits for a pull before it is told on.
     pending: Option<MemberId>,
@@ -199,7 +200,7 @@
             failures: 0,
             reread: false,
         };
-        Self { settings, me, sources: [source; 2], zone: Vec::new(), pull: None, pending: None, actions: Vec::new() }
+        Self { settings, me, sources: [source; 2], members: Vec::new(), pull: None, pending: None, actions: Vec::new() }
     }
 
     /// Takes the actions since the last call.
@@ -237,11 +238,11 @@
         now.reached(source.heard + self.settings.patience(self.rank()))
     }
 
-    /// Performs what is due. `zone` holds the members of the own zone that can be reached, in the order of their
-    /// identifiers, this one included.
-    pub fn tick(&mut self, now: Time, zone: &[MemberId]) {
-        if self.zone != zone {
-            self.zone = zone.to_vec();
+    /// Performs what is due. `members` holds the members that can be reached, this one included, in the order of their
+    /// identifiers.
+    pub fn tick(&mut self, now: Time, members: &[MemberId]) {
+        if self.members != members {
+            self.members = members.to_vec();
         }
         self.pull = self.pull.filter(|(_, until)| !now.reached(*until));
         for topic in Topic::ALL {
@@ -335,7 +336,7 @@
     }
 
     fn rank(&self) -> usize {
-        self.zone.iter().position(|id| *id == self.me).unwrap_or(0)
+        self.members.iter().position(|id| *id == self.me).unwrap_or(0)
     }
 
     fn pull(&mut self, now: Time, from: MemberId) {
@@ -369,21 +370,21 @@
     /// Tells the children of this member in the tree of `root`.
     fn tell(&mut self, now: Time, root: MemberId) {
         let news = self.news(now, root);
-        for child in children(&self.zone, root, self.me) {
+        for child in children(&self.members, root, self.me) {
             self.actions.push(Action::Tell(child, news));
         }
     }
 }
 
-/// Returns the children of `me` in the tree over `zone` whose root is `root`. The members follow one another from the
+/// Returns the children of `me` in the tree over `members` whose root is `root`. The members follow one another from the
 /// root on, and the member at position `p` has those from `p * FANOUT + 1` on as children.
-fn children(zone: &[MemberId], root: MemberId, me: MemberId) -> impl Iterator<Item = MemberId> {
-    let count = zone.len();
-    let place = |id: MemberId| zone.iter().position(|member| *member == id);
+fn children(members: &[MemberId], root: MemberId, me: MemberId) -> impl Iterator<Item = MemberId> {
+    let count = members.len();
+    let place = |id: MemberId| members.iter().position(|member| *member == id);
     let start = place(root);
     let own = start.zip(place(me)).map(|(start, me)| (me + count - start) % count);
     let range = own.map_or(0..0, |own| (own * FANOUT + 1).min(count)..(own * FANOUT + 1 + FANOUT).min(count));
-    range.map(move |position| zone[(position + start.unwrap_or(0)) % count])
+    range.map(move |position| members[(position + start.unwrap_or(0)) % count])
 }
 
 /// Returns between three and five quarters of `pause`, which differs between members and from failure to failure, so that
--- a/crates/poplarpaddle/src/fleet.rs
+++ b/crates/poplarpaddle/src/fleet.rs
@@ -156,8 +156,8 @@
     lost: [bool; 2],
     /// Revisions of unreadable registrations that were reported.
     reported: Map<String, u64>,
-    /// Members of the own zone as the feed was told last, and the revision of the membership then.
-    zone: Vec<MemberId>,
+    /// Members that can be reached, in the order of their identifiers, and the revision of the membership then.
+    members: Vec<MemberId>,
     revision: u64,
     actions: Vec<Action>,
 }
@@ -168,7 +168,7 @@
     pub fn new(now: Time, settings: Settings, me: Record) -> Self {
         let feed = Feed::new(settings.feed, me.id);
         Self {
-            zone: vec![me.id],
+            members: vec![me.id],
             membership: Membership::new(now, settings.membership, me),
             feed,
             hosts: Hosts::default(),
@@ -316,10 +316,10 @@
 
     /// Passes on what the parts want to do.
     fn settle(&mut self, now: Time) {
-        self.refresh_zone();
+        self.refresh_members();
         self.hosts.advance(self.feed.as_of(Topic::Hosts));
         self.routes.advance(self.feed.as_of(Topic::Routes));
-        self.feed.tick(now, &self.zone);
+        self.feed.tick(now, &self.members);
         self.send_letters(now);
         for event in self.membership.events() {
             self.actions.push(Action::Event(event));
@@ -344,16 +344,15 @@
         }
     }
 
-    fn refresh_zone(&mut self) {
+    fn refresh_members(&mut self) {
         if self.revision == self.membership.revision() {
             return;
         }
         self.revision = self.membership.revision();
         let me = self.membership.me();
-        let near = |record: &&Record| record.zone == me.zone && record.state == State::Alive;
-        self.zone = self.membership.others().filter(near).map(|record| record.id).collect();
-        self.zone.push(me.id);
-        self.zone.sort_unstable();
+        let alive = self.membership.others().filter(|record| record.state == State::Alive);
+        self.members = alive.map(|record| record.id).chain([me.id]).collect();
+        self.members.sort_unstable();
     }
 
     fn event(&mut self, now: Time, name: &str, subject: &str, detail: String) {
--- a/crates/poplarpaddle/src/wire.rs
+++ b/crates/poplarpaddle/src/wire.rs
@@ -134,7 +134,7 @@
     Ask(Gossip),
     /// The answer.
     Answer(Gossip),
-    /// Positions that are told along the tree of a zone.
+    /// Positions that are told along the tree of members.
     Tell(MemberId),
     /// Asks for a [`Body::Pong`], to find out whether a zone can be reached.
     Ping(MemberId),
