--- a/crates/poplarpaddle-balancer/src/direct/telemetry.rs
+++ b/crates/poplarpaddle-balancer/src/direct/telemetry.rs
@@ -13,8 +13,15 @@
 const BOUNDS_MS: [f64; 9] = [1.0, 5.0, 10.0, 20.0, 50.0, 100.0, 500.0, 1000.0, 5000.0];
 
 /// Verdicts with a counter.
-const VERDICTS: [Verdict; 6] =
-    [Verdict::Placed, Verdict::Repeated, Verdict::Moved, Verdict::Refused, Verdict::Reset, Verdict::Dropped];
+const VERDICTS: [Verdict; 7] = [
+    Verdict::Queued,
+    Verdict::Placed,
+    Verdict::Repeated,
+    Verdict::Moved,
+    Verdict::Refused,
+    Verdict::Reset,
+    Verdict::Dropped,
+];
 
 /// Latest figures.
 #[derive(Debug, Clone, Copy, Default)]
--- a/crates/poplarpaddle/src/direct.rs
+++ b/crates/poplarpaddle/src/direct.rs
@@ -31,6 +31,7 @@
 mod link;
 mod opening;
 mod place;
+mod queue;
 mod route;
 mod settings;
 
@@ -94,6 +95,9 @@
 /// What is done with a flow.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, derive_more::Display)]
 pub enum Verdict {
+    /// The opening waits for room at the hosts.
+    #[display("queued")]
+    Queued,
     /// The opening goes to a host for the first time.
     #[display("placed")]
     Placed,
--- a/crates/poplarpaddle/src/direct/engine.rs
+++ b/crates/poplarpaddle/src/direct/engine.rs
@@ -9,6 +9,7 @@
 use super::hold::Hold;
 use super::link::{Change, Link};
 use super::opening::Pending;
+use super::queue::Queue;
 use super::{Counters, Decision, Hop, Outlet, Reason, Settings, Verdict, host, route};
 use crate::limit::Limit;
 use crate::map::{self, Map};
@@ -50,6 +51,9 @@
     pub(super) counters: Counters,
     next_sweep: Time,
     held: Hold,
+    pub(super) queue: Queue,
+    /// Work ended since the queue was looked through.
+    room: bool,
 }
 
 impl Engine {
@@ -67,6 +71,8 @@
             counters: Counters::default(),
             next_sweep: Time::NEVER,
             held: Hold::default(),
+            queue: Queue::new(settings.seed),
+            room: false,
             settings,
         }
     }
@@ -132,6 +138,7 @@
             Kind::Accept => self.drop(packet.flow, Reason::NotFromCaller, None, outlet),
             Kind::Data | Kind::Closing | Kind::Reset => self.established(now, mark, packet, outlet),
         }
+        self.use_room(now, outlet);
     }
 
     /// Performs what is due.
@@ -142,6 +149,8 @@
         }
         self.tick_links(now, outlet);
         self.tick_openings(now, outlet);
+        self.tick_queue(now, outlet);
+        self.use_room(now, outlet);
         if now.reached(self.next_sweep) {
             self.next_sweep = now + SWEEP_EVERY;
             self.sweep(now);
@@ -156,7 +165,7 @@
             return Time::default();
         }
         let links = self.links.iter().map(|link| link.deadline(self.settings.link));
-        links.chain([opening, self.next_sweep]).min().unwrap_or(Time::NEVER)
+        links.chain([opening, self.next_sweep, self.queue.deadline()]).min().unwrap_or(Time::NEVER)
     }
 
     /// Returns true once hosts and routes are known.
@@ -207,6 +216,7 @@
 
     /// Ends the work that the entry of a flow counts for, and the entry.
     pub(super) fn forget(&mut self, _now: Time, flow: &Flow) -> Option<Entry> {
+        self.queue.remove(flow);
         let mut entry = self.flows.remove(flow)?;
         self.end_work(&mut entry);
         Some(entry)
@@ -217,9 +227,22 @@
             && let Some(host) = self.hosts.get_mut(entry.host)
         {
             host.busy = host.busy.saturating_sub(1);
+            self.room = true;
         }
     }
 
+    /// Serves the queue after work has ended.
+    fn use_room(&mut self, now: Time, outlet: &mut dyn Outlet) {
+        if std::mem::take(&mut self.room) && !self.queue.is_empty() {
+            self.serve_queue(now, outlet);
+        }
+    }
+
+    /// Returns the rank of the priority of a route.
+    pub(super) fn rank_of(&self, address: Address) -> u8 {
+        self.routes.get(address).map_or(u8::MAX, |route| route.rank)
+    }
+
     fn drop(&mut self, flow: Flow, reason: Reason, host: Option<&str>, outlet: &mut dyn Outlet) {
         let verdict = Verdict::Dropped;
         let decision = Decision { flow, verdict, reason: Some(reason), host, busy: 0, unanswered: 0, attempt: 0 };
--- a/crates/poplarpaddle/src/direct/opening.rs
+++ b/crates/poplarpaddle/src/direct/opening.rs
@@ -7,6 +7,7 @@
 
 use super::engine::Entry;
 use super::host::Index;
+use super::queue::Waiting;
 use super::{Decision, Engine, Hop, Outlet, Reason, Verdict};
 use crate::packet::{Flow, View};
 use crate::time::Time;
@@ -44,22 +45,67 @@
         if same {
             return self.copy(now, packet, outlet);
         }
+        if self.queue.copy(&packet.flow, packet.sequence, packet.bytes) {
+            return;
+        }
         self.forget(now, &packet.flow);
-        let placed = self.service(&packet.flow).and_then(|service| self.place(now, &service, &[]));
-        let Some(index) = placed else {
+        let service = self.service(&packet.flow).unwrap_or_default();
+        let Some((index, has_room)) = self.place(now, &service, &[]) else {
             return self.reset(now, packet, Reason::NoHost, outlet);
         };
         self.retries.deposit();
-        let pending = Pending {
-            sent: now,
-            due: now,
-            attempts: 0,
-            tried: SmallVec::new(),
+        let waiting = Waiting {
+            flow: packet.flow,
+            service,
+            opening: packet.sequence,
+            until: now + self.settings.wait,
             bytes: SmallVec::from_slice(packet.bytes),
         };
-        let (opening, pending) = (packet.sequence, Some(Box::new(pending)));
+        let rank = self.rank_of(packet.flow.service);
+        if !has_room && self.queue.push(rank, waiting.clone()) {
+            let (flow, verdict) = (packet.flow, Verdict::Queued);
+            let decision = Decision { flow, verdict, reason: None, host: None, busy: 0, unanswered: 0, attempt: 0 };
+            return self.decide(&decision, outlet);
+        }
+        self.begin(now, waiting, index, outlet);
+    }
+
+    /// Sends an opening to a host for the first time.
+    fn begin(&mut self, now: Time, waiting: Waiting, index: Index, outlet: &mut dyn Outlet) {
+        let Waiting { flow, opening, bytes, .. } = waiting;
+        let pending = Pending { sent: now, due: now, attempts: 0, tried: SmallVec::new(), bytes };
+        let pending = Some(Box::new(pending));
         let entry = Entry { host: index, opening, active: now, busy: false, asked: None, pending };
-        self.start(now, packet.flow, entry, index, (Verdict::Placed, None), outlet);
+        self.start(now, flow, entry, index, (Verdict::Placed, None), outlet);
+    }
+
+    /// Places waiting openings on hosts that have room, the most urgent first.
+    pub(super) fn serve_queue(&mut self, now: Time, outlet: &mut dyn Outlet) {
+        let mut full: Vec<String> = Vec::new();
+        for (flow, service) in self.queue.order() {
+            if full.contains(&service) {
+                continue;
+            }
+            match self.place(now, &service, &[]) {
+                Some((index, true)) => {
+                    if let Some(waiting) = self.queue.remove(&flow) {
+                        self.begin(now, waiting, index, outlet);
+                    }
+                }
+                _ => full.push(service),
+            }
+        }
+    }
+
+    /// Places openings that have waited for long enough, although no host has room.
+    pub(super) fn tick_queue(&mut self, now: Time, outlet: &mut dyn Outlet) {
+        for flow in self.queue.expired(now) {
+            let Some(waiting) = self.queue.remove(&flow) else { continue };
+            // The caller's copy is refused if there is still no host.
+            if let Some((index, _)) = self.place(now, &waiting.service, &[]) {
+                self.begin(now, waiting, index, outlet);
+            }
+        }
     }
 
     /// Takes what a packet of the caller shows: the host with the index answered the opening.
@@ -171,7 +217,8 @@
         let mut except = pending.tried.clone();
         except.push(entry.host);
         let service = self.service(flow);
-        service.and_then(|service| self.place(now, &service, &except)).unwrap_or(entry.host)
+        let placed = service.and_then(|service| self.place(now, &service, &except));
+        placed.map_or(entry.host, |(index, _)| index)
     }
 
     fn start(
--- a/crates/poplarpaddle/src/direct/place.rs
+++ b/crates/poplarpaddle/src/direct/place.rs
@@ -29,8 +29,8 @@
 }
 
 impl Engine {
-    /// Returns the best host of `service` for a new flow, other than `except`.
-    pub(super) fn place(&mut self, now: Time, service: &str, except: &[Index]) -> Option<Index> {
+    /// Returns the best host of `service` for a new flow, other than `except`, and whether it has room.
+    pub(super) fn place(&mut self, now: Time, service: &str, except: &[Index]) -> Option<(Index, bool)> {
         let candidates = self.candidates(service);
         let mut best: Option<(Rank, Index)> = None;
         for index in candidates {
@@ -44,10 +44,10 @@
                 best = Some((rank, index));
             }
         }
-        let (_, index) = best?;
+        let (rank, index) = best?;
         let zone = self.hosts.get(index)?.zone;
         self.links[zone].try_once(now);
-        Some(index)
+        Some((index, !rank.full))
     }
 
     /// Returns true when openings to the host fail at present.
@@ -57,10 +57,13 @@
 
     fn rank(&self, now: Time, host: &Host, tie: u32) -> Rank {
         let busy = u64::from(host.busy);
+        let doubtful = self.is_doubtful(now, host);
+        let room = u32::from(host.record.slots) + u32::from(self.settings.limit.backlog);
         let percent = if now.reached(host.record.cold_until) { 100 } else { COLD_PERCENT };
         Rank {
-            doubtful: self.is_doubtful(now, host),
-            full: host.busy >= host.limit.allowed(),
+            doubtful,
+            // A doubtful host is tried all the same: its work may have ended unseen.
+            full: !doubtful && host.busy >= room,
             load: (busy + 1) * UNIT * percent / u64::from(host.record.slots.max(1)),
             tie,
         }
--- a/crates/poplarpaddle/src/direct/settings.rs
+++ b/crates/poplarpaddle/src/direct/settings.rs
@@ -22,6 +22,8 @@
     pub answer: (Duration, Duration),
     /// Time for a zone to answer a ping before it counts as cut off.
     pub link: Duration,
+    /// Longest time for which an opening waits for room at the hosts.
+    pub wait: Duration,
     /// Most times that the engine sends an opening by itself.
     pub attempts: u8,
     /// Limit of a host, which pauses one that does not answer.
@@ -41,6 +43,8 @@
             // A round trip by way of the caller takes 7 to 10 ms; hosts answer the handshake in less than 1 ms.
             answer: (Duration::from_millis(30), Duration::from_millis(150)),
             link: Duration::from_millis(30),
+            // A host with a full queue of its own takes longer than this to get to a further request.
+            wait: Duration::from_millis(400),
             attempts: 4,
             limit: limit::Settings::default(),
             // A whole zone can be lost at once, with a third of the openings of some tenths of a second.
@@ -54,8 +58,8 @@
 pub struct Counters {
     /// Packets forwarded.
     pub forwarded: u64,
-    /// Openings placed, repeated, moved, refused; established flows reset; packets dropped.
-    pub verdicts: [u64; 6],
+    /// How often each verdict was given.
+    pub verdicts: [u64; 7],
     /// Not forwarded, by reason.
     pub reasons: [u64; Reason::ALL.len()],
     /// Entries of flows.
--- a/crates/poplarpaddle/tests/direct/openings.rs
+++ b/crates/poplarpaddle/tests/direct/openings.rs
@@ -152,3 +152,62 @@
     }
     assert!((4..=8).contains(&cold), "{cold} of 60 flows, an even share is 10");
 }
+
+/// After a loss of all machines the first balancer that is ready gets the openings of everybody. Hosts reject what they
+/// cannot queue, so the rest has to wait here.
+#[test]
+fn a_crowd_waits_until_hosts_have_room() {
+    let mut world = World::with_slots(1, 2, 3);
+    let callers = 200;
+    for caller in 1..=callers {
+        world.open(flow(caller, 443), 0);
+    }
+    let sent = |world: &World| -> Vec<(u16, poplarpaddle::direct::Hop)> {
+        let placed = world.record.decisions.iter().filter(|(_, verdict, _)| *verdict == Verdict::Placed);
+        let hops = world.record.sent.iter().filter(|sent| sent.bytes.len() == 2).map(|sent| sent.hop);
+        placed.map(|(flow, ..)| flow.caller.port()).zip(hops).collect()
+    };
+    // Each of 6 hosts has 3 slots and takes 2 more.
+    assert_eq!(sent(&world).len(), 30);
+    let mut done = 0;
+    while done < 60 {
+        let (caller, hop) = sent(&world)[done];
+        world.send(flow(caller, 443), hop.mark.unwrap(), Kind::Data, 100, 50);
+        world.send(flow(caller, 443), hop.mark.unwrap(), Kind::Closing, 0, 60);
+        done += 1;
+        assert!(sent(&world).len() <= 30 + done, "work that ends lets one opening start");
+    }
+    assert_eq!(sent(&world).len(), 90);
+    assert!(world.record.resets.is_empty());
+}
+
+/// Urgent work goes first among those that wait.
+#[test]
+fn the_most_urgent_opening_leaves_the_queue_first() {
+    let mut world = World::new(1);
+    world.list(&Host { slots: 3, ..host(1, "bookings", "a") });
+    world.route(443, Some(&poplarpaddle::registry::Route { rank: 2, ..route("bookings") }));
+    world.route(80, Some(&poplarpaddle::registry::Route { rank: 0, ..route("bookings") }));
+    for caller in 1..=8 {
+        world.open(flow(caller, 443), 0);
+    }
+    world.open(flow(50, 80), 0);
+    let mark = world.last().mark.unwrap();
+    world.send(flow(1, 443), mark, Kind::Closing, 0, 60);
+    assert_eq!(world.record.decisions.last().unwrap().0, flow(50, 80));
+}
+
+/// A wait ends: hosts may be idle although their work's end was not seen.
+#[test]
+fn an_opening_that_waited_for_long_is_placed_all_the_same() {
+    let mut world = World::new(1);
+    world.list(&Host { slots: 3, ..host(1, "bookings", "a") });
+    world.route(443, Some(&route("bookings")));
+    for caller in 1..=6 {
+        world.open(flow(caller, 443), 0);
+    }
+    world.open(flow(6, 443), 1);
+    assert_eq!(world.record.decisions.iter().filter(|(_, verdict, _)| *verdict == Verdict::Placed).count(), 5);
+    world.after(401);
+    assert!(world.record.decisions.contains(&(flow(6, 443), Verdict::Placed, None)));
+}
--- a/crates/poplarpaddle/tests/direct/routing.rs
+++ b/crates/poplarpaddle/tests/direct/routing.rs
@@ -167,8 +167,8 @@
 /// New flows follow the weights of a route with several services.
 #[test]
 fn shares_divide_new_flows_by_weight() {
-    let mut world = World::with_hosts(1, 2);
-    let other = host(77, "crewdocs", "a");
+    let mut world = World::with_slots(1, 2, 1000);
+    let other = Host { slots: 1000, ..host(77, "crewdocs", "a") };
     world.list(&other);
     let share = |service: &str, weight| Share { service: service.to_owned(), weight };
     let shares = vec![share("bookings", 90), share("crewdocs", 10), share("gone", 0)];
--- a/crates/poplarpaddle/tests/direct/support.rs
+++ b/crates/poplarpaddle/tests/direct/support.rs
@@ -75,7 +75,8 @@
         service: service.to_owned(),
         address: SocketAddrV4::new(Ipv4Addr::new(10, 128, 0, last), 8080),
         zone: zone.to_owned(),
-        slots: 3,
+        // So many that no opening waits, but for the tests of the queue.
+        slots: 100,
         state: State::Ready,
         cold_until: Time::default(),
         created: id,
@@ -91,10 +92,15 @@
 
     /// Returns a world with `per_zone` hosts of `bookings` in each zone and the route 443 to them.
     pub fn with_hosts(seed: u64, per_zone: u64) -> Self {
+        Self::with_slots(seed, per_zone, 100)
+    }
+
+    /// The same with a number of slots of each host.
+    pub fn with_slots(seed: u64, per_zone: u64, slots: u16) -> Self {
         let mut world = Self::new(seed);
         for (index, zone) in ZONES.iter().enumerate() {
             for number in 1..=per_zone {
-                world.list(&host(index as u64 * 100 + number, "bookings", zone));
+                world.list(&Host { slots, ..host(index as u64 * 100 + number, "bookings", zone) });
             }
         }
         world.route(443, Some(&route("bookings")));
