--- a/crates/poplarpaddle-balancer/src/direct/task.rs
+++ b/crates/poplarpaddle-balancer/src/direct/task.rs
@@ -203,7 +203,6 @@
         self.journal.report(now);
         let ready = self.node.is_ready() && !self.leaving;
         if self.readiness.set(ready) {
-            self.engine.joined(now);
             info!(self.logger, "readiness changed"; "ready" => ready);
         }
     }
--- a/crates/poplarpaddle/src/direct/engine.rs
+++ b/crates/poplarpaddle/src/direct/engine.rs
@@ -52,8 +52,6 @@
     next_sweep: Time,
     held: Hold,
     pub(super) queue: Queue,
-    /// Until when packets of flows that this balancer placed may go to others, so that silence proves nothing.
-    pub(super) unsettled_until: Time,
     /// Work ended since the queue was looked through.
     room: bool,
 }
@@ -75,7 +73,6 @@
             held: Hold::default(),
             queue: Queue::new(settings.seed),
             room: false,
-            unsettled_until: Time::default(),
             settings,
         }
     }
@@ -118,11 +115,6 @@
         self.routes.set(address, route, linger, now);
     }
 
-    /// Takes that this balancer became ready: the routers deal the flows anew.
-    pub fn joined(&mut self, now: Time) {
-        self.unsettled_until = now + self.settings.unsettled;
-    }
-
     /// Takes a message of a member in `zone`.
     pub fn heard(&mut self, now: Time, zone: &str, outlet: &mut dyn Outlet) {
         if let Some(index) = self.links.iter().position(|link| link.zone == zone) {
--- a/crates/poplarpaddle/src/direct/opening.rs
+++ b/crates/poplarpaddle/src/direct/opening.rs
@@ -174,10 +174,7 @@
             self.flows.insert(flow, entry);
             return;
         };
-        // While the routers move flows, the caller's answer may have gone to another balancer. Only a copy of the caller
-        // shows then that no host answered; a second host that answers would spoil the flow.
-        let proves = cause == Cause::Copy || now.reached(self.unsettled_until);
-        let is_first = proves && pending.due != Time::NEVER && !pending.tried.contains(&entry.host);
+        let is_first = pending.due != Time::NEVER && !pending.tried.contains(&entry.host);
         let (sent, from) = (pending.sent, entry.host);
         if is_first {
             self.missed(now, from, sent, outlet);
@@ -191,7 +188,7 @@
             self.flows.insert(flow, entry);
             return;
         }
-        let to = if proves { self.next_host(now, &flow, &entry) } else { from };
+        let to = self.next_host(now, &flow, &entry);
         let moved = to != from;
         if moved && let Some(pending) = entry.pending.as_mut() {
             pending.tried.push(from);
--- a/crates/poplarpaddle/src/direct/settings.rs
+++ b/crates/poplarpaddle/src/direct/settings.rs
@@ -24,8 +24,6 @@
     pub link: Duration,
     /// Longest time for which an opening waits for room at the hosts.
     pub wait: Duration,
-    /// Time for which the routers move flows after this balancer became ready.
-    pub unsettled: Duration,
     /// Most times that the engine sends an opening by itself.
     pub attempts: u8,
     /// Limit of a host, which pauses one that does not answer.
@@ -47,8 +45,6 @@
             link: Duration::from_millis(30),
             // A host with a full queue of its own takes longer than this to get to a further request.
             wait: Duration::from_millis(400),
-            // The routers ask twice a second whether a balancer is ready.
-            unsettled: Duration::from_secs(1),
             attempts: 4,
             limit: limit::Settings::default(),
             // A whole zone can be lost at once, with a third of the openings of some tenths of a second.
