--- a/crates/poplarpaddle-balancer/src/direct/task.rs
+++ b/crates/poplarpaddle-balancer/src/direct/task.rs
@@ -143,7 +143,7 @@
             let Ok((length, _from)) = self.packets.try_recv_from(buffer) else { return };
             match layout.parse(&buffer[..length]) {
                 Ok((mark, view)) => self.with_engine(|engine, now, outlet| engine.packet(now, mark, &view, outlet)),
-                Err(_malformed) => self.engine.refuse(Reason::Malformed),
+                Err(_malformed) => self.engine.discard(Reason::Malformed),
             }
         }
     }
@@ -199,6 +199,7 @@
         self.act();
         if now.reached(self.engine.deadline()) {
             self.with_engine(Engine::tick);
+            self.publish();
         }
         self.journal.report(now);
         let ready = self.node.is_ready() && !self.leaving;
@@ -230,14 +231,7 @@
         for zone in pings {
             self.node.ping_zone(now, &zone, PINGED);
         }
-        self.send_notes();
-    }
-
-    /// Sends the datagrams that the node wants to send, without its other actions.
-    fn send_notes(&mut self) {
-        for action in self.node.actions() {
-            self.perform(action);
-        }
+        self.act();
     }
 
     fn act(&mut self) {
@@ -271,6 +265,10 @@
     fn event(&self, event: Event) {
         self.journal.believed(&event.name, &event.subject, &event.detail);
         self.telemetry.events.push(event);
+    }
+
+    /// Brings the figures for the metrics up to date.
+    fn publish(&self) {
         self.telemetry.set(Snapshot {
             engine: self.engine.counters(),
             unsent: self.unsent,
--- a/crates/poplarpaddle/src/direct/engine.rs
+++ b/crates/poplarpaddle/src/direct/engine.rs
@@ -84,7 +84,7 @@
     }
 
     /// Counts a datagram that is no packet of a caller.
-    pub const fn refuse(&mut self, reason: Reason) {
+    pub const fn discard(&mut self, reason: Reason) {
         self.count(Verdict::Dropped, Some(reason));
     }
 
@@ -131,7 +131,7 @@
             return;
         }
         if self.routes.get(packet.flow.service).is_none() {
-            return self.reset(now, packet, Reason::UnknownRoute, outlet);
+            return self.reset(packet, Reason::UnknownRoute, outlet);
         }
         match packet.kind {
             Kind::Opening => self.opening(now, packet, outlet),
@@ -196,13 +196,13 @@
         outlet.decided(decision);
     }
 
-    pub(super) fn reset(&mut self, now: Time, packet: &View<'_>, reason: Reason, outlet: &mut dyn Outlet) {
+    pub(super) fn reset(&mut self, packet: &View<'_>, reason: Reason, outlet: &mut dyn Outlet) {
         if packet.kind == Kind::Reset {
             return self.drop(packet.flow, reason, None, outlet);
         }
         let verdict = if packet.kind == Kind::Opening { Verdict::Refused } else { Verdict::Reset };
         outlet.reset(&packet.flow, packet.acknowledgement);
-        self.forget(now, &packet.flow);
+        self.forget(&packet.flow);
         let flow = packet.flow;
         let decision = Decision { flow, verdict, reason: Some(reason), host: None, busy: 0, unanswered: 0, attempt: 0 };
         self.decide(&decision, outlet);
@@ -215,7 +215,7 @@
     }
 
     /// Ends the work that the entry of a flow counts for, and the entry.
-    pub(super) fn forget(&mut self, _now: Time, flow: &Flow) -> Option<Entry> {
+    pub(super) fn forget(&mut self, flow: &Flow) -> Option<Entry> {
         self.queue.remove(flow);
         let mut entry = self.flows.remove(flow)?;
         self.end_work(&mut entry);
@@ -281,7 +281,7 @@
     /// Keeps the count of work, and takes what the packet shows about an opening.
     fn account(&mut self, now: Time, index: host::Index, packet: &View<'_>, outlet: &mut dyn Outlet) {
         if matches!(packet.kind, Kind::Closing | Kind::Reset) {
-            if let Some(entry) = self.forget(now, &packet.flow) {
+            if let Some(entry) = self.forget(&packet.flow) {
                 self.opened(now, &entry, index, outlet);
             }
             return;
@@ -356,7 +356,7 @@
         let expired = |(flow, entry): (&Flow, &Entry)| now.reached(entry.active + idle).then_some(*flow);
         let due: Vec<Flow> = self.flows.iter().filter_map(expired).collect();
         for flow in due {
-            self.forget(now, &flow);
+            self.forget(&flow);
         }
         self.hosts.forget(now);
     }
--- a/crates/poplarpaddle/src/direct/link.rs
+++ b/crates/poplarpaddle/src/direct/link.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use super::Settings;
 use crate::time::Time;
 
 /// Openings in a row without an answer after which a silent zone counts as cut off.
@@ -66,7 +67,8 @@
     }
 
     /// Returns how long to wait for the answer to an opening: the smoothed time and four deviations, as TCP does.
-    pub(super) fn patience(&self, (least, most): (Duration, Duration)) -> Duration {
+    pub(super) fn patience(&self, settings: &Settings) -> Duration {
+        let (least, most) = (settings.answer_least, settings.answer_most);
         if self.smoothed == 0 {
             return most.min(least * 2);
         }
--- a/crates/poplarpaddle/src/direct/opening.rs
+++ b/crates/poplarpaddle/src/direct/opening.rs
@@ -48,10 +48,10 @@
         if self.queue.copy(&packet.flow, packet.sequence, packet.bytes) {
             return;
         }
-        self.forget(now, &packet.flow);
+        self.forget(&packet.flow);
         let service = self.service(&packet.flow).unwrap_or_default();
         let Some((index, has_room)) = self.place(now, &service, &[]) else {
-            return self.reset(now, packet, Reason::NoHost, outlet);
+            return self.reset(packet, Reason::NoHost, outlet);
         };
         self.retries.deposit();
         let waiting = Waiting {
@@ -82,15 +82,12 @@
     /// Places waiting openings on hosts that have room, the most urgent first.
     pub(super) fn serve_queue(&mut self, now: Time, outlet: &mut dyn Outlet) {
         let mut full: Vec<String> = Vec::new();
-        for (flow, service) in self.queue.order() {
-            if full.contains(&service) {
-                continue;
-            }
+        while let Some(waiting) = self.queue.first(&full) {
+            let (flow, service) = (waiting.flow, waiting.service.clone());
             match self.place(now, &service, &[]) {
                 Some((index, true)) => {
-                    if let Some(waiting) = self.queue.remove(&flow) {
-                        self.begin(now, waiting, index, outlet);
-                    }
+                    let Some(waiting) = self.queue.remove(&flow) else { return };
+                    self.begin(now, waiting, index, outlet);
                 }
                 _ => full.push(service),
             }
@@ -258,7 +255,7 @@
 
     fn patience(&self, index: Index) -> Duration {
         let zone = self.hosts.get(index).map_or(0, |host| host.zone);
-        self.links[zone].patience(self.settings.answer)
+        self.links[zone].patience(&self.settings)
     }
 
     fn hop(&self, index: Index) -> Option<Hop> {
--- a/crates/poplarpaddle/src/direct/queue.rs
+++ b/crates/poplarpaddle/src/direct/queue.rs
@@ -72,9 +72,9 @@
         self.waiting.remove(&place)
     }
 
-    /// Returns the flows that wait in the order in which they are served, with their services.
-    pub(super) fn order(&self) -> Vec<(Flow, String)> {
-        self.waiting.values().map(|waiting| (waiting.flow, waiting.service.clone())).collect()
+    /// Returns the opening that is served first, without those of the services in `full`.
+    pub(super) fn first(&self, full: &[String]) -> Option<&Waiting> {
+        self.waiting.values().find(|waiting| !full.contains(&waiting.service))
     }
 
     /// Returns the flows that have waited long enough.
--- a/crates/poplarpaddle/src/direct/settings.rs
+++ b/crates/poplarpaddle/src/direct/settings.rs
@@ -18,8 +18,10 @@
     pub idle: Duration,
     /// Time for which the hosts and services that a flow may have had before a change are remembered.
     pub linger: Duration,
-    /// Shortest and longest time before an opening counts as unanswered.
-    pub answer: (Duration, Duration),
+    /// Shortest time before an opening counts as unanswered.
+    pub answer_least: Duration,
+    /// Longest time before an opening counts as unanswered.
+    pub answer_most: Duration,
     /// Time for a zone to answer a ping before it counts as cut off.
     pub link: Duration,
     /// Longest time for which an opening waits for room at the hosts.
@@ -41,7 +43,8 @@
             idle: Duration::from_secs(3),
             linger: Duration::from_mins(1),
             // A round trip by way of the caller takes 7 to 10 ms; hosts answer the handshake in less than 1 ms.
-            answer: (Duration::from_millis(30), Duration::from_millis(150)),
+            answer_least: Duration::from_millis(30),
+            answer_most: Duration::from_millis(150),
             link: Duration::from_millis(30),
             // A host with a full queue of its own takes longer than this to get to a further request.
             wait: Duration::from_millis(400),
