--- a/crates/poplarpaddle-standins/src/site.rs
+++ b/crates/poplarpaddle-standins/src/site.rs
@@ -1,6 +1,6 @@
 //! The operators' platform: store, routers, hosts and consumers of the packet form, on loopback.
 //!
-//! [`run`] plays all four in one process around balancers that run as processes of their own, and judges what consumers
+//! [`run()`] plays all four in one process around balancers that run as processes of their own, and judges what consumers
 //! and hosts see. The wire is written from the platform's pages and shares no code with the adapter under test.
 
 pub mod consumer;
--- a/crates/poplarpaddle/src/fleet.rs
+++ b/crates/poplarpaddle/src/fleet.rs
@@ -1,6 +1,6 @@
 //! One balancer of a fleet whose hosts register themselves in a store.
 //!
-//! [`Node`] connects [membership](crate::membership), [feed](crate::feed) and the [registry](crate::registry): datagrams
+//! [`Node`] connects [`membership`], [`feed`] and the [`registry`](crate::registry): datagrams
 //! of peers, answers of the store and pulled parcels go in; datagrams, calls and changes for the data path come out.
 //!
 //! ```
