--- a/crates/poplarpaddle-standins/src/site.rs
+++ b/crates/poplarpaddle-standins/src/site.rs
@@ -6,11 +6,13 @@
 pub mod consumer;
 pub mod host;
 pub mod packet;
+pub mod plan;
 pub mod router;
 pub mod run;
 pub mod store;
 
-pub use run::{Fault, FaultKind, Plan, Report, run};
+pub use plan::{Fault, FaultKind, Plan, Report};
+pub use run::run;
 
 use std::time::{Duration, Instant};
 
