Build decisions without a host in one place, and queue openings without a copy

An opening copied its service and packet even when it did not wait; a condition of the next host was implied by the one beside it; a comment of the links named a span of another constant.

--- a/crates/poplarpaddle/src/direct.rs
+++ b/crates/poplarpaddle/src/direct.rs
@@ -137,6 +137,14 @@
     pub attempt: u32,
 }
 
+impl Decision<'_> {
+    /// Returns a decision that concerns no host.
+    #[must_use]
+    pub const fn new(flow: Flow, verdict: Verdict, reason: Option<Reason>) -> Self {
+        Self { flow, verdict, reason, host: None, busy: 0, unanswered: 0, attempt: 0 }
+    }
+}
+
 /// Where a packet goes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Hop {
--- a/crates/poplarpaddle/src/direct/engine.rs
+++ b/crates/poplarpaddle/src/direct/engine.rs
@@ -126,7 +126,7 @@
     pub fn packet(&mut self, now: Time, mark: Mark, packet: &View<'_>, outlet: &mut dyn Outlet) {
         if !self.is_ready() {
             if !self.held.push(now, mark, packet) {
-                self.drop(packet.flow, Reason::Starting, None, outlet);
+                self.drop(packet.flow, Reason::Starting, outlet);
             }
             return;
         }
@@ -135,7 +135,7 @@
         }
         match packet.kind {
             Kind::Opening => self.opening(now, packet, outlet),
-            Kind::Accept => self.drop(packet.flow, Reason::NotFromCaller, None, outlet),
+            Kind::Accept => self.drop(packet.flow, Reason::NotFromCaller, outlet),
             Kind::Data | Kind::Closing | Kind::Reset => self.established(now, mark, packet, outlet),
         }
         self.use_room(now, outlet);
@@ -198,14 +198,12 @@
 
     pub(super) fn reset(&mut self, packet: &View<'_>, reason: Reason, outlet: &mut dyn Outlet) {
         if packet.kind == Kind::Reset {
-            return self.drop(packet.flow, reason, None, outlet);
+            return self.drop(packet.flow, reason, outlet);
         }
         let verdict = if packet.kind == Kind::Opening { Verdict::Refused } else { Verdict::Reset };
         outlet.reset(&packet.flow, packet.acknowledgement);
         self.forget(&packet.flow);
-        let flow = packet.flow;
-        let decision = Decision { flow, verdict, reason: Some(reason), host: None, busy: 0, unanswered: 0, attempt: 0 };
-        self.decide(&decision, outlet);
+        self.decide(&Decision::new(packet.flow, verdict, Some(reason)), outlet);
     }
 
     pub(super) fn alive(&mut self, now: Time, zone: usize, why: &str, outlet: &mut dyn Outlet) {
@@ -243,16 +241,14 @@
         self.routes.get(address).map_or(u8::MAX, |route| route.rank)
     }
 
-    fn drop(&mut self, flow: Flow, reason: Reason, host: Option<&str>, outlet: &mut dyn Outlet) {
-        let verdict = Verdict::Dropped;
-        let decision = Decision { flow, verdict, reason: Some(reason), host, busy: 0, unanswered: 0, attempt: 0 };
-        self.decide(&decision, outlet);
+    fn drop(&mut self, flow: Flow, reason: Reason, outlet: &mut dyn Outlet) {
+        self.decide(&Decision::new(flow, Verdict::Dropped, Some(reason)), outlet);
     }
 
     fn established(&mut self, now: Time, mark: Mark, packet: &View<'_>, outlet: &mut dyn Outlet) {
         let index = match self.holder(now, mark, packet) {
             Ok(index) => index,
-            Err(reason) => return self.drop(packet.flow, reason, None, outlet),
+            Err(reason) => return self.drop(packet.flow, reason, outlet),
         };
         self.account(now, index, packet, outlet);
         let Some(host) = self.hosts.get(index) else { return };
--- a/crates/poplarpaddle/src/direct/link.rs
+++ b/crates/poplarpaddle/src/direct/link.rs
@@ -11,7 +11,7 @@
 /// Time between two pings of a zone in doubt.
 const PING_EVERY: Duration = Duration::from_millis(25);
 
-/// Time between two pings of a zone that is cut off, and between two openings that try it.
+/// Time between two pings of a zone that is cut off.
 const RETRY_EVERY: Duration = Duration::from_millis(100);
 
 /// Time between two openings that try a zone that is cut off.
--- a/crates/poplarpaddle/src/direct/opening.rs
+++ b/crates/poplarpaddle/src/direct/opening.rs
@@ -61,13 +61,13 @@
             until: now + self.settings.wait,
             bytes: SmallVec::from_slice(packet.bytes),
         };
-        let rank = self.rank_of(packet.flow.service);
-        if !has_room && self.queue.push(rank, waiting.clone()) {
-            let (flow, verdict) = (packet.flow, Verdict::Queued);
-            let decision = Decision { flow, verdict, reason: None, host: None, busy: 0, unanswered: 0, attempt: 0 };
-            return self.decide(&decision, outlet);
+        if has_room {
+            return self.begin(now, waiting, index, outlet);
+        }
+        match self.queue.push(self.rank_of(packet.flow.service), waiting) {
+            None => self.decide(&Decision::new(packet.flow, Verdict::Queued, None), outlet),
+            Some(waiting) => self.begin(now, waiting, index, outlet),
         }
-        self.begin(now, waiting, index, outlet);
     }
 
     /// Sends an opening to a host for the first time.
@@ -204,10 +204,10 @@
     /// lost, and a second host that answers would spoil the flow.
     fn next_host(&mut self, now: Time, flow: &Flow, entry: &Entry) -> Index {
         let Some(pending) = &entry.pending else { return entry.host };
-        let answers = self.hosts.get(entry.host).is_some_and(|host| {
-            let recent = host.answered >= pending.sent && host.misses <= 1;
-            (recent || host.misses <= 1) && host.takes_new(now) && !self.is_doubtful(now, host)
-        });
+        let answers = self
+            .hosts
+            .get(entry.host)
+            .is_some_and(|host| host.misses <= 1 && host.takes_new(now) && !self.is_doubtful(now, host));
         if answers && pending.attempts < 2 {
             return entry.host;
         }
--- a/crates/poplarpaddle/src/direct/queue.rs
+++ b/crates/poplarpaddle/src/direct/queue.rs
@@ -19,7 +19,7 @@
 }
 
 /// An opening that waits.
-#[derive(Debug, Clone)]
+#[derive(Debug)]
 pub(super) struct Waiting {
     pub(super) flow: Flow,
     pub(super) service: String,
@@ -46,17 +46,17 @@
         self.waiting.is_empty()
     }
 
-    /// Adds an opening; false when too many wait.
-    pub(super) fn push(&mut self, rank: u8, waiting: Waiting) -> bool {
+    /// Adds an opening, or returns it when too many wait.
+    pub(super) fn push(&mut self, rank: u8, waiting: Waiting) -> Option<Waiting> {
         if self.waiting.len() >= MAX_WAITING {
-            return false;
+            return Some(waiting);
         }
         self.remove(&waiting.flow);
         let place = Place { rank, number: self.next };
         self.next += 1;
         self.places.insert(waiting.flow, place);
         self.waiting.insert(place, waiting);
-        true
+        None
     }
 
     /// Takes a copy of an opening that waits, as its caller sends it on; false when that opening does not wait.
