Judge a zone by pings only when it has members to ask

Cause: on a site with two regions, and after a return of all machines, a balancer knew no member of some zones, so its pings of them went to nobody. Two openings without an answer made such a zone count as cut off, all openings left its hosts, and only one trial a second could end that. Ruled out: full hosts (the site runs at half its capacity) and stale counts of work.

A zone is now doubted from the moment at which a member was asked. Without anybody to ask, its hosts are judged one by one.

--- a/crates/poplarpaddle-balancer/src/direct/outlet.rs
+++ b/crates/poplarpaddle-balancer/src/direct/outlet.rs
@@ -5,6 +5,7 @@
 
 use poplarpaddle::direct::{Decision, Hop, Layout, Outlet};
 use poplarpaddle::event::Event;
+use poplarpaddle::fleet::Node;
 use poplarpaddle::packet::Flow;
 use poplarpaddle::time::Time;
 use poplarpaddle_io::events::Events;
@@ -23,6 +24,8 @@
     pub(super) unsent: &'a mut u64,
     /// Zones that the engine wants to ping.
     pub(super) pings: &'a mut Vec<String>,
+    /// Knows the members that can be asked.
+    pub(super) node: &'a Node,
     pub(super) version: u64,
     pub(super) age: Duration,
 }
@@ -47,8 +50,12 @@
         self.send(to.into());
     }
 
-    fn ping(&mut self, zone: &str) {
-        self.pings.push(zone.to_owned());
+    fn ping(&mut self, zone: &str) -> bool {
+        let can_ask = self.node.can_ping(zone);
+        if can_ask {
+            self.pings.push(zone.to_owned());
+        }
+        can_ask
     }
 
     fn decided(&mut self, decision: &Decision<'_>) {
--- a/crates/poplarpaddle-balancer/src/direct/task.rs
+++ b/crates/poplarpaddle-balancer/src/direct/task.rs
@@ -221,6 +221,7 @@
             events: &self.telemetry.events,
             unsent: &mut self.unsent,
             pings: &mut pings,
+            node: &self.node,
             version: self.node.general().version,
             age: now.since(self.node.feed().confirmed(Topic::Hosts)),
         };
--- a/crates/poplarpaddle/src/direct.rs
+++ b/crates/poplarpaddle/src/direct.rs
@@ -181,8 +181,9 @@
     /// Resets the flow at the caller. `sequence` is the next number that the caller expects.
     fn reset(&mut self, flow: &Flow, sequence: u32);
 
-    /// Asks members of a zone for a sign of life, which comes back by [`Engine::heard`].
-    fn ping(&mut self, zone: &str);
+    /// Asks members of a zone for a sign of life, which comes back by [`Engine::heard`]. Returns false when no member there
+    /// is known, so that silence says nothing.
+    fn ping(&mut self, zone: &str) -> bool;
 
     /// Records a decision.
     fn decided(&mut self, decision: &Decision<'_>);
--- a/crates/poplarpaddle/src/direct/engine.rs
+++ b/crates/poplarpaddle/src/direct/engine.rs
@@ -334,8 +334,8 @@
         let mut lost = Vec::new();
         for (index, link) in self.links.iter_mut().enumerate() {
             let (ping, change) = link.tick(now, self.settings.link);
-            if ping {
-                outlet.ping(&link.zone);
+            if ping && outlet.ping(&link.zone) {
+                link.asked(now);
             }
             if change == Some(Change::Lost) {
                 outlet.believed(now, "zone.lost", &link.zone, "openings and pings got no answer");
--- a/crates/poplarpaddle/src/direct/link.rs
+++ b/crates/poplarpaddle/src/direct/link.rs
@@ -24,8 +24,8 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum State {
     Up,
-    /// Openings got no answer since this time.
-    Doubt(Time),
+    /// Openings got no answer, and neither did members that were asked since this time.
+    Doubt(Option<Time>),
     Down(Time),
 }
 
@@ -92,11 +92,18 @@
     pub(super) fn miss(&mut self, now: Time) {
         self.misses = self.misses.saturating_add(1);
         if self.state == State::Up {
-            self.state = State::Doubt(now);
+            self.state = State::Doubt(None);
             self.next_ping = now;
         }
     }
 
+    /// Takes note that members of the zone were asked for a sign of life.
+    pub(super) const fn asked(&mut self, now: Time) {
+        if let State::Doubt(since @ None) = &mut self.state {
+            *since = Some(now);
+        }
+    }
+
     /// Takes a sign of life: the answer to an opening, or a message of a member.
     pub(super) fn alive(&mut self, now: Time) -> Option<Change> {
         let change = match self.state {
@@ -113,7 +120,7 @@
     /// Performs what is due. `wait` is the time for a zone in doubt to answer. Returns whether to ping the zone now.
     pub(super) fn tick(&mut self, now: Time, wait: Duration) -> (bool, Option<Change>) {
         let mut change = None;
-        if let State::Doubt(since) = self.state
+        if let State::Doubt(Some(since)) = self.state
             && self.misses >= MISSES
             && now.reached(since + wait)
         {
@@ -139,7 +146,7 @@
 
     pub(super) fn deadline(&self, wait: Duration) -> Time {
         match self.state {
-            State::Doubt(since) if self.misses >= MISSES => self.next_ping.min(since + wait),
+            State::Doubt(Some(since)) if self.misses >= MISSES => self.next_ping.min(since + wait),
             _ => self.next_ping,
         }
     }
--- a/crates/poplarpaddle/src/fleet.rs
+++ b/crates/poplarpaddle/src/fleet.rs
@@ -297,8 +297,7 @@
 
     /// Asks up to `count` members of `zone` for a sign of life. Returns how many were asked.
     pub fn ping_zone(&mut self, now: Time, zone: &str, count: usize) -> usize {
-        let alive = |record: &&Record| record.zone == zone && matches!(record.state, State::Alive | State::Suspect);
-        let mut peers: Vec<SocketAddr> = self.membership.others().filter(alive).map(|record| record.peer).collect();
+        let mut peers: Vec<SocketAddr> = self.peers_in(zone).collect();
         let asked = peers.len().min(count);
         if asked > 0 {
             let start = self.letters.turn() % peers.len();
@@ -310,6 +309,18 @@
         asked
     }
 
+    /// Returns true when [`Self::ping_zone`] has a member to ask. Members of other regions are not known.
+    #[must_use]
+    pub fn can_ping(&self, zone: &str) -> bool {
+        self.peers_in(zone).next().is_some()
+    }
+
+    fn peers_in<'a>(&'a self, zone: &'a str) -> impl Iterator<Item = SocketAddr> + 'a {
+        let may_live =
+            move |record: &&Record| record.zone == zone && matches!(record.state, State::Alive | State::Suspect);
+        self.membership.others().filter(may_live).map(|record| record.peer)
+    }
+
     fn news(&self, now: Time) -> News {
         self.feed.news(now, self.membership.me().id)
     }
--- a/crates/poplarpaddle/tests/direct/support.rs
+++ b/crates/poplarpaddle/tests/direct/support.rs
@@ -23,6 +23,8 @@
     pub pings: Vec<String>,
     pub decisions: Vec<(Flow, Verdict, Option<Reason>)>,
     pub beliefs: Vec<String>,
+    /// Zones in which no member is known.
+    pub alone_in: Vec<&'static str>,
 }
 
 impl Outlet for Record {
@@ -34,8 +36,12 @@
         self.resets.push((*flow, sequence));
     }
 
-    fn ping(&mut self, zone: &str) {
-        self.pings.push(zone.to_owned());
+    fn ping(&mut self, zone: &str) -> bool {
+        let can_ask = !self.alone_in.contains(&zone);
+        if can_ask {
+            self.pings.push(zone.to_owned());
+        }
+        can_ask
     }
 
     fn decided(&mut self, decision: &Decision<'_>) {
--- a/crates/poplarpaddle/tests/direct/zones.rs
+++ b/crates/poplarpaddle/tests/direct/zones.rs
@@ -1,9 +1,9 @@
 //! Guards against openings that go on to a zone which is cut off.
 
-use poplarpaddle::mark::Mark;
+use poplarpaddle::mark::{HostId, Mark};
 use poplarpaddle::packet::Kind;
 
-use super::support::{World, flow};
+use super::support::{World, flow, name};
 
 fn zone_of(host: u64) -> usize {
     usize::try_from(host / 100).unwrap()
@@ -114,3 +114,24 @@
     assert_eq!(world.last().host, there);
     assert!(world.record.resets.is_empty());
 }
+
+/// Members of other regions are not known, and after a return of all machines few are. Without anybody to ask, a zone with
+/// some silent hosts counted as cut off, and all openings left its other hosts for a second at a time.
+#[test]
+fn a_zone_without_members_to_ask_is_not_believed_cut_off() {
+    let mut world = World::with_hosts(5, 4);
+    world.record.alone_in = vec!["b"];
+    for caller in 1..200 {
+        world.open(flow(caller, 443), 0);
+        let hop = world.last();
+        world.after(8);
+        // One of the four hosts of the zone is silent.
+        if hop.host.0 != 101 {
+            world.send(flow(caller, 443), hop.mark.unwrap(), Kind::Data, 100, 50);
+            world.send(flow(caller, 443), hop.mark.unwrap(), Kind::Closing, 0, 60);
+        }
+        world.after(2);
+    }
+    assert!(!world.record.beliefs.iter().any(|belief| belief.starts_with("zone.lost")));
+    assert!(world.record.beliefs.contains(&format!("host.silent {}", name(HostId(101)))));
+}
