Let openings wait for 180 ms at most, and not for overdue work

Routers had moved flows during the return, so the ends of their work passed other balancers, and the count of work stayed high for 3 s each. Openings then waited 400 ms, by which time some callers had given up or sent their copy through another balancer; their placing counted as work again, which kept the next openings waiting. Ruled out: full hosts (other balancers placed at once), a leak of counts (counts and entries agree).

An opening now leaves the queue after 180 ms, before its caller's first copy.

--- a/crates/poplarpaddle/src/direct.rs
+++ b/crates/poplarpaddle/src/direct.rs
@@ -26,6 +26,7 @@
 //! its own share of the work of a host.
 
 mod engine;
+mod estimate;
 mod hold;
 mod host;
 mod link;
--- a/crates/poplarpaddle/src/direct/engine.rs
+++ b/crates/poplarpaddle/src/direct/engine.rs
@@ -2,6 +2,7 @@
 
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
+use std::time::Duration;
 
 use rand::{RngExt as _, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -20,7 +21,10 @@
 use crate::time::Time;
 
 /// Time between two looks for idle flows and forgotten hosts.
-const SWEEP_EVERY: std::time::Duration = std::time::Duration::from_millis(500);
+const SWEEP_EVERY: Duration = Duration::from_millis(500);
+
+/// The same while openings wait, which overdue work may hold up.
+const SWEEP_WAITING: Duration = Duration::from_millis(50);
 
 /// What the engine knows of a flow that it saw.
 #[derive(Debug)]
@@ -31,6 +35,8 @@
     pub(super) active: Time,
     /// True while the flow counts as work of its host.
     pub(super) busy: bool,
+    /// True while that work takes longer than usual.
+    pub(super) overdue: bool,
     /// What the caller had acknowledged when it sent its last payload.
     pub(super) asked: Option<u32>,
     /// The opening, until the caller shows that a host answered it.
@@ -150,11 +156,11 @@
         self.tick_links(now, outlet);
         self.tick_openings(now, outlet);
         self.tick_queue(now, outlet);
-        self.use_room(now, outlet);
         if now.reached(self.next_sweep) {
-            self.next_sweep = now + SWEEP_EVERY;
+            self.next_sweep = now + if self.queue.is_empty() { SWEEP_EVERY } else { SWEEP_WAITING };
             self.sweep(now);
         }
+        self.use_room(now, outlet);
     }
 
     /// Returns the time of the next tick.
@@ -221,10 +227,9 @@
     }
 
     pub(super) fn end_work(&mut self, entry: &mut Entry) {
-        if std::mem::take(&mut entry.busy)
-            && let Some(host) = self.hosts.get_mut(entry.host)
-        {
-            host.busy = host.busy.saturating_sub(1);
+        let overdue = std::mem::take(&mut entry.overdue);
+        if std::mem::take(&mut entry.busy) {
+            self.hosts.end_work(entry.host, overdue);
             self.room = true;
         }
     }
@@ -287,12 +292,11 @@
         };
         self.opened(now, &entry, index, outlet);
         entry.pending = None;
-        entry.active = now;
         if entry.host != index {
             self.end_work(&mut entry);
             entry.host = index;
         }
-        self.note_work(&mut entry, packet);
+        self.note_work(now, &mut entry, packet);
         self.flows.insert(packet.flow, entry);
     }
 
@@ -302,22 +306,23 @@
             return;
         }
         let (opening, active) = (0, now);
-        let mut entry = Entry { host: index, opening, active, busy: false, asked: None, pending: None };
-        self.note_work(&mut entry, packet);
+        let mut entry = Entry { host: index, opening, active, busy: false, overdue: false, asked: None, pending: None };
+        self.note_work(now, &mut entry, packet);
         self.flows.insert(packet.flow, entry);
     }
 
     /// A request is at work from its payload until the caller acknowledges the first bytes of the answer.
-    fn note_work(&mut self, entry: &mut Entry, packet: &View<'_>) {
+    fn note_work(&mut self, now: Time, entry: &mut Entry, packet: &View<'_>) {
+        let before = std::mem::replace(&mut entry.active, now);
         if packet.has_payload() {
             entry.asked = Some(packet.acknowledgement);
-            if !entry.busy
-                && let Some(host) = self.hosts.get_mut(entry.host)
-            {
-                entry.busy = true;
-                host.busy += 1;
+            if !std::mem::replace(&mut entry.busy, true) {
+                self.hosts.begin_work(entry.host);
             }
         } else if entry.asked.is_some_and(|asked| asked != packet.acknowledgement) {
+            if entry.busy {
+                self.hosts.sample_answer(entry.host, now.since(before));
+            }
             self.end_work(entry);
         }
     }
@@ -347,6 +352,23 @@
         }
     }
 
+    /// Brings the next look for overdue work forward, because an opening waits.
+    pub(super) fn look_soon(&mut self, now: Time) {
+        self.next_sweep = self.next_sweep.min(now + SWEEP_WAITING);
+    }
+
+    /// Finds work that takes longer than usual. The routers may have moved its flow, so that its end passes elsewhere.
+    fn find_overdue(&mut self, now: Time) {
+        for entry in self.flows.values_mut().filter(|entry| entry.busy && !entry.overdue) {
+            let bound = self.hosts.answer_bound(entry.host).unwrap_or_default().max(self.settings.work_least);
+            if now.reached(entry.active + bound) {
+                entry.overdue = true;
+                self.hosts.delay_work(entry.host);
+                self.room = true;
+            }
+        }
+    }
+
     fn sweep(&mut self, now: Time) {
         let idle = self.settings.idle;
         let expired = |(flow, entry): (&Flow, &Entry)| now.reached(entry.active + idle).then_some(*flow);
@@ -354,6 +376,7 @@
         for flow in due {
             self.forget(&flow);
         }
+        self.find_overdue(now);
         self.hosts.forget(now);
     }
 }
--- a/crates/poplarpaddle/src/direct/host.rs
+++ b/crates/poplarpaddle/src/direct/host.rs
@@ -1,7 +1,10 @@
 //! Hosts as the data path needs them: by mark, by service, with the work that this balancer gave them.
 
+use std::time::Duration;
+
 use smallvec::SmallVec;
 
+use super::estimate::Estimate;
 use crate::limit::Limit;
 use crate::map::{self, Map};
 use crate::mark::Mark;
@@ -21,6 +24,8 @@
     pub(super) zone: usize,
     /// Flows with work that this balancer placed.
     pub(super) busy: u32,
+    /// Those of them whose work takes longer than usual.
+    pub(super) overdue: u32,
     pub(super) limit: Limit,
     /// Openings in a row without an answer.
     pub(super) misses: u32,
@@ -44,13 +49,22 @@
     }
 }
 
+/// The hosts of one service.
+#[derive(Debug, Default)]
+struct Service {
+    /// Every host, those that are gone included.
+    hosts: Vec<Index>,
+    /// Time from a request to the first bytes of its answer.
+    answer: Estimate,
+}
+
 /// Every host that a packet may belong to.
 #[derive(Debug)]
 pub(super) struct Table {
     hosts: Map<Index, Host>,
     names: Map<String, Index>,
     marks: Map<Mark, SmallVec<[Index; 1]>>,
-    services: Map<String, Vec<Index>>,
+    services: Map<String, Service>,
     next: Index,
 }
 
@@ -79,7 +93,44 @@
 
     /// Returns the hosts of a service, those that are gone included.
     pub(super) fn of_service(&self, service: &str) -> &[Index] {
-        self.services.get(service).map_or(&[], Vec::as_slice)
+        self.services.get(service).map_or(&[], |service| service.hosts.as_slice())
+    }
+
+    /// Takes the time from a request to its answer.
+    pub(super) fn sample_answer(&mut self, index: Index, time: Duration) {
+        if let Some(host) = self.hosts.get(&index)
+            && let Some(service) = self.services.get_mut(&host.record.service)
+        {
+            service.answer.sample(time);
+        }
+    }
+
+    /// Returns the time from a request to its answer that few requests of the host's service exceed.
+    pub(super) fn answer_bound(&self, index: Index) -> Option<Duration> {
+        let host = self.hosts.get(&index)?;
+        self.services.get(&host.record.service)?.answer.bound()
+    }
+
+    /// Counts a flow that gives work to a host.
+    pub(super) fn begin_work(&mut self, index: Index) {
+        if let Some(host) = self.hosts.get_mut(&index) {
+            host.busy += 1;
+        }
+    }
+
+    /// Counts work that takes longer than usual.
+    pub(super) fn delay_work(&mut self, index: Index) {
+        if let Some(host) = self.hosts.get_mut(&index) {
+            host.overdue += 1;
+        }
+    }
+
+    /// Counts the end of the work of a flow, which may be overdue.
+    pub(super) fn end_work(&mut self, index: Index, overdue: bool) {
+        if let Some(host) = self.hosts.get_mut(&index) {
+            host.busy = host.busy.saturating_sub(1);
+            host.overdue = host.overdue.saturating_sub(u32::from(overdue));
+        }
     }
 
     /// Returns the hosts with a mark: listed ones first, then by their creation.
@@ -118,6 +169,7 @@
             record: host.clone(),
             zone,
             busy: 0,
+            overdue: 0,
             limit: limit(),
             misses: 0,
             answered: Time::default(),
@@ -127,7 +179,7 @@
         self.hosts.insert(index, entry);
         self.names.insert(name.to_owned(), index);
         self.marks.entry(entry_mark(host)).or_default().push(index);
-        self.services.entry(host.service.clone()).or_default().push(index);
+        self.services.entry(host.service.clone()).or_default().hosts.push(index);
         self.sort(entry_mark(host));
     }
 
@@ -155,7 +207,7 @@
                 marked.retain(|other| *other != index);
             }
             if let Some(same) = self.services.get_mut(&host.record.service) {
-                same.retain(|other| *other != index);
+                same.hosts.retain(|other| *other != index);
             }
             if self.of_mark(host.mark).is_empty() {
                 self.marks.remove(&host.mark);
--- a/crates/poplarpaddle/src/direct/link.rs
+++ b/crates/poplarpaddle/src/direct/link.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use super::Settings;
+use super::estimate::Estimate;
 use crate::time::Time;
 
 /// Openings in a row without an answer after which a silent zone counts as cut off.
@@ -37,9 +38,8 @@
     misses: u32,
     next_ping: Time,
     next_trial: Time,
-    /// Smoothed time from an opening to the caller's next packet, and its mean deviation, in microseconds.
-    smoothed: u64,
-    deviation: u64,
+    /// Time from an opening to the caller's next packet.
+    answer: Estimate,
 }
 
 /// A change of the belief about a zone.
@@ -57,8 +57,7 @@
             misses: 0,
             next_ping: Time::NEVER,
             next_trial: Time::NEVER,
-            smoothed: 0,
-            deviation: 0,
+            answer: Estimate::default(),
         }
     }
 
@@ -66,26 +65,15 @@
         matches!(self.state, State::Down(_))
     }
 
-    /// Returns how long to wait for the answer to an opening: the smoothed time and four deviations, as TCP does.
+    /// Returns how long to wait for the answer to an opening.
     pub(super) fn patience(&self, settings: &Settings) -> Duration {
         let (least, most) = (settings.answer_least, settings.answer_most);
-        if self.smoothed == 0 {
-            return most.min(least * 2);
-        }
-        Duration::from_micros(self.smoothed + 4 * self.deviation).clamp(least, most)
+        self.answer.bound().map_or(most.min(least * 2), |bound| bound.clamp(least, most))
     }
 
     /// Takes the time from an opening to its answer.
     pub(super) fn sample(&mut self, time: Duration) {
-        let micros = u64::try_from(time.as_micros()).unwrap_or(u64::MAX).clamp(1, 1_000_000);
-        if self.smoothed == 0 {
-            self.smoothed = micros;
-            self.deviation = micros / 2;
-            return;
-        }
-        let distance = self.smoothed.abs_diff(micros);
-        self.deviation = (3 * self.deviation + distance) / 4;
-        self.smoothed = (7 * self.smoothed + micros) / 8;
+        self.answer.sample(time);
     }
 
     /// Takes an opening without an answer.
--- a/crates/poplarpaddle/src/direct/opening.rs
+++ b/crates/poplarpaddle/src/direct/opening.rs
@@ -65,7 +65,10 @@
             return self.begin(now, waiting, index, outlet);
         }
         match self.queue.push(self.rank_of(packet.flow.service), waiting) {
-            None => self.decide(&Decision::new(packet.flow, Verdict::Queued, None), outlet),
+            None => {
+                self.look_soon(now);
+                self.decide(&Decision::new(packet.flow, Verdict::Queued, None), outlet);
+            }
             Some(waiting) => self.begin(now, waiting, index, outlet),
         }
     }
@@ -75,7 +78,7 @@
         let Waiting { flow, opening, bytes, .. } = waiting;
         let pending = Pending { sent: now, due: now, attempts: 0, tried: SmallVec::new(), bytes };
         let pending = Some(Box::new(pending));
-        let entry = Entry { host: index, opening, active: now, busy: false, asked: None, pending };
+        let entry = Entry { host: index, opening, active: now, busy: false, overdue: false, asked: None, pending };
         self.start(now, flow, entry, index, (Verdict::Placed, None), outlet);
     }
 
@@ -238,8 +241,8 @@
         let (due, attempt) = (pending.due, u32::from(pending.attempts));
         self.due.push(Reverse((due, flow)));
         self.send(&hop, &pending.bytes, outlet);
+        self.hosts.begin_work(index);
         if let Some(host) = self.hosts.get_mut(index) {
-            host.busy += 1;
             host.limit.open(now);
             let (busy, unanswered) = (host.busy, host.misses);
             let name = host.name.clone();
--- a/crates/poplarpaddle/src/direct/place.rs
+++ b/crates/poplarpaddle/src/direct/place.rs
@@ -63,7 +63,7 @@
         Rank {
             doubtful,
             // A doubtful host is tried all the same: its work may have ended unseen.
-            full: !doubtful && host.busy >= room,
+            full: !doubtful && host.busy - host.overdue >= room,
             load: (busy + 1) * UNIT * percent / u64::from(host.record.slots.max(1)),
             tie,
         }
--- a/crates/poplarpaddle/src/direct/settings.rs
+++ b/crates/poplarpaddle/src/direct/settings.rs
@@ -24,6 +24,8 @@
     pub answer_most: Duration,
     /// Time for a zone to answer a ping before it counts as cut off.
     pub link: Duration,
+    /// Shortest time without an answer before work counts as overdue.
+    pub work_least: Duration,
     /// Longest time for which an opening waits for room at the hosts.
     pub wait: Duration,
     /// Most times that the engine sends an opening by itself.
@@ -46,8 +48,11 @@
             answer_least: Duration::from_millis(30),
             answer_most: Duration::from_millis(150),
             link: Duration::from_millis(30),
-            // A host with a full queue of its own takes longer than this to get to a further request.
-            wait: Duration::from_millis(400),
+            // Answers take some tens of milliseconds, and twice that when a host queues.
+            work_least: Duration::from_millis(150),
+            // The caller's first copy comes after 200 ms, and it may come to another balancer. Some callers give up after
+            // 400 ms.
+            wait: Duration::from_millis(180),
             attempts: 4,
             limit: limit::Settings::default(),
             // A whole zone can be lost at once, with a third of the openings of some tenths of a second.
--- a/crates/poplarpaddle/tests/direct/openings.rs
+++ b/crates/poplarpaddle/tests/direct/openings.rs
@@ -197,6 +197,44 @@
     assert_eq!(world.record.decisions.last().unwrap().0, flow(50, 80));
 }
 
+/// Openings must not wait for work whose end passed another balancer. One balancer went on to hold up its openings for
+/// eight seconds after a return of all machines, because each that waited in vain counted as work again.
+#[test]
+fn work_that_takes_longer_than_usual_does_not_hold_up_openings() {
+    let mut world = World::with_slots(1, 2, 3);
+    // The packets that end their work go to another balancer.
+    for caller in 1..=30 {
+        world.establish(flow(caller, 443));
+    }
+    world.after(150);
+    for caller in 100..130 {
+        world.open(flow(caller, 443), 0);
+        world.after(60);
+        assert!(world.record.decisions.contains(&(flow(caller, 443), Verdict::Placed, None)), "caller {caller}");
+        let mark = world.last().mark.unwrap();
+        world.send(flow(caller, 443), mark, Kind::Data, 100, 50);
+        world.send(flow(caller, 443), mark, Kind::Closing, 0, 60);
+    }
+}
+
+/// The caller's copy may come to another balancer and be placed there, so an opening leaves the queue before the copy: an
+/// opening at two hosts is spoiled.
+#[test]
+fn a_waiting_opening_is_placed_before_its_callers_copy() {
+    let mut world = World::new(1);
+    world.list(&Host { slots: 3, ..host(1, "bookings", "a") });
+    world.route(443, Some(&route("bookings")));
+    let placed = (1..=5).map(|caller| world.establish(flow(caller, 443))).last().unwrap();
+    world.open(flow(6, 443), 0);
+    world.after(100);
+    for caller in 1..=5 {
+        world.send(flow(caller, 443), Mark::of(placed), Kind::Data, 100, 50);
+    }
+    assert!(!world.record.decisions.contains(&(flow(6, 443), Verdict::Placed, None)));
+    world.after(99);
+    assert!(world.record.decisions.contains(&(flow(6, 443), Verdict::Placed, None)));
+}
+
 /// A wait ends: hosts may be idle although their work's end was not seen.
 #[test]
 fn an_opening_that_waited_for_long_is_placed_all_the_same() {
