Hand out whole states at a bounded rate, and take those of the target size

After a start of all machines everyone asked the few that were ready first for everything, 200 KB an answer; encoding and sending kept their processors and links busy beyond the 300 ms that an answer had. Besides, an answer of a peer was limited to 1 MB, the size of a value of the store, so that no more than 15,000 hosts could come from a peer.

A member now hands out whole states at 10 Mbit/s, the slowest link of the sites, and refuses the others, who ask again whoever speaks next. A pull of everything has 5 s, its deadline is part of the request, and a parcel may have 16 MB.

--- a/crates/poplarpaddle-balancer/src/direct/task.rs
+++ b/crates/poplarpaddle-balancer/src/direct/task.rs
@@ -13,7 +13,7 @@
 use poplarpaddle::time::Time;
 use poplarpaddle::wire::Parcel;
 use poplarpaddle_io::clock::Clock;
-use poplarpaddle_io::peer::Client;
+use poplarpaddle_io::peer::{Client, PARCEL_LIMIT};
 use serde::Serialize;
 use slog::{Logger, info, warn};
 use tokio::net::UdpSocket;
@@ -36,9 +36,6 @@
 /// Time by which the answer to a watch may come late.
 const WATCH_SLACK: Duration = Duration::from_millis(500);
 
-/// Time for a pull from a peer.
-const PULL_TIME: Duration = Duration::from_millis(300);
-
 /// Members of a zone in doubt that are pinged at a time.
 const PINGED: usize = 2;
 
@@ -172,7 +169,7 @@
             Input::Pulled(member, parcel) => self.node.pulled(now, member, parcel),
             Input::Parcel { hosts, routes, answer } => {
                 // An asker that went away needs no answer.
-                drop(answer.send(self.node.parcel(now, hosts, routes).encode()));
+                drop(answer.send(self.node.parcel(now, hosts, routes).and_then(|parcel| parcel.encode())));
             }
             Input::Status(answer) => drop(answer.send(self.status(now))),
             Input::Seeds(seeds) => self.node.set_seeds(seeds),
@@ -250,7 +247,7 @@
             }
             Action::Read(topic) => self.read(topic),
             Action::Watch { topic, revision, until } => self.watch(topic, revision, until),
-            Action::Pull { member, peer, hosts, routes } => self.pull(member, peer, hosts, routes),
+            Action::Pull { member, peer, hosts, routes, until } => self.pull(member, peer, (hosts, routes), until),
             Action::HostsChanged(names) => self.hosts_changed(&names),
             Action::RoutesChanged(addresses) => {
                 let now = self.clock.now();
@@ -312,13 +309,14 @@
         });
     }
 
-    fn pull(&self, member: MemberId, peer: SocketAddr, hosts: u64, routes: u64) {
+    /// Fetches what changed after the revisions of hosts and routes in `known`.
+    fn pull(&self, member: MemberId, peer: SocketAddr, known: (u64, u64), until: Time) {
         let (client, sender, telemetry, clock) =
             (self.peers.clone(), self.sender.clone(), self.telemetry.clone(), self.clock);
         tokio::spawn(async move {
             let started = clock.now();
-            let path = format!("/peer/parcel?hosts={hosts}&routes={routes}");
-            let bytes = client.fetch(peer, &path, started + PULL_TIME).await;
+            let path = format!("/peer/parcel?hosts={}&routes={}", known.0, known.1);
+            let bytes = client.fetch_up_to(PARCEL_LIMIT, peer, &path, until).await;
             let parcel = bytes.and_then(|bytes| Parcel::decode(&bytes));
             telemetry.called("pull", label(&parcel), clock.now().since(started));
             drop(sender.send(Input::Pulled(member, parcel)));
--- a/crates/poplarpaddle-io/src/peer.rs
+++ b/crates/poplarpaddle-io/src/peer.rs
@@ -31,6 +31,9 @@
 /// Largest manifest or part, in bytes; the store takes values of up to 1 MB.
 pub const VALUE_LIMIT: usize = 1 << 20;
 
+/// Largest parcel of hosts and routes, in bytes; 73,000 hosts and 11,000 routes take 4.8 MB.
+pub const PARCEL_LIMIT: usize = 16 << 20;
+
 /// Time for a TCP connection to a peer.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -85,8 +88,17 @@
     ///
     /// [`Kind::Unavailable`] without an answer before `deadline`, [`Kind::Missing`] for status 404.
     pub async fn fetch(&self, address: SocketAddr, path: &str, deadline: Time) -> Result<Vec<u8>> {
+        self.fetch_up_to(VALUE_LIMIT, address, path, deadline).await
+    }
+
+    /// Returns the bytes at `path` of the HTTP server at `address`, `limit` at most.
+    ///
+    /// # Errors
+    ///
+    /// As [`Self::fetch`].
+    pub async fn fetch_up_to(&self, limit: usize, address: SocketAddr, path: &str, deadline: Time) -> Result<Vec<u8>> {
         let request = self.client.get(format!("http://{address}{path}"));
-        self.send(request, address, path, VALUE_LIMIT, deadline).await
+        self.send(request, address, path, limit, deadline).await
     }
 
     async fn send(
--- a/crates/poplarpaddle/examples/registry.rs
+++ b/crates/poplarpaddle/examples/registry.rs
@@ -51,10 +51,10 @@
     changed[0].1.timeout_ms = 9;
     let content = Some((General { version: 2, idle_ms: 15_000 }, changed));
     node.answered(now, Topic::Routes, Ok(Reading::Routes { as_of: 4, content }));
-    let one_host = node.parcel(now, 2, 4).encode().unwrap().len();
-    let one_route = node.parcel(now, 4, 2).encode().unwrap().len();
+    let one_host = node.parcel(now, 2, 4).unwrap().encode().unwrap().len();
+    let one_route = node.parcel(now, 4, 2).unwrap().encode().unwrap().len();
     let start = Instant::now();
-    let whole = node.parcel(now, 0, 0).encode().unwrap().len();
+    let whole = node.parcel(now, 0, 0).unwrap().encode().unwrap().len();
     let pull_ms = start.elapsed().as_millis();
     println!("{hosts}, {routes}, {resident:.1}, {read_ms}, {one_host}, {one_route}, {whole}, {pull_ms}");
 }
--- a/crates/poplarpaddle/src/feed.rs
+++ b/crates/poplarpaddle/src/feed.rs
@@ -41,9 +41,12 @@
 /// Largest exponent of the pause.
 const MAX_PAUSE_STEPS: u32 = 4;
 
-/// Time for the answer of a peer to a pull before another one is asked.
+/// Time for the answer of a peer to a pull of changes before another one is asked.
 const PULL_TIME: Duration = Duration::from_millis(300);
 
+/// The same for a pull of everything, which takes some seconds over a slow link at the largest size.
+const WHOLE_PULL_TIME: Duration = Duration::from_secs(5);
+
 /// A collection in the store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize, derive_more::Display)]
 pub enum Topic {
@@ -132,7 +135,12 @@
         until: Time,
     },
     /// Ask a member for what changed.
-    Pull(MemberId),
+    Pull {
+        /// The member.
+        member: MemberId,
+        /// When its answer is of no use any more.
+        until: Time,
+    },
     /// Tell a member the own positions.
     Tell(MemberId, News),
 }
@@ -341,8 +349,10 @@
 
     fn pull(&mut self, now: Time, from: MemberId) {
         if self.pull.is_none() {
-            self.pull = Some((from, now + PULL_TIME));
-            self.actions.push(Action::Pull(from));
+            let knows_nothing = self.sources.iter().any(|source| source.as_of == 0);
+            let until = now + if knows_nothing { WHOLE_PULL_TIME } else { PULL_TIME };
+            self.pull = Some((from, until));
+            self.actions.push(Action::Pull { member: from, until });
         }
     }
 
--- a/crates/poplarpaddle/src/fleet.rs
+++ b/crates/poplarpaddle/src/fleet.rs
@@ -28,8 +28,9 @@
 
 use std::net::SocketAddr;
 use std::pin::Pin;
+use std::time::Duration;
 
-use crate::error::{Error, Result};
+use crate::error::{Error, Kind, Result};
 use crate::event::Event;
 use crate::feed::{self, Feed, News, Topic};
 use crate::map::{self, Map};
@@ -41,6 +42,9 @@
 
 use letters::Letters;
 
+/// Time that one host or route takes in a whole state, about 66 bytes: a member hands out 10 Mbit/s.
+const ENTRY_TIME: Duration = Duration::from_micros(50);
+
 /// Settings of a [`Node`].
 #[derive(Debug, Clone, Default)]
 pub struct Settings {
@@ -76,6 +80,8 @@
         hosts: u64,
         /// Known revision of the routes.
         routes: u64,
+        /// When the answer is of no use any more.
+        until: Time,
     },
     /// Hosts changed in the own state.
     HostsChanged(Vec<String>),
@@ -159,6 +165,8 @@
     /// Members that can be reached, in the order of their identifiers, and the revision of the membership then.
     members: Vec<MemberId>,
     revision: u64,
+    /// When the next member may get the whole state.
+    next_whole: Time,
     actions: Vec<Action>,
 }
 
@@ -178,6 +186,7 @@
             lost: [false; 2],
             reported: map::seeded(0),
             revision: 0,
+            next_whole: Time::default(),
             actions: Vec::new(),
         }
     }
@@ -270,19 +279,39 @@
     }
 
     /// Returns what changed after the revisions that a peer knows.
-    #[must_use]
-    pub fn parcel(&self, now: Time, hosts: u64, routes: u64) -> Parcel {
+    ///
+    /// # Errors
+    ///
+    /// [`Kind::Limit`] when the peer needs everything and another one got that a moment ago.
+    pub fn parcel(&mut self, now: Time, hosts: u64, routes: u64) -> Result<Parcel> {
+        self.pace(now, hosts, routes)?;
         let mut delta = self.hosts.delta(hosts);
         for item in &mut delta.put {
             item.value.cold_until = Time::default() + item.value.cold_until.since(now);
         }
-        Parcel {
+        Ok(Parcel {
             version: VERSION,
             news: self.news(now),
             hosts: delta,
             routes: self.routes.delta(routes),
             general: self.general,
+        })
+    }
+
+    /// Bounds the rate of whole collections. When all members start at once, all of them ask the few that are ready, whose
+    /// links and processors would be busy with answers that come too late.
+    fn pace(&mut self, now: Time, hosts: u64, routes: u64) -> Result<()> {
+        let whole_hosts = if self.hosts.is_whole(hosts) { self.hosts.len() } else { 0 };
+        let whole_routes = if self.routes.is_whole(routes) { self.routes.len() } else { 0 };
+        let entries = u32::try_from(whole_hosts + whole_routes).unwrap_or(u32::MAX);
+        if entries == 0 {
+            return Ok(());
+        }
+        if !now.reached(self.next_whole) {
+            return Err(Error::new(Kind::Limit, "another member got the whole state a moment ago"));
         }
+        self.next_whole = now + ENTRY_TIME * entries;
+        Ok(())
     }
 
     /// Takes the outcome of a pull.
@@ -346,10 +375,10 @@
             feed::Action::Watch { topic, revision, until } => {
                 self.actions.push(Action::Watch { topic, revision, until });
             }
-            feed::Action::Pull(member) => {
+            feed::Action::Pull { member, until } => {
                 let Some(peer) = self.membership.record(member).map(|record| record.peer) else { return };
                 let (hosts, routes) = (self.hosts.as_of(), self.routes.as_of());
-                self.actions.push(Action::Pull { member, peer, hosts, routes });
+                self.actions.push(Action::Pull { member, peer, hosts, routes, until });
             }
             feed::Action::Tell(member, news) => self.tell(member, news),
         }
@@ -373,5 +402,5 @@
 }
 
 fn stale(text: String) -> Error {
-    Error::new(crate::error::Kind::Stale, text)
+    Error::new(Kind::Stale, text)
 }
--- a/crates/poplarpaddle/src/ledger.rs
+++ b/crates/poplarpaddle/src/ledger.rs
@@ -165,10 +165,16 @@
         Ok(changed)
     }
 
+    /// Returns true when [`Self::delta`] from `since` is the whole collection.
+    #[must_use]
+    pub const fn is_whole(&self, since: u64) -> bool {
+        since == 0 || since < self.floor
+    }
+
     /// Returns what changed after revision `since`, or the whole collection when that is not known any more.
     #[must_use]
     pub fn delta(&self, since: u64) -> Delta<K, V> {
-        let base = if since < self.floor { 0 } else { since };
+        let base = if self.is_whole(since) { 0 } else { since };
         let put = self.entries.iter().filter(|(_, entry)| entry.changed > base);
         let mut put: Vec<_> = put
             .map(|(key, entry)| Item { key: key.clone(), value: entry.value.clone(), changed: entry.changed })
--- a/crates/poplarpaddle/tests/fleet/spread.rs
+++ b/crates/poplarpaddle/tests/fleet/spread.rs
@@ -192,3 +192,28 @@
     order.truncate(count);
     order
 }
+
+/// After a loss of all machines, those that are ready first were asked for everything by all others at once: at 300 machines
+/// one of them sent half a megabyte a second, and answers came after the time for them.
+#[test]
+fn a_member_hands_out_the_whole_state_at_a_bounded_rate() {
+    let mut world = World::new(&[20, 20, 20]);
+    world.publish(7, &[443]);
+    for number in 1..=2000 {
+        world.put_host(number, State::Ready);
+    }
+    for place in &mut world.places[1..] {
+        place.path = Path::Refused;
+    }
+    for index in 0..world.places.len() {
+        world.start(index);
+    }
+    world.run(500);
+    // 2,001 entries take 100 ms at 10 Mbit/s.
+    let most = world.places.iter().map(|place| place.whole).max().unwrap();
+    assert!(most <= 6, "a member handed out the whole state {most} times in 500 ms");
+    world.run(2500);
+    for index in 0..world.places.len() {
+        assert!(world.node(index).is_ready(), "node {index}");
+    }
+}
--- a/crates/poplarpaddle/tests/fleet/world.rs
+++ b/crates/poplarpaddle/tests/fleet/world.rs
@@ -80,6 +80,8 @@
     /// Hosts and routes as the data path was told.
     pub hosts: BTreeMap<String, Host>,
     pub heard: BTreeMap<String, Time>,
+    /// Times that the node handed out everything.
+    pub whole: u64,
 }
 
 pub struct World {
@@ -126,6 +128,7 @@
                     version: 0,
                     hosts: BTreeMap::new(),
                     heard: BTreeMap::new(),
+                    whole: 0,
                 });
             }
         }
@@ -353,14 +356,16 @@
             Action::Send(to, bytes) => self.later(HOP_MS, Event::Datagram { to, from, bytes }),
             Action::Read(topic) => self.read(index, life, topic),
             Action::Watch { topic, revision, until } => self.watch(index, life, topic, revision, until),
-            Action::Pull { member, peer, hosts, routes } => {
+            Action::Pull { member, peer, hosts, routes, .. } => {
                 let answers = self.index(peer).filter(|other| self.reaches(index, *other));
-                let parcel = answers.and_then(|other| self.places[other].node.as_ref()).map(|other| {
-                    let bytes = other.parcel(now, hosts, routes).encode().unwrap();
-                    Parcel::decode(&bytes).unwrap()
-                });
-                let wait = if parcel.is_some() { 2 * HOP_MS } else { 300 };
-                let parcel = parcel.ok_or_else(|| Error::new(Kind::Unavailable, "no answer to a pull"));
+                let (wait, parcel) = match answers.map(|other| &mut self.places[other]) {
+                    Some(Place { node: Some(node), whole, .. }) => {
+                        let parcel = node.parcel(now, hosts, routes);
+                        *whole += u64::from(parcel.as_ref().is_ok_and(|parcel| parcel.hosts.base == 0));
+                        (2 * HOP_MS, parcel.map(|parcel| Parcel::decode(&parcel.encode().unwrap()).unwrap()))
+                    }
+                    _ => (300, Err(Error::new(Kind::Unavailable, "no answer to a pull"))),
+                };
                 self.later(wait, Event::Pulled { node: index, life, member, parcel });
             }
             Action::HostsChanged(names) => {
