Let small sites hand out whole states at once, and bound a pull of everything by the bound of changes

A balancer that has just read the store knows no earlier changes, so followers need everything from it; with one whole state at a time, nine of ten members of a small site would have been refused and stayed behind until the next news. A pull of everything waited up to 5 s for a peer that fell silent.

Whole states may wait for one another for 100 ms, and a pull of everything ends at 0.7 of the bound of changes (4.9 s at the target, where it takes 4.2 s).

--- a/crates/poplarpaddle/src/feed.rs
+++ b/crates/poplarpaddle/src/feed.rs
@@ -44,9 +44,6 @@
 /// Time for the answer of a peer to a pull of changes before another one is asked.
 const PULL_TIME: Duration = Duration::from_millis(300);
 
-/// The same for a pull of everything, which takes some seconds over a slow link at the largest size.
-const WHOLE_PULL_TIME: Duration = Duration::from_secs(5);
-
 /// A collection in the store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize, derive_more::Display)]
 pub enum Topic {
@@ -105,6 +102,12 @@
         self.bound.mul_f64(0.35)
     }
 
+    /// Returns the time for the answer of a peer to a pull of everything. At the target size and bound, 7 s, that takes 4.2 s.
+    #[must_use]
+    pub fn whole_pull(&self) -> Duration {
+        self.bound.mul_f64(0.7)
+    }
+
     /// Returns the age of the last confirmation from peers at which the member of this rank reads the store itself.
     ///
     /// The ranks follow one another, so that the failure of a reader does not send all members to the store at once.
@@ -350,7 +353,7 @@
     fn pull(&mut self, now: Time, from: MemberId) {
         if self.pull.is_none() {
             let knows_nothing = self.sources.iter().any(|source| source.as_of == 0);
-            let until = now + if knows_nothing { WHOLE_PULL_TIME } else { PULL_TIME };
+            let until = now + if knows_nothing { self.settings.whole_pull() } else { PULL_TIME };
             self.pull = Some((from, until));
             self.actions.push(Action::Pull { member: from, until });
         }
--- a/crates/poplarpaddle/src/fleet.rs
+++ b/crates/poplarpaddle/src/fleet.rs
@@ -45,6 +45,9 @@
 /// Time that one host or route takes in a whole state, about 66 bytes: a member hands out 10 Mbit/s.
 const ENTRY_TIME: Duration = Duration::from_micros(50);
 
+/// Longest time for which a whole state may wait for others, so that the members of a small site need not ask twice.
+const BACKLOG_TIME: Duration = Duration::from_millis(100);
+
 /// Settings of a [`Node`].
 #[derive(Debug, Clone, Default)]
 pub struct Settings {
@@ -165,8 +168,8 @@
     /// Members that can be reached, in the order of their identifiers, and the revision of the membership then.
     members: Vec<MemberId>,
     revision: u64,
-    /// When the next member may get the whole state.
-    next_whole: Time,
+    /// Until when the whole states that were handed out keep the link busy.
+    busy_until: Time,
     actions: Vec<Action>,
 }
 
@@ -186,7 +189,7 @@
             lost: [false; 2],
             reported: map::seeded(0),
             revision: 0,
-            next_whole: Time::default(),
+            busy_until: Time::default(),
             actions: Vec::new(),
         }
     }
@@ -307,10 +310,10 @@
         if entries == 0 {
             return Ok(());
         }
-        if !now.reached(self.next_whole) {
-            return Err(Error::new(Kind::Limit, "another member got the whole state a moment ago"));
+        if self.busy_until > now + BACKLOG_TIME {
+            return Err(Error::new(Kind::Limit, "other members got the whole state a moment ago"));
         }
-        self.next_whole = now + ENTRY_TIME * entries;
+        self.busy_until = self.busy_until.max(now) + ENTRY_TIME * entries;
         Ok(())
     }
 
