--- a/crates/poplarpaddle/tests/fleet/spread.rs
+++ b/crates/poplarpaddle/tests/fleet/spread.rs
@@ -252,6 +252,6 @@
     let now = world.now;
     let node = world.places[0].node.as_mut().unwrap();
     for _ in 0..9 {
-        assert!(node.parcel(now, 0, 0).is_ok());
+        node.parcel(now, 0, 0).unwrap();
     }
 }
