Silence only open flows in the stand-in of the fabric

The test silences as soon as the twentieth opening is seen; that flow was still in its handshake, so it never was established and does not count as broken, as the report shows.

silence_where now takes only flows of which a packet after the opening was seen, as its comment says. The check stays.

--- a/crates/poplarpaddle-standins/src/fabric/flows.rs
+++ b/crates/poplarpaddle-standins/src/fabric/flows.rs
@@ -34,6 +34,8 @@
 #[derive(Debug, Clone, Copy)]
 struct Entry {
     sequence: u32,
+    /// A packet after the opening was seen.
+    answered: bool,
     silenced: bool,
 }
 
@@ -51,10 +53,12 @@
         if header.opening {
             let repeated = known.is_some_and(|entry| entry.sequence == header.sequence);
             if !repeated && (known.is_some() || self.entries.len() < MAX_FLOWS) {
-                self.entries.insert(key, Entry { sequence: header.sequence, silenced: false });
+                self.entries.insert(key, Entry { sequence: header.sequence, answered: false, silenced: false });
             }
         } else if header.ending && known.is_some_and(|entry| !entry.silenced) {
             self.entries.remove(&key);
+        } else if let Some(entry) = self.entries.get_mut(&key) {
+            entry.answered = true;
         }
     }
 
@@ -66,9 +70,11 @@
         })
     }
 
-    /// Silences the open flows for which `choose` returns true, in the order of their keys, and returns their number.
+    /// Silences the open flows for which `choose` returns true, in the order of their keys, and returns their number. A flow
+    /// whose opening has no answer yet is not open, and its silence breaks nothing.
     pub fn silence_where(&mut self, mut choose: impl FnMut(&Key) -> bool) -> usize {
-        let mut keys: Vec<_> = self.entries.keys().copied().collect();
+        let answered = self.entries.iter().filter(|(_, entry)| entry.answered);
+        let mut keys: Vec<_> = answered.map(|(key, _)| *key).collect();
         keys.sort_unstable_by_key(|key| (key.caller, key.port));
         keys.iter().filter(|key| choose(key)).filter(|key| self.silence(key)).count()
     }
