--- a/crates/poplarpaddle-standins/tests/fabric.rs
+++ b/crates/poplarpaddle-standins/tests/fabric.rs
@@ -121,6 +121,7 @@
     engine.faults.silent_targets = false;
     assert!(deliver(&mut engine, 9, &segment(CALLER, SERVICE, Some(5))).is_empty(), "a repeated opening is old");
     assert_eq!(deliver(&mut engine, 9, &segment(CALLER, SERVICE, Some(6))).len(), 1);
+    assert_eq!(engine.silence_share(1.0), 0, "a flow in its handshake is not open yet");
     assert_eq!(passed(&mut engine), 4);
     assert_eq!(engine.silence_share(1.0), 1);
     assert_eq!(passed(&mut engine), 0);
