--- a/crates/poplarpaddle-balancer/src/daemon.rs
+++ b/crates/poplarpaddle-balancer/src/daemon.rs
@@ -9,6 +9,7 @@
 use poplarpaddle::admission::{self, Gate};
 use poplarpaddle::config;
 use poplarpaddle::control::{self, Node};
+use poplarpaddle::health;
 use poplarpaddle::membership;
 use poplarpaddle::ownership::Ownership;
 use poplarpaddle::path::{self, MemberId};
@@ -139,13 +140,20 @@
 }
 
 fn node(settings: &Settings, me: MemberId) -> Node {
+    let state = Box::new(config::State::new(&settings.node.fleet));
+    Node::new(Clock::new().now(), control_settings(settings, me), state)
+}
+
+/// Returns the settings of the control plane of the balancer `me`.
+#[must_use]
+pub fn control_settings(settings: &Settings, me: MemberId) -> control::Settings {
     let membership = membership::Settings {
         ping_ms: settings.members.ping_ms.into(),
         suspect_ms: settings.members.suspect_ms.into(),
         seeds: settings.members.seeds.clone(),
         ..membership::Settings::default()
     };
-    let control = control::Settings {
+    control::Settings {
         id: me,
         name: settings.node.name.clone(),
         zone: settings.node.zone.clone(),
@@ -155,9 +163,9 @@
         relay: settings.advertise.relay.unwrap_or(settings.listen.relay),
         seed: rand::random(),
         membership,
+        health: health::Settings { poll_ms: settings.targets.poll_ms.into(), ..health::Settings::default() },
         ..control::Settings::default()
-    };
-    Node::new(Clock::new().now(), control, Box::new(config::State::new(&settings.node.fleet)))
+    }
 }
 
 /// Factory of the admission queues, one for each shard of the data path.
--- a/crates/poplarpaddle-cli/src/explain.rs
+++ b/crates/poplarpaddle-cli/src/explain.rs
@@ -8,10 +8,11 @@
 //!
 //! let text = r#"{"time":5,"msg":"decision","process":"e1","flow":"100.64.0.7:1024>198.18.0.1:443","verdict":"placed"}"#;
 //! let found = explain("100.64.0.7:1024", &[Log { label: "e1.jsonl", text }]);
-//! assert_eq!(found.len(), 1);
+//! assert_eq!(found.lines.len(), 1);
 //! ```
 //!
-//! Lines that are not JSON objects are skipped, since a killed process may leave an incomplete line in its log.
+//! Lines that are not JSON objects with a time and a process are skipped and counted, since a killed process may leave an
+//! incomplete line in its log.
 
 use std::collections::BTreeSet;
 use std::path::PathBuf;
@@ -48,6 +49,15 @@
     pub fields: Value,
 }
 
+/// Result of [`explain`].
+#[derive(Debug, Clone, PartialEq, Default)]
+pub struct Explanation {
+    /// The decisions and the lines related to them, in the order of time.
+    pub lines: Vec<Line>,
+    /// Number of lines that are not log lines, without empty ones.
+    pub skipped: usize,
+}
+
 pub(crate) fn run(flow: &str, files: &[PathBuf], console: &mut Console<'_>) -> Result<()> {
     let mut texts = Vec::new();
     for file in files {
@@ -57,7 +67,12 @@
         texts.push((label, String::from_utf8_lossy(&bytes).into_owned()));
     }
     let logs: Vec<Log<'_>> = texts.iter().map(|(label, text)| Log { label, text }).collect();
-    let lines = explain(flow, &logs);
+    let Explanation { lines, skipped } = explain(flow, &logs);
+    match skipped {
+        0 => {}
+        1 => console.note("1 line is not a log line and was skipped"),
+        _ => console.note(&format!("{skipped} lines are not log lines and were skipped")),
+    }
     if lines.is_empty() {
         let text = format!(
             "no decision about a flow whose name contains {flow:?} in {} files; log lines `decisions left out` count decisions \
@@ -73,8 +88,11 @@
 /// Returns the decisions about flows whose name contains `flow`, sorted by time. Also returns the lines that the same
 /// processes logged around the time of a decision about the hosts of the decisions or about the process as a whole.
 #[must_use]
-pub fn explain(flow: &str, logs: &[Log<'_>]) -> Vec<Line> {
-    let lines: Vec<Line> = logs.iter().flat_map(|log| log.text.lines()).filter_map(parse).collect();
+pub fn explain(flow: &str, logs: &[Log<'_>]) -> Explanation {
+    let texts = logs.iter().flat_map(|log| log.text.lines()).filter(|text| !text.trim().is_empty());
+    let parsed: Vec<Option<Line>> = texts.map(parse).collect();
+    let total = parsed.len();
+    let lines: Vec<Line> = parsed.into_iter().flatten().collect();
     let decisions: Vec<&Line> = lines.iter().filter(|line| is_decision_about(line, flow)).collect();
     let hosts: BTreeSet<&str> = decisions.iter().filter_map(|line| line.fields["host"].as_str()).collect();
     let is_relevant = |line: &&Line| {
@@ -85,7 +103,7 @@
     };
     let mut found: Vec<Line> = lines.iter().filter(is_relevant).cloned().collect();
     found.sort_by(|one, other| (one.time, &one.process).cmp(&(other.time, &other.process)));
-    found
+    Explanation { lines: found, skipped: total - lines.len() }
 }
 
 fn parse(line: &str) -> Option<Line> {
--- a/crates/poplarpaddle-cli/tests/commands/explain.rs
+++ b/crates/poplarpaddle-cli/tests/commands/explain.rs
@@ -25,7 +25,9 @@
 fn decisions_come_with_related_beliefs() {
     let found =
         explain("100.64.0.7:1024", &[Log { label: "a", text: FIRST_LOG }, Log { label: "b", text: SECOND_LOG }]);
+    assert_eq!(found.skipped, 1, "the incomplete last line of the first log");
     let summaries: Vec<String> = found
+        .lines
         .iter()
         .map(|line| {
             let text = |field: &str| line.fields[field].as_str().unwrap_or_default().to_owned();
@@ -44,6 +46,7 @@
     let fake = Fake::default();
     let output = run(&fake, &format!("explain 100.64.0.8:1024 {}", file.display()));
     assert!(output.contains("verdict=placed") && output.contains("host=i-8"), "{output}");
+    assert!(output.contains("1 line is not a log line and was skipped"), "{output}");
     assert!(run(&fake, &format!("explain 1.2.3.4:5 {}", file.display())).contains("no decision about a flow"));
     std::fs::remove_file(&file).unwrap();
     assert!(run(&fake, &format!("explain 1.2.3.4:5 {}", file.display())).contains("cannot read log"));
--- a/crates/poplarpaddle-io/src/settings/document.rs
+++ b/crates/poplarpaddle-io/src/settings/document.rs
@@ -86,7 +86,9 @@
         let mut section = "";
         let mut parser = Parser::new(text).auto_trim(true);
         while let Some(item) = parser.next() {
-            let line = parser.line();
+            // The parser counts line ends, and the last line may have none.
+            let is_cut = parser.remainder().is_empty() && !text.ends_with(['\n', '\r']);
+            let line = parser.line() + u32::from(is_cut);
             match item {
                 Item::Section(name) => {
                     section = name;
--- a/crates/poplarpaddle-io/tests/settings.rs
+++ b/crates/poplarpaddle-io/tests/settings.rs
@@ -63,3 +63,14 @@
     let advertised = Settings::parse("balancer.ini", &text).unwrap().advertise;
     assert_eq!(advertised, Advertise { peer: Some("127.0.9.1:7002".parse().unwrap()), relay: None });
 }
+
+/// Guards against line 0 for a fault in a last line that has no newline.
+#[test]
+fn the_last_line_needs_no_newline() {
+    let faults = Settings::parse("bad.ini", "nonsense").unwrap_err();
+    assert!(faults.to_string().contains("bad.ini:1: \"nonsense\""), "{faults}");
+    let faults = Settings::parse("bad.ini", "[node]\nname = entry-1\ncolour = red").unwrap_err();
+    assert!(faults.to_string().contains("bad.ini:3: [node] colour"), "{faults}");
+    let faults = Settings::parse("bad.ini", "[node]\nname = entry-1\ncolour = red\n").unwrap_err();
+    assert!(faults.to_string().contains("bad.ini:3: [node] colour"), "{faults}");
+}
--- a/crates/poplarpaddle/src/admission/queue.rs
+++ b/crates/poplarpaddle/src/admission/queue.rs
@@ -351,7 +351,7 @@
             return Decision::Refuse(Reason::QueueFull);
         }
         if !self.budget.withdraw() {
-            return Decision::Refuse(Reason::NoTarget);
+            return Decision::Refuse(Reason::RetryBudget);
         }
         self.enqueue(&ticket, ready, true)
     }
--- a/crates/poplarpaddle/src/path.rs
+++ b/crates/poplarpaddle/src/path.rs
@@ -97,6 +97,8 @@
     NoOwner,
     /// The service has no usable target for the flow.
     NoTarget,
+    /// The opening failed at a target, and the budget for retries is used up.
+    RetryBudget,
     /// The queue of the priority is full.
     QueueFull,
     /// The packet cannot be served before its deadline.
@@ -119,13 +121,14 @@
 
 impl Reason {
     /// All reasons, in the order of their counters.
-    pub const ALL: [Self; 15] = [
+    pub const ALL: [Self; 16] = [
         Self::UnknownService,
         Self::Malformed,
         Self::PayloadInOpening,
         Self::NoConfiguration,
         Self::NoOwner,
         Self::NoTarget,
+        Self::RetryBudget,
         Self::QueueFull,
         Self::Deadline,
         Self::WrongTarget,
--- a/crates/poplarpaddle/tests/admission.rs
+++ b/crates/poplarpaddle/tests/admission.rs
@@ -6,6 +6,7 @@
 use poplarpaddle::admission::{Decision, Departure, End, Gate, Host, Queue, Settings, Ticket, TicketId};
 use poplarpaddle::limit::{self, Limit};
 use poplarpaddle::prelude::*;
+use poplarpaddle::retry;
 use poplarpaddle::view::HostState;
 
 const SLOTS: u16 = 3;
@@ -422,3 +423,15 @@
     gate.set_hosts(ms(120), &[Host { state: HostState::Unknown, ..host(0) }]);
     waiting(gate.offer(ms(120), &ticket(0, candidates)))
 }
+
+/// Guards against a refusal that blames the hosts when only the retry budget is used up: operators then look for a fault
+/// of the hosts.
+#[test]
+fn a_used_up_retry_budget_is_named() {
+    let hosts: Vec<Ipv4Addr> = (0..4).map(address).collect();
+    let retry = retry::Settings { reserve: 0, percent: 0, ..settings().retry };
+    let mut gate = gate(4, Settings { retry, ..settings() });
+    assert!(matches!(gate.offer(ms(0), &ticket(0, &hosts)), Decision::Start(_)));
+    gate.finish(ms(1), hosts[0], 0, End::Shed);
+    assert_eq!(gate.retry(ms(1), &ticket(0, &hosts), hosts[0]), Decision::Refuse(Reason::RetryBudget));
+}
--- a/scripts/platform.sh
+++ b/scripts/platform.sh
@@ -63,7 +63,7 @@
 }
 
 start_balancer() {
-    POPLARPADDLE_BOOT=$folder/$1.toml "$bin/poplarpaddle-edge" >>"$folder/edge-$1.jsonl" 2>&1 &
+    POPLARPADDLE_BOOT=$folder/$1.toml "$bin/poplarpaddle-edge" --tools-port $((base + 10)) >>"$folder/edge-$1.jsonl" 2>&1 &
     pids[$1]=$!
 }
 
