Use a connection for each call of the HTTP clients

Cause: a server that sends a second copy of a response late, when the connection is in use again, made the client take the copy for the response to its next call. Shown by a_late_copy_of_a_response_is_not_taken_for_the_next_response, which failed with the pooled connections of the peer client. Change: connections are not used again.

--- a/crates/poplarpaddle-io/src/lib.rs
+++ b/crates/poplarpaddle-io/src/lib.rs
@@ -20,6 +20,7 @@
 
 pub mod clock;
 pub mod events;
+pub mod http;
 pub mod log;
 pub mod metrics;
 pub mod peer;
--- a/crates/poplarpaddle-io/src/peer.rs
+++ b/crates/poplarpaddle-io/src/peer.rs
@@ -20,6 +20,7 @@
 use serde::de::DeserializeOwned;
 
 use crate::clock::Clock;
+use crate::http;
 use crate::store::{read_body, root_cause};
 
 /// Media type of peer messages.
@@ -51,11 +52,9 @@
     ///
     /// Fails when the HTTP client cannot be set up.
     pub fn new(source: Option<IpAddr>) -> Result<Self> {
-        let client = reqwest::Client::builder()
+        let client = http::client()
             .local_address(source)
             .connect_timeout(CONNECT_TIMEOUT)
-            .pool_max_idle_per_host(1)
-            .no_proxy()
             .build()
             .map_err(|error| Error::new(Kind::Io, format!("cannot set up the HTTP client: {error}")))?;
         Ok(Self { client, clock: Clock::new() })
--- a/crates/poplarpaddle-io/src/store.rs
+++ b/crates/poplarpaddle-io/src/store.rs
@@ -15,6 +15,7 @@
 use serde::de::DeserializeOwned;
 
 use crate::clock::Clock;
+use crate::http;
 
 /// Timeout of establishing a TCP connection to the store. A connection that takes longer counts as an outage.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -54,7 +55,7 @@
     pub fn new(url: &str) -> eyre::Result<Self> {
         let parsed = reqwest::Url::parse(url).wrap_err_with(|| format!("store URL {url:?} is not a valid URL"))?;
         ensure!(parsed.scheme() == "http", "store URL {url:?} must start with http://");
-        let client = reqwest::Client::builder().connect_timeout(CONNECT_TIMEOUT).no_proxy().build()?;
+        let client = http::client().connect_timeout(CONNECT_TIMEOUT).build()?;
         Ok(Self { client, url: url.trim_end_matches('/').to_owned(), clock: Clock::new() })
     }
 
--- a/crates/poplarpaddle-io/tests/peer.rs
+++ b/crates/poplarpaddle-io/tests/peer.rs
@@ -31,3 +31,32 @@
     assert_eq!(bytes.len(), TRANSFER_BYTES);
     server.await.unwrap();
 }
+
+/// A server that sends a second copy of a response late, when its connection is in use again, must not make the client
+/// take that copy for the response to the later call.
+#[tokio::test]
+async fn a_late_copy_of_a_response_is_not_taken_for_the_next_response() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let server = tokio::spawn(async move {
+        let mut count = 0;
+        while count < 2 {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            let mut previous = Vec::new();
+            let mut request = [0; 1024];
+            while stream.read(&mut request).await.is_ok_and(|length| length > 0) {
+                count += 1;
+                let response = format!("HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\n{count}").into_bytes();
+                stream.write_all(&[std::mem::take(&mut previous), response.clone()].concat()).await.unwrap();
+                previous = response;
+            }
+        }
+    });
+    let client = Client::new(None).unwrap();
+    for expected in ["1", "2"] {
+        let deadline = Clock::new().now() + Duration::from_secs(30);
+        let bytes = client.fetch(address, "/peer/manifest", deadline).await.unwrap();
+        assert_eq!(String::from_utf8(bytes).unwrap(), expected);
+    }
+    server.await.unwrap();
+}
