Reset the flows of unreachable hosts, and let no queued opening get lost

Change: a host in doubt (two unanswered openings, a retransmitted request, a lost zone) is checked by a connection attempt. When it fails and another host has answered promptly since, flows of idempotent routes there are reset, and openings avoid the host until it answers. Also: a lost zone whose members are gone is tried by an opening a second; queued openings follow their route and are refused when host or route is gone; a leaving balancer places what is queued and stays while packets still arrive, up to max_drain.

--- a/crates/poplarpaddle-balancer/src/direct/daemon.rs
+++ b/crates/poplarpaddle-balancer/src/direct/daemon.rs
@@ -44,7 +44,8 @@
     pub modified: Box<dyn Fn() -> Option<SystemTime> + Send>,
 }
 
-/// Runs a balancer until SIGTERM or SIGINT, then drains it and returns.
+/// Runs a balancer until SIGTERM or SIGINT, then drains it and returns. It drains until no more packets arrive, but for
+/// [`Settings::drain`] at least and [`Settings::max_drain`] at most.
 ///
 /// # Errors
 ///
@@ -78,9 +79,8 @@
         outcome = reload(&adapters, &sender, settings.seeds.clone(), &logger) => outcome?,
     }
     info!(logger, "leaving"; "drain_ms" => u64::try_from(settings.drain.as_millis()).unwrap_or(u64::MAX));
-    sender.send(Input::Leave)?;
-    tokio::time::sleep(settings.drain).await;
-    sender.send(Input::Stop)?;
+    let now = Clock::new().now();
+    sender.send(Input::Leave { earliest: now + settings.drain, latest: now + settings.max_drain })?;
     sender.closed().await;
     info!(logger, "stopped");
     Ok(())
@@ -117,6 +117,7 @@
         peers: Client::new(Some(settings.peer.ip()))?,
         packets,
         gossip,
+        peer_address: settings.peer.ip(),
         inputs,
         outcomes,
         readiness,
@@ -124,7 +125,8 @@
         journal: Journal::new(logger.clone()),
         logger: logger.clone(),
         bound: settings.bound,
-        leaving: false,
+        stop: None,
+        last_packet: Time::default(),
         unsent: 0,
         hosts_confirmed: Time::default(),
     })
--- a/crates/poplarpaddle-balancer/src/direct/outlet.rs
+++ b/crates/poplarpaddle-balancer/src/direct/outlet.rs
@@ -1,9 +1,9 @@
 //! Output of the engine: packets to a socket, decisions and events to the log.
 
-use std::net::SocketAddr;
+use std::net::{SocketAddr, SocketAddrV4};
 use std::time::Duration;
 
-use poplarpaddle::direct::{Decision, Hop, Layout, Outlet};
+use poplarpaddle::direct::{CheckId, Decision, Hop, Layout, Outlet};
 use poplarpaddle::event::Event;
 use poplarpaddle::fleet::Node;
 use poplarpaddle::packet::Flow;
@@ -26,6 +26,8 @@
     pub(super) unsent: &'a mut u64,
     /// Zones that the engine requested to ping during the call.
     pub(super) pings: &'a mut Vec<String>,
+    /// Checks of hosts that the engine requested during the call.
+    pub(super) checks: &'a mut Vec<(CheckId, SocketAddrV4)>,
     /// Node whose members can be pinged.
     pub(super) node: &'a Node,
     /// Version of the configuration, for the log.
@@ -63,6 +65,10 @@
         can_ping
     }
 
+    fn check(&mut self, id: CheckId, address: SocketAddrV4) {
+        self.checks.push((id, address));
+    }
+
     fn record_decision(&mut self, decision: &Decision<'_>) {
         self.journal.record_decision(self.now, decision, self.version, self.age);
     }
--- a/crates/poplarpaddle-balancer/src/direct/settings.rs
+++ b/crates/poplarpaddle-balancer/src/direct/settings.rs
@@ -22,8 +22,10 @@
     pub seeds: Vec<SocketAddr>,
     /// Time within which a change in the store has to be in force.
     pub bound: Duration,
-    /// Time for which a leaving balancer continues to forward packets.
+    /// Minimum time for which a leaving balancer continues to forward packets.
     pub drain: Duration,
+    /// Maximum time for which a leaving balancer continues to forward packets while they still arrive.
+    pub max_drain: Duration,
     /// Maximum lifetime of a flow. A removed host, and a service removed from a route, keeps its established flows for
     /// this time.
     pub flow_life: Duration,
@@ -42,6 +44,7 @@
             seeds: Vec::new(),
             bound: Duration::from_secs(7),
             drain: Duration::from_millis(2500),
+            max_drain: Duration::from_millis(4500),
             flow_life: Duration::from_mins(1),
         }
     }
--- a/crates/poplarpaddle-balancer/src/direct/task.rs
+++ b/crates/poplarpaddle-balancer/src/direct/task.rs
@@ -1,10 +1,10 @@
 //! Main task, which owns the engine and the node and reads the UDP sockets.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr, SocketAddrV4};
 use std::sync::Arc;
 use std::time::Duration;
 
-use poplarpaddle::direct::{Engine, Layout, Reason};
+use poplarpaddle::direct::{CheckId, Engine, Layout, Reason};
 use poplarpaddle::error::Result;
 use poplarpaddle::event::Event;
 use poplarpaddle::feed::Topic;
@@ -16,7 +16,7 @@
 use poplarpaddle_io::peer::{Client, TRANSFER_LIMIT};
 use serde::Serialize;
 use slog::{Logger, info, warn};
-use tokio::net::UdpSocket;
+use tokio::net::{TcpSocket, UdpSocket};
 use tokio::sync::{mpsc, oneshot};
 
 use super::Readiness;
@@ -39,6 +39,9 @@
 /// Number of members to ping in a zone that may be unreachable.
 const PINGS_PER_ZONE: usize = 2;
 
+/// Time without packets after which a leaving balancer assumes that the routers send it no more.
+const QUIET: Duration = Duration::from_millis(300);
+
 /// Time after an outage of the store within which hosts renew registrations that expired during the outage.
 const RENEWAL_GRACE: Duration = Duration::from_millis(2200);
 
@@ -49,16 +52,32 @@
     Store(Topic, Result<Response>),
     /// Outcome of a pull from a peer.
     Pulled(MemberId, Result<Transfer>),
+    /// Result of a check of a host: whether it accepted a connection.
+    Checked(CheckId, bool),
     /// A peer pulls the changes after its revisions of hosts and routes.
     Changes { hosts: u64, routes: u64, reply: oneshot::Sender<Result<Vec<u8>>> },
     /// A request for the status.
     Status(oneshot::Sender<Status>),
     /// New seeds after a reload of the settings.
     Seeds(Vec<SocketAddr>),
-    /// Announces that this balancer is leaving the fleet.
-    Leave,
-    /// Announces that this balancer stops now, and ends the task.
-    Stop,
+    /// Announces that this balancer is leaving the fleet. The task ends once no more packets arrive, between the two times.
+    Leave { earliest: Time, latest: Time },
+}
+
+/// When a leaving balancer stops.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Stop {
+    /// When it stops if no packets arrive.
+    earliest: Time,
+    /// When it stops although packets arrive.
+    latest: Time,
+}
+
+impl Stop {
+    /// Returns the time at which the balancer stops if no further packet arrives after `last_packet`.
+    fn due(&self, last_packet: Time) -> Time {
+        self.earliest.max(last_packet + QUIET).min(self.latest)
+    }
 }
 
 /// Response to `GET /status`.
@@ -88,6 +107,8 @@
     pub(super) peers: Client,
     pub(super) packets: UdpSocket,
     pub(super) gossip: UdpSocket,
+    /// Address of this balancer in connections to other machines.
+    pub(super) peer_address: IpAddr,
     pub(super) inputs: mpsc::UnboundedReceiver<Input>,
     /// Sends outcomes of calls to [`Task::inputs`].
     pub(super) outcomes: mpsc::UnboundedSender<Input>,
@@ -97,7 +118,10 @@
     pub(super) logger: Logger,
     /// Time within which a change in the store has to be in force.
     pub(super) bound: Duration,
-    pub(super) leaving: bool,
+    /// When this balancer stops; none while it is not leaving.
+    pub(super) stop: Option<Stop>,
+    /// When the last packet of a caller arrived.
+    pub(super) last_packet: Time,
     /// Number of datagrams that could not be sent.
     pub(super) unsent: u64,
     /// Time at which the store had last confirmed the hosts before the current input was handled.
@@ -105,12 +129,13 @@
 }
 
 impl Task {
-    /// Runs until [`Input::Stop`].
+    /// Runs until the balancer has left.
     pub(super) async fn run(mut self) {
         let mut buffer = vec![0; MAX_DATAGRAM].into_boxed_slice();
         self.tick();
         loop {
-            let deadline = self.node.deadline().min(self.engine.deadline()).min(self.journal.deadline());
+            let stop = self.stop.map_or(Time::NEVER, |stop| stop.due(self.last_packet));
+            let deadline = self.node.deadline().min(self.engine.deadline()).min(self.journal.deadline()).min(stop);
             let mut input = None;
             tokio::select! {
                 biased;
@@ -122,15 +147,23 @@
             // Packets in the socket buffer may show that openings were answered, so they are handled before timers.
             self.read_packets(&mut buffer);
             self.read_gossip(&mut buffer);
-            if let Some(input) = input
-                && !self.handle_input(input)
-            {
-                return;
+            if let Some(input) = input {
+                self.handle_input(input);
             }
             self.tick();
+            if self.stop.is_some_and(|stop| self.clock.now().reached(stop.due(self.last_packet))) {
+                return self.finish();
+            }
         }
     }
 
+    /// Sends what is still queued and announces that this balancer stops now.
+    fn finish(&mut self) {
+        self.with_engine(Engine::stop);
+        self.node.stop(self.clock.now());
+        self.perform_actions();
+    }
+
     fn log_failure(&self, ready: std::io::Result<()>, socket: &str) {
         if let Err(error) = ready {
             warn!(self.logger, "socket failed"; "socket" => socket, "error" => %error);
@@ -141,6 +174,7 @@
         let layout = Arc::clone(&self.layout);
         for _ in 0..MAX_BATCH {
             let Ok((length, _from)) = self.packets.try_recv_from(buffer) else { return };
+            self.last_packet = self.clock.now();
             match layout.parse(&buffer[..length]) {
                 Ok((mark, view)) => self.with_engine(|engine, now, outlet| engine.packet(now, mark, &view, outlet)),
                 Err(_malformed) => self.engine.count_dropped(Reason::Malformed),
@@ -164,31 +198,27 @@
         self.hosts_confirmed = self.node.feed().confirmed(Topic::Hosts);
     }
 
-    /// Handles an input. Returns false if the task has to end.
-    fn handle_input(&mut self, input: Input) -> bool {
+    fn handle_input(&mut self, input: Input) {
         let now = self.clock.now();
         self.save_hosts_confirmed();
         match input {
             Input::Store(topic, response) => self.node.store_answered(now, topic, response),
             Input::Pulled(member, transfer) => self.node.pulled(now, member, transfer),
+            Input::Checked(id, is_reachable) => {
+                self.with_engine(|engine, now, outlet| engine.checked(now, id, is_reachable, outlet));
+            }
             Input::Changes { hosts, routes, reply } => {
                 // A failed send means that the peer no longer waits for the reply.
                 drop(reply.send(self.node.changes_since(now, hosts, routes).and_then(|changes| changes.encode())));
             }
             Input::Status(reply) => drop(reply.send(self.status(now))),
             Input::Seeds(seeds) => self.node.set_seeds(seeds),
-            Input::Leave => {
-                self.leaving = true;
+            Input::Leave { earliest, latest } => {
+                self.stop = Some(Stop { earliest, latest });
                 self.node.leave(now);
             }
-            Input::Stop => {
-                self.node.stop(now);
-                self.perform_actions();
-                return false;
-            }
         }
         self.perform_actions();
-        true
     }
 
     fn tick(&mut self) {
@@ -203,7 +233,7 @@
             self.publish_counters();
         }
         self.journal.report(now);
-        let ready = self.node.is_ready() && !self.leaving;
+        let ready = self.node.is_ready() && self.stop.is_none();
         if self.readiness.set(ready) {
             info!(self.logger, "readiness changed"; "ready" => ready);
         }
@@ -211,7 +241,7 @@
 
     fn with_engine(&mut self, call: impl FnOnce(&mut Engine, Time, &mut dyn poplarpaddle::direct::Outlet)) {
         let now = self.clock.now();
-        let mut pings = Vec::new();
+        let (mut pings, mut checks) = (Vec::new(), Vec::new());
         let mut datagram = Vec::new();
         let mut outlet = Sender {
             now,
@@ -222,11 +252,15 @@
             events: &self.telemetry.events,
             unsent: &mut self.unsent,
             pings: &mut pings,
+            checks: &mut checks,
             node: &self.node,
             version: self.node.general().version,
             age: now.since(self.node.feed().confirmed(Topic::Hosts)),
         };
         call(&mut self.engine, now, &mut outlet);
+        for (id, address) in checks {
+            self.check(id, address);
+        }
         if pings.is_empty() {
             return;
         }
@@ -330,6 +364,20 @@
         });
     }
 
+    /// Checks whether the machine at `address` accepts a connection.
+    fn check(&self, id: CheckId, address: SocketAddrV4) {
+        let (source, timeout) = (self.peer_address, self.engine.settings().check_timeout);
+        let (outcomes, telemetry, clock) = (self.outcomes.clone(), self.telemetry.clone(), self.clock);
+        tokio::spawn(async move {
+            let started = clock.now();
+            let connected = tokio::time::timeout(timeout, connect(source, address)).await;
+            let is_reachable = matches!(connected, Ok(Ok(())));
+            let label = if is_reachable { "answered" } else { "failed" };
+            telemetry.record_call("check", label, clock.now().since(started));
+            drop(outcomes.send(Input::Checked(id, is_reachable)));
+        });
+    }
+
     fn status(&self, now: Time) -> Status {
         let (me, feed) = (self.node.membership().me(), self.node.feed());
         let age = |topic| u64::try_from(now.since(feed.confirmed(topic)).as_millis()).unwrap_or(u64::MAX);
@@ -348,6 +396,13 @@
     }
 }
 
+/// Opens a connection from `source` to `address` and closes it again.
+async fn connect(source: IpAddr, address: SocketAddrV4) -> std::io::Result<()> {
+    let socket = TcpSocket::new_v4()?;
+    socket.bind((source, 0).into())?;
+    socket.connect(address.into()).await.map(drop)
+}
+
 const fn outcome_label<T>(result: &Result<T>) -> &'static str {
     match result {
         Ok(_) => "answered",
--- a/crates/poplarpaddle/src/direct.rs
+++ b/crates/poplarpaddle/src/direct.rs
@@ -22,6 +22,11 @@
 //! otherwise. If two hosts answered the same opening, the flow would break, because the caller would repeat the mark of
 //! the second answer and acknowledge the first.
 //!
+//! # Unreachable hosts
+//!
+//! A host that crashes or is cut off leaves its established flows without an answer. The engine checks hosts that it has
+//! a reason to doubt, and resets the flows of those that are unreachable, if their requests may run twice.
+//!
 //! # Trade-offs
 //!
 //! Losing an entry only makes the request counts less exact, so entries are not replicated to peers. In return, each
@@ -34,6 +39,7 @@
 mod link;
 mod opening;
 mod queue;
+mod reach;
 mod route;
 mod select;
 mod settings;
@@ -78,11 +84,14 @@
     /// The zone of the host is unreachable.
     #[display("zone_down")]
     ZoneDown,
+    /// The host of the established flow is unreachable.
+    #[display("unreachable")]
+    Unreachable,
 }
 
 impl Reason {
     /// Every reason, in the order of the counters.
-    pub const ALL: [Self; 9] = [
+    pub const ALL: [Self; 10] = [
         Self::Malformed,
         Self::NotFromCaller,
         Self::Starting,
@@ -92,6 +101,7 @@
         Self::NoHost,
         Self::Unanswered,
         Self::ZoneDown,
+        Self::Unreachable,
     ];
 }
 
@@ -159,6 +169,10 @@
     pub mark: Option<Mark>,
 }
 
+/// Identifies the host that a check concerns.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct CheckId(host::Index);
+
 /// Encoding of packets in the datagrams of a transport.
 pub trait Layout: Send + Sync {
     /// Parses a caller's datagram into the mark and a view of the packet.
@@ -188,6 +202,10 @@
     /// the zone is known, so that a missing reply does not mean that the zone is unreachable.
     fn ping(&mut self, zone: &str) -> bool;
 
+    /// Begins a check whether the machine of a host accepts a connection at `address` within
+    /// [`Settings::check_timeout`]. The result is passed to [`Engine::checked`].
+    fn check(&mut self, id: CheckId, address: SocketAddrV4);
+
     /// Records a decision about a flow.
     fn record_decision(&mut self, decision: &Decision<'_>);
 
--- a/crates/poplarpaddle/src/direct/engine.rs
+++ b/crates/poplarpaddle/src/direct/engine.rs
@@ -41,6 +41,8 @@
     pub(super) overdue: bool,
     /// Acknowledgement number of the caller's last packet with payload.
     pub(super) request_ack: Option<u32>,
+    /// Sequence number of that packet.
+    pub(super) request_sequence: u32,
     /// The opening, until a packet of the caller shows that a host answered it.
     pub(super) pending: Option<Box<Pending>>,
 }
@@ -52,7 +54,7 @@
     pub(super) flows: Map<Flow, Entry>,
     pub(super) timers: BinaryHeap<Reverse<(Time, Flow)>>,
     pub(super) hosts: host::Table,
-    routes: route::Table,
+    pub(super) routes: route::Table,
     pub(super) links: Vec<Link>,
     pub(super) retries: Budget,
     pub(super) random: Pcg64Mcg,
@@ -64,6 +66,10 @@
     pub(super) queue: Queue,
     /// True when a request ended or became overdue since the queue was last served.
     capacity_freed: bool,
+    /// Number of checks of hosts in progress.
+    pub(super) checks: usize,
+    /// When the latest opening was sent that a host answered promptly.
+    pub(super) last_prompt_answer: Time,
 }
 
 impl Engine {
@@ -84,10 +90,18 @@
             buffer: Buffer::default(),
             queue: Queue::new(settings.seed),
             capacity_freed: false,
+            checks: 0,
+            last_prompt_answer: Time::default(),
             settings,
         }
     }
 
+    /// Returns the settings.
+    #[must_use]
+    pub const fn settings(&self) -> &Settings {
+        &self.settings
+    }
+
     /// Returns the counters.
     #[must_use]
     pub fn counters(&self) -> Counters {
@@ -104,6 +118,7 @@
     pub fn set_host(&mut self, now: Time, name: &str, host: Option<&registry::Host>, grace: Time) {
         let remove_at = now + self.settings.linger;
         let known = self.hosts.find(name);
+        self.serve_queue_soon(now);
         let Some(host) = host else {
             if let Some(index) = known {
                 self.hosts.deregister(index, grace, remove_at);
@@ -126,6 +141,13 @@
     pub fn set_route(&mut self, now: Time, address: Address, route: Option<&Route>) {
         let keep_until = now + self.settings.linger;
         self.routes.set(address, route, keep_until, now);
+        if let Some(route) = route {
+            let random = &mut self.random;
+            self.queue.set_service(address, |service| {
+                (!route.allows(service)).then(|| route::choose(route, random.random()).to_owned())
+            });
+        }
+        self.serve_queue_soon(now);
         self.update_ready();
     }
 
@@ -167,6 +189,7 @@
         if now.reached(self.next_sweep) {
             self.next_sweep = now + if self.queue.is_empty() { SWEEP_INTERVAL } else { QUEUE_SWEEP_INTERVAL };
             self.sweep(now);
+            self.recheck_hosts(now, outlet);
         }
         self.serve_queue_if_freed(now, outlet);
     }
@@ -227,6 +250,9 @@
     pub(super) fn confirm_zone(&mut self, now: Time, zone: usize, detail: &str, outlet: &mut dyn Outlet) {
         if self.links[zone].confirm_alive(now) == Some(Change::Regained) {
             outlet.record_event(now, "zone.regained", &self.links[zone].zone, detail);
+            for host in self.hosts.iter_mut().filter(|host| host.zone == zone) {
+                host.reach.confirm();
+            }
         }
     }
 
@@ -274,6 +300,9 @@
                 return self.drop_packet(packet.flow, reason, outlet);
             }
         };
+        if self.reset_if_unreachable(now, index, packet, outlet) {
+            return;
+        }
         self.track_packet(now, index, packet, outlet);
         let Some(host) = self.hosts.get(index) else { return };
         let hop = Hop { host: host.record.id, address: host.record.address, mark: None };
@@ -325,8 +354,16 @@
             return;
         }
         let (sequence, last_packet) = (0, now);
-        let mut entry =
-            Entry { host: index, sequence, last_packet, busy: false, overdue: false, request_ack: None, pending: None };
+        let mut entry = Entry {
+            host: index,
+            sequence,
+            last_packet,
+            busy: false,
+            overdue: false,
+            request_ack: None,
+            request_sequence: 0,
+            pending: None,
+        };
         self.track_request(now, &mut entry, packet);
         self.flows.insert(packet.flow, entry);
     }
@@ -337,6 +374,7 @@
         let previous = std::mem::replace(&mut entry.last_packet, now);
         if packet.has_payload() {
             entry.request_ack = Some(packet.acknowledgement);
+            entry.request_sequence = packet.sequence;
             if !std::mem::replace(&mut entry.busy, true) {
                 self.hosts.begin_request(entry.host);
             }
@@ -361,8 +399,8 @@
         let mut lost = Vec::new();
         for (index, link) in self.links.iter_mut().enumerate() {
             let (ping, change) = link.tick(now, self.settings.ping_timeout);
-            if ping && outlet.ping(&link.zone) {
-                link.pinged(now);
+            if ping {
+                link.pinged(now, outlet.ping(&link.zone));
             }
             if change == Some(Change::Lost) {
                 outlet.record_event(now, "zone.lost", &link.zone, "openings and pings got no answer");
@@ -371,6 +409,15 @@
         }
         for zone in lost {
             self.expire_openings(now, zone);
+            self.doubt_zone(now, zone, outlet);
+        }
+    }
+
+    /// Makes the next call of [`Self::tick`] due now if openings are queued, because the hosts changed.
+    fn serve_queue_soon(&mut self, now: Time) {
+        if !self.queue.is_empty() {
+            self.capacity_freed = true;
+            self.next_sweep = self.next_sweep.min(now);
         }
     }
 
--- a/crates/poplarpaddle/src/direct/host.rs
+++ b/crates/poplarpaddle/src/direct/host.rs
@@ -5,6 +5,7 @@
 use smallvec::SmallVec;
 
 use super::estimate::Estimate;
+use super::reach::Reach;
 use crate::limit::Limit;
 use crate::map::{self, Map};
 use crate::mark::Mark;
@@ -31,6 +32,7 @@
     pub(super) unanswered: u32,
     /// When the host last answered an opening.
     pub(super) last_answer: Time,
+    pub(super) reach: Reach,
     /// Time until which the host accepts new flows after its registration ended; none while it is registered.
     pub(super) grace: Option<Time>,
     /// When the host is removed from the table.
@@ -83,6 +85,14 @@
         self.hosts.get_mut(&index)
     }
 
+    pub(super) fn iter(&self) -> impl Iterator<Item = (Index, &Host)> {
+        self.hosts.iter().map(|(index, host)| (*index, host))
+    }
+
+    pub(super) fn iter_mut(&mut self) -> impl Iterator<Item = &mut Host> {
+        self.hosts.values_mut()
+    }
+
     pub(super) fn find(&self, name: &str) -> Option<Index> {
         self.names.get(name).copied()
     }
@@ -160,6 +170,7 @@
             entry.limit.set_slots(host.slots);
             if entry.record.born != host.born {
                 entry.unanswered = 0;
+                entry.reach = Reach::default();
             }
             entry.record = host.clone();
             entry.grace = None;
@@ -181,6 +192,7 @@
             limit: new_limit(),
             unanswered: 0,
             last_answer: Time::default(),
+            reach: Reach::default(),
             grace: None,
             remove_at: Time::NEVER,
         };
--- a/crates/poplarpaddle/src/direct/link.rs
+++ b/crates/poplarpaddle/src/direct/link.rs
@@ -15,8 +15,7 @@
 /// Time between two pings of a zone that is down.
 const DOWN_PING_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Time between two trial openings that are recorded for a zone that is down. The selection of hosts does not depend on
-/// it.
+/// Time between two trial openings to a zone that is down and has no known member to ping.
 const TRIAL_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Time for which messages sent before a zone became unreachable may still arrive.
@@ -39,6 +38,8 @@
     state: State,
     unanswered: u32,
     next_ping: Time,
+    /// True when no member of the zone was known at the last attempt to ping it.
+    has_no_members: bool,
     next_trial: Time,
     /// Time from an opening to the caller's next packet.
     answer_time: Estimate,
@@ -58,6 +59,7 @@
             state: State::Up,
             unanswered: 0,
             next_ping: Time::NEVER,
+            has_no_members: false,
             next_trial: Time::NEVER,
             answer_time: Estimate::default(),
         }
@@ -87,9 +89,10 @@
         }
     }
 
-    /// Records that members of the zone were pinged.
-    pub(super) const fn pinged(&mut self, now: Time) {
-        if let State::Suspect(since @ None) = &mut self.state {
+    /// Records an attempt to ping members of the zone. `has_members` is false if none is known.
+    pub(super) const fn pinged(&mut self, now: Time, has_members: bool) {
+        self.has_no_members = !has_members;
+        if has_members && let State::Suspect(since @ None) = &mut self.state {
             *since = Some(now);
         }
     }
@@ -126,13 +129,15 @@
         (ping, change)
     }
 
-    /// Returns true when the zone is down and a trial opening to it is due. Schedules the next trial in that case.
-    pub(super) fn start_trial(&mut self, now: Time) -> bool {
-        let due = self.is_down() && now.reached(self.next_trial);
-        if due {
-            self.next_trial = now + TRIAL_INTERVAL;
-        }
-        due
+    /// Returns true when the zone is down, an opening has to show whether it still is, because no member is known that a
+    /// ping could reach, and such a trial is due.
+    pub(super) fn is_trial_due(&self, now: Time) -> bool {
+        self.is_down() && self.has_no_members && now.reached(self.next_trial)
+    }
+
+    /// Schedules the next trial, because an opening was sent to the zone.
+    pub(super) fn start_trial(&mut self, now: Time) {
+        self.next_trial = now + TRIAL_INTERVAL;
     }
 
     pub(super) fn deadline(&self, ping_timeout: Duration) -> Time {
--- a/crates/poplarpaddle/src/direct/opening.rs
+++ b/crates/poplarpaddle/src/direct/opening.rs
@@ -59,6 +59,7 @@
             flow: packet.flow,
             service,
             sequence: packet.sequence,
+            acknowledgement: packet.acknowledgement,
             until: now + self.settings.queue_timeout,
             bytes: SmallVec::from_slice(packet.bytes),
         };
@@ -79,23 +80,32 @@
         let Opening { flow, sequence, bytes, .. } = opening;
         let pending = Pending { sent: now, due: now, attempts: 0, tried: SmallVec::new(), bytes };
         let pending = Some(Box::new(pending));
-        let entry =
-            Entry { host: index, sequence, last_packet: now, busy: false, overdue: false, request_ack: None, pending };
+        let entry = Entry {
+            host: index,
+            sequence,
+            last_packet: now,
+            busy: false,
+            overdue: false,
+            request_ack: None,
+            request_sequence: 0,
+            pending,
+        };
         self.send_opening(now, flow, entry, index, (Verdict::Placed, None), outlet);
     }
 
-    /// Places queued openings on hosts that have capacity, the most urgent first.
+    /// Places queued openings on hosts that have capacity, the most urgent first. Refuses those whose service has no host
+    /// any more.
     pub(super) fn serve_queue(&mut self, now: Time, outlet: &mut dyn Outlet) {
         let mut full_services: Vec<String> = Vec::new();
         while let Some(opening) = self.queue.first_except(&full_services) {
             let (flow, service) = (opening.flow, opening.service.clone());
-            match self.select_host(now, &service, &[]) {
-                Some((index, true)) => {
-                    let Some(opening) = self.queue.remove(&flow) else { return };
-                    self.send_first(now, opening, index, outlet);
-                }
-                _ => full_services.push(service),
+            let selected = self.select_host(now, &service, &[]);
+            if let Some((_, false)) = selected {
+                full_services.push(service);
+                continue;
             }
+            let Some(opening) = self.queue.remove(&flow) else { return };
+            self.leave_queue(now, opening, selected.map(|(index, _)| index), outlet);
         }
     }
 
@@ -103,13 +113,31 @@
     pub(super) fn tick_queue(&mut self, now: Time, outlet: &mut dyn Outlet) {
         for flow in self.queue.expired(now) {
             let Some(opening) = self.queue.remove(&flow) else { continue };
-            // Without a host the opening is dropped; the caller's retransmission is refused if there is still none.
-            if let Some((index, _)) = self.select_host(now, &opening.service, &[]) {
-                self.send_first(now, opening, index, outlet);
-            }
+            let selected = self.select_host(now, &opening.service, &[]);
+            self.leave_queue(now, opening, selected.map(|(index, _)| index), outlet);
+        }
+    }
+
+    /// Places all queued openings, because the balancer stops.
+    pub fn stop(&mut self, now: Time, outlet: &mut dyn Outlet) {
+        for flow in self.queue.flows() {
+            let Some(opening) = self.queue.remove(&flow) else { continue };
+            let selected = self.select_host(now, &opening.service, &[]);
+            self.leave_queue(now, opening, selected.map(|(index, _)| index), outlet);
         }
     }
 
+    /// Places an opening that left the queue on the host `index`, or refuses it if there is no host or its route is gone.
+    fn leave_queue(&mut self, now: Time, opening: Opening, index: Option<Index>, outlet: &mut dyn Outlet) {
+        let reason = match (self.routes.get(opening.flow.service), index) {
+            (Some(_), Some(index)) => return self.send_first(now, opening, index, outlet),
+            (Some(_), None) => Reason::NoHost,
+            (None, _) => Reason::UnknownRoute,
+        };
+        outlet.reset(&opening.flow, opening.acknowledgement);
+        self.record_decision(&Decision::new(opening.flow, Verdict::Refused, Some(reason)), outlet);
+    }
+
     /// Records that the host `index` answered a pending opening, as a packet of the caller shows.
     pub(super) fn opening_answered(&mut self, now: Time, entry: &Entry, index: Index, outlet: &mut dyn Outlet) {
         let Some(pending) = &entry.pending else { return };
@@ -118,12 +146,14 @@
         host.unanswered = 0;
         host.last_answer = now;
         host.limit.record_accept();
+        let was_unreachable = host.reach.confirm();
         let zone = host.zone;
-        if was_silent {
+        if was_silent || was_unreachable {
             outlet.record_event(now, "host.answers", &host.name, "an opening was answered");
         }
         if pending.attempts == 1 {
             self.links[zone].sample(now.since(pending.sent));
+            self.own_link_works(now, pending.sent, outlet);
         }
         self.confirm_zone(now, zone, "an opening was answered", outlet);
     }
@@ -284,8 +314,12 @@
             outlet.record_event(now, "host.silent", &host.name, "two openings in a row were not answered");
         }
         let zone = host.zone;
+        let is_silent = host.unanswered >= 2;
         if self.links[zone].zone != self.settings.zone {
             self.links[zone].opening_unanswered(now);
         }
+        if is_silent {
+            self.doubt_host(now, index, outlet);
+        }
     }
 }
--- a/crates/poplarpaddle/src/direct/queue.rs
+++ b/crates/poplarpaddle/src/direct/queue.rs
@@ -6,6 +6,7 @@
 
 use crate::map::{self, Map};
 use crate::packet::Flow;
+use crate::registry::Address;
 use crate::time::Time;
 
 /// Maximum number of queued openings.
@@ -24,6 +25,8 @@
     pub(super) flow: Flow,
     pub(super) service: String,
     pub(super) sequence: u32,
+    /// Acknowledgement number of the packet, which a reset has to carry.
+    pub(super) acknowledgement: u32,
     /// Time at which it is placed even if no host has capacity.
     pub(super) until: Time,
     pub(super) bytes: SmallVec<[u8; 64]>,
@@ -68,6 +71,15 @@
         true
     }
 
+    /// Replaces the service of each queued opening to `address` by the one that `change` returns, if any.
+    pub(super) fn set_service(&mut self, address: Address, mut change: impl FnMut(&str) -> Option<String>) {
+        for opening in self.openings.values_mut().filter(|opening| opening.flow.service == address) {
+            if let Some(service) = change(&opening.service) {
+                opening.service = service;
+            }
+        }
+    }
+
     pub(super) fn remove(&mut self, flow: &Flow) -> Option<Opening> {
         let key = self.keys.remove(flow)?;
         self.openings.remove(&key)
@@ -78,6 +90,11 @@
         self.openings.values().find(|opening| !full_services.contains(&opening.service))
     }
 
+    /// Returns the flows of all openings, the most urgent first.
+    pub(super) fn flows(&self) -> Vec<Flow> {
+        self.openings.values().map(|opening| opening.flow).collect()
+    }
+
     /// Returns the flows whose openings have reached [`Opening::until`].
     pub(super) fn expired(&self, now: Time) -> Vec<Flow> {
         self.openings.values().filter(|opening| now.reached(opening.until)).map(|opening| opening.flow).collect()
--- a/crates/poplarpaddle/src/direct/select.rs
+++ b/crates/poplarpaddle/src/direct/select.rs
@@ -20,6 +20,8 @@
 /// Cost of selecting a host; the lowest wins. Fields are compared in this order.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 struct Cost {
+    /// False for hosts that a trial opening may go to because one is due in their zone.
+    no_trial: bool,
     /// True for hosts that do not answer or whose zone is unreachable.
     failing: bool,
     /// True for hosts whose slots and backlog are taken.
@@ -48,21 +50,25 @@
         }
         let (cost, index) = best?;
         let zone = self.hosts.get(index)?.zone;
-        self.links[zone].start_trial(now);
+        if !cost.no_trial {
+            self.links[zone].start_trial(now);
+        }
         Some((index, !cost.full))
     }
 
-    /// Returns true when the zone of the host is unreachable or the host is paused because it does not answer openings.
+    /// Returns true when the host or its zone is unreachable or the host is paused because it does not answer openings.
     pub(super) fn is_failing(&self, now: Time, host: &Host) -> bool {
-        self.links[host.zone].is_down() || !now.reached(host.limit.paused_until())
+        self.links[host.zone].is_down() || is_paused(now, host)
     }
 
     fn cost(&self, now: Time, host: &Host, tie_breaker: u32) -> Cost {
         let busy = u64::from(host.busy);
         let failing = self.is_failing(now, host);
+        let is_trial = self.links[host.zone].is_trial_due(now) && !is_paused(now, host);
         let capacity = u32::from(host.record.slots) + u32::from(self.settings.limit.backlog);
         let cold_percent = if now.reached(host.record.cold_until) { 100 } else { COLD_PERCENT };
         Cost {
+            no_trial: !is_trial,
             failing,
             // A failing host never counts as full: its requests may have ended without this balancer seeing it.
             full: !failing && host.busy - host.overdue >= capacity,
@@ -81,3 +87,8 @@
         (0..MAX_CANDIDATES).map(|_| hosts[self.random.random_range(0..count)]).collect()
     }
 }
+
+/// Returns true when the host is unreachable or paused because it does not answer openings.
+fn is_paused(now: Time, host: &Host) -> bool {
+    host.reach.is_unreachable() || !now.reached(host.limit.paused_until())
+}
--- a/crates/poplarpaddle/src/direct/settings.rs
+++ b/crates/poplarpaddle/src/direct/settings.rs
@@ -24,6 +24,8 @@
     pub max_answer_timeout: Duration,
     /// Time for a suspect zone to answer a ping before it counts as unreachable.
     pub ping_timeout: Duration,
+    /// Time for a host in doubt to accept a connection before it counts as unreachable.
+    pub check_timeout: Duration,
     /// Lower bound of the time without a response after which a request counts as overdue.
     pub min_overdue_time: Duration,
     /// Maximum time for which an opening is queued until a host has capacity.
@@ -48,6 +50,8 @@
             min_answer_timeout: Duration::from_millis(30),
             max_answer_timeout: Duration::from_millis(150),
             ping_timeout: Duration::from_millis(30),
+            // Several round trips between regions, and longer than a busy machine takes to handle a connection.
+            check_timeout: Duration::from_millis(200),
             // Responses take some tens of milliseconds, and twice that when the host queues the request.
             min_overdue_time: Duration::from_millis(150),
             // Callers retransmit an opening after 200 ms, and the retransmission may reach another balancer. Some
--- a/crates/poplarpaddle/src/registry.rs
+++ b/crates/poplarpaddle/src/registry.rs
@@ -70,6 +70,10 @@
     pub target_ms: u32,
     /// Time after which a response is useless to the caller, in milliseconds.
     pub timeout_ms: u32,
+    /// True if running a request twice has the same effect as running it once, so that callers repeat requests whose
+    /// flow was reset.
+    #[serde(default)]
+    pub idempotent: bool,
 }
 
 impl Route {
--- a/crates/poplarpaddle/tests/direct/main.rs
+++ b/crates/poplarpaddle/tests/direct/main.rs
@@ -6,4 +6,5 @@
 mod routing;
 mod start;
 mod support;
+mod unreachable;
 mod zones;
--- a/crates/poplarpaddle/tests/direct/openings.rs
+++ b/crates/poplarpaddle/tests/direct/openings.rs
@@ -1,7 +1,7 @@
 //! Guards against openings that are resent only when their callers retransmit them, and against two hosts that answer
 //! the same opening.
 
-use poplarpaddle::direct::Verdict;
+use poplarpaddle::direct::{Reason, Verdict};
 use poplarpaddle::mark::Mark;
 use poplarpaddle::packet::Kind;
 use poplarpaddle::registry::Host;
@@ -274,3 +274,73 @@
     harness.advance(401);
     assert!(harness.record.decisions.contains(&(flow(6, 443), Verdict::Placed, None)));
 }
+
+/// A caller whose opening cannot be served any more has to learn it at once. An opening that left the queue without a
+/// host was once dropped without a decision, and its caller waited for its own retransmission.
+#[test]
+fn a_queued_opening_is_refused_when_the_last_host_is_gone() {
+    let mut harness = Harness::new(1);
+    harness.route(443, Some(&route("bookings")));
+    harness.register(&Host { slots: 1, ..host(1, "bookings", "a") });
+    // The host has a slot and a backlog of 2.
+    for caller in 1..=3 {
+        harness.establish(flow(caller, 443));
+    }
+    let queued = flow(4, 443);
+    harness.send_opening(queued, 0);
+    assert_eq!(harness.record.decisions.last(), Some(&(queued, Verdict::Queued, None)));
+    harness.deregister(1);
+    harness.advance(1);
+    assert!(harness.record.resets.iter().any(|(reset, _)| *reset == queued), "{:?}", harness.record.resets);
+    assert!(harness.record.decisions.contains(&(queued, Verdict::Refused, Some(Reason::NoHost))));
+}
+
+/// A route that is dropped while an opening is queued ends the opening. Found by the random test with seeds from 1000 on.
+#[test]
+fn a_queued_opening_is_refused_when_its_route_is_gone() {
+    let mut harness = Harness::new(1);
+    harness.register(&Host { slots: 3, ..host(1, "bookings", "a") });
+    harness.route(443, Some(&route("bookings")));
+    for caller in 1..=6 {
+        harness.send_opening(flow(caller, 443), 0);
+    }
+    harness.route(443, None);
+    harness.advance(200);
+    assert!(harness.record.decisions.contains(&(flow(6, 443), Verdict::Refused, Some(Reason::UnknownRoute))));
+}
+
+/// A route that moves to another service while an opening is queued takes the opening along. Found by the random test with
+/// seed 1920.
+#[test]
+fn a_queued_opening_follows_its_route() {
+    let mut harness = Harness::new(1);
+    harness.register(&Host { slots: 3, ..host(1, "bookings", "a") });
+    harness.register(&host(2, "crewdocs", "a"));
+    harness.route(443, Some(&route("bookings")));
+    for caller in 1..=6 {
+        harness.send_opening(flow(caller, 443), 0);
+    }
+    harness.route(443, Some(&route("crewdocs")));
+    harness.deregister(1);
+    harness.advance(1);
+    assert_eq!(harness.last_hop().host.0, 2);
+    assert!(harness.record.resets.is_empty());
+}
+
+/// An opening that is queued when its balancer stops must still reach a host. It was once lost, and its caller waited for
+/// its own retransmission.
+#[test]
+fn queued_openings_are_placed_when_the_balancer_stops() {
+    let mut harness = Harness::new(1);
+    harness.register(&Host { slots: 3, ..host(1, "bookings", "a") });
+    harness.route(443, Some(&route("bookings")));
+    for caller in 1..=8 {
+        harness.send_opening(flow(caller, 443), 0);
+    }
+    let placed = |harness: &Harness| {
+        harness.record.decisions.iter().filter(|(_, verdict, _)| *verdict == Verdict::Placed).count()
+    };
+    assert_eq!(placed(&harness), 5);
+    harness.engine.stop(harness.now, &mut harness.record);
+    assert_eq!(placed(&harness), 8);
+}
--- a/crates/poplarpaddle/tests/direct/support.rs
+++ b/crates/poplarpaddle/tests/direct/support.rs
@@ -2,7 +2,7 @@
 
 use std::net::{Ipv4Addr, SocketAddrV4};
 
-use poplarpaddle::direct::{Decision, Engine, Hop, Outlet, Reason, Settings, Verdict};
+use poplarpaddle::direct::{CheckId, Decision, Engine, Hop, Outlet, Reason, Settings, Verdict};
 use poplarpaddle::mark::{HostId, Mark};
 use poplarpaddle::packet::{Direction, Flow, Kind, View};
 use poplarpaddle::registry::{Host, Route, State};
@@ -21,6 +21,8 @@
     pub sent: Vec<Sent>,
     pub resets: Vec<(Flow, u32)>,
     pub pings: Vec<String>,
+    /// Checks of hosts that were requested and have no result yet.
+    pub checks: Vec<(CheckId, SocketAddrV4)>,
     pub decisions: Vec<(Flow, Verdict, Option<Reason>)>,
     pub events: Vec<String>,
     /// Zones without known members, for which [`Outlet::ping`] returns false.
@@ -44,6 +46,10 @@
         can_ping
     }
 
+    fn check(&mut self, id: CheckId, address: SocketAddrV4) {
+        self.checks.push((id, address));
+    }
+
     fn record_decision(&mut self, decision: &Decision<'_>) {
         self.decisions.push((decision.flow, decision.verdict, decision.reason));
     }
@@ -154,6 +160,18 @@
         self.engine.packet(self.now, mark, &view, &mut self.record);
     }
 
+    /// Passes the results of the requested checks to the engine and returns the number of checks. The host `unreachable`
+    /// fails them.
+    pub fn finish_checks(&mut self, unreachable: Option<HostId>) -> usize {
+        let checks = std::mem::take(&mut self.record.checks);
+        let count = checks.len();
+        for (id, address) in checks {
+            let is_reachable = unreachable.is_none_or(|id| address != host(id.0, "", "").address);
+            self.engine.checked(self.now, id, is_reachable, &mut self.record);
+        }
+        count
+    }
+
     /// Returns the hop of the last forwarded packet.
     pub fn last_hop(&self) -> Hop {
         self.record.sent.last().expect("no packet was forwarded").hop
--- /dev/null
+++ b/crates/poplarpaddle/tests/direct/unreachable.rs
@@ -0,0 +1,222 @@
+//! Guards against callers that wait for their timeouts because the host of their flow is gone, and against resets of
+//! flows whose host is well.
+
+use poplarpaddle::direct::{Reason, Verdict};
+use poplarpaddle::mark::{HostId, Mark};
+use poplarpaddle::packet::{Flow, Kind};
+use poplarpaddle::registry::Route;
+
+use super::support::{Harness, flow, host, route};
+
+const RESET: (Verdict, Option<Reason>) = (Verdict::Reset, Some(Reason::Unreachable));
+
+/// Port of a route whose requests may run twice.
+const IDEMPOTENT: u16 = 443;
+/// Port of a route whose requests must not run twice.
+const ONCE: u16 = 444;
+
+/// Returns a harness with two hosts in each zone and a route of each kind.
+fn harness() -> Harness {
+    let mut harness = Harness::with_hosts(1, 2);
+    harness.route(IDEMPOTENT, Some(&Route { idempotent: true, ..route("bookings") }));
+    harness.route(ONCE, Some(&route("bookings")));
+    harness
+}
+
+/// Opens flows on the port until two of them are at one host. Returns the flows and the host.
+fn two_flows(harness: &mut Harness, port: u16, first_caller: u16) -> (Flow, Flow, HostId) {
+    let mut placed: Vec<(Flow, HostId)> = Vec::new();
+    for caller in first_caller.. {
+        let opened = flow(caller, port);
+        let host = harness.establish(opened);
+        if let Some((other, _)) = placed.iter().find(|(_, other)| *other == host) {
+            return (*other, opened, host);
+        }
+        placed.push((opened, host));
+    }
+    unreachable!("there are more callers than hosts");
+}
+
+/// Opens a flow at a host other than `silent`, so that the engine sees an answer.
+fn answer_elsewhere(harness: &mut Harness, silent: HostId, first_caller: u16) {
+    for caller in first_caller.. {
+        harness.send_opening(flow(caller, ONCE), 0);
+        let hop = harness.last_hop();
+        if hop.host != silent {
+            harness.advance(8);
+            return harness.send(flow(caller, ONCE), hop.mark.unwrap(), Kind::Data, 100, 50);
+        }
+    }
+}
+
+fn is_reset(harness: &Harness, flow: Flow) -> bool {
+    let has_decision = harness
+        .record
+        .decisions
+        .iter()
+        .any(|(decided, verdict, reason)| *decided == flow && (*verdict, *reason) == RESET);
+    assert_eq!(has_decision, harness.record.resets.iter().any(|(reset, _)| *reset == flow));
+    has_decision
+}
+
+/// A request on an established flow, which its caller retransmits after 200 ms because the host has crashed, ends soon
+/// after. So do the other flows at this host, and later requests on such flows end at once.
+#[test]
+fn flows_at_a_crashed_host_are_reset() {
+    let mut harness = harness();
+    let (waiting, idle, crashed) = two_flows(&mut harness, IDEMPOTENT, 1);
+    let (waits, _, _) = (waiting, idle, crashed);
+    harness.advance(200);
+    // The request was the first packet with payload; `establish` sends it with the sequence number 8.
+    harness.send(waits, Mark::of(crashed), Kind::Data, 100, 50);
+    answer_elsewhere(&mut harness, crashed, 500);
+    assert_eq!(harness.finish_checks(Some(crashed)), 1);
+    assert!(is_reset(&harness, waiting) && is_reset(&harness, idle));
+    assert!(harness.record.resets.contains(&(waiting, 50)), "the caller accepts only the sequence number it expects");
+    assert!(harness.record.events.iter().any(|event| event.starts_with("host.unreachable")));
+
+    harness.send(flow(400, IDEMPOTENT), Mark::of(crashed), Kind::Data, 100, 77);
+    assert!(is_reset(&harness, flow(400, IDEMPOTENT)), "a request on a flow that another balancer opened");
+    for caller in 600..650 {
+        harness.send_opening(flow(caller, IDEMPOTENT), 0);
+        assert_ne!(harness.last_hop().host, crashed, "an unreachable host gets no openings");
+    }
+}
+
+/// Requests that must not run twice may have run, so their callers gain nothing from a reset, and an answer may still
+/// come.
+#[test]
+fn flows_whose_requests_must_not_run_twice_are_kept() {
+    let mut harness = harness();
+    let (waiting, idle, crashed) = two_flows(&mut harness, ONCE, 1);
+    harness.advance(200);
+    harness.send(waiting, Mark::of(crashed), Kind::Data, 100, 50);
+    answer_elsewhere(&mut harness, crashed, 500);
+    harness.finish_checks(Some(crashed));
+    harness.send(idle, Mark::of(crashed), Kind::Data, 100, 70);
+    assert_eq!(harness.last_hop().host, crashed);
+    assert!(harness.record.resets.is_empty());
+}
+
+/// A host that is only slow accepts connections, and its flows go on.
+#[test]
+fn flows_at_a_slow_host_are_kept() {
+    let mut harness = harness();
+    let (waiting, _, slow) = two_flows(&mut harness, IDEMPOTENT, 1);
+    for _ in 0..10 {
+        harness.advance(200);
+        harness.send(waiting, Mark::of(slow), Kind::Data, 100, 50);
+        answer_elsewhere(&mut harness, slow, 500);
+        harness.finish_checks(None);
+    }
+    assert!(harness.record.resets.is_empty());
+}
+
+/// While no host answers, the balancer's own link may be the cause, and a reset would end flows that are well.
+#[test]
+fn nothing_is_reset_while_no_other_host_answers() {
+    let mut harness = harness();
+    let (waiting, _, crashed) = two_flows(&mut harness, IDEMPOTENT, 1);
+    harness.advance(200);
+    harness.send(waiting, Mark::of(crashed), Kind::Data, 100, 50);
+    assert_eq!(harness.finish_checks(Some(crashed)), 1);
+    assert!(harness.record.resets.is_empty());
+    answer_elsewhere(&mut harness, crashed, 500);
+    assert!(is_reset(&harness, waiting), "another host has answered since");
+}
+
+/// Answers that take longer than a check show a congested link, on which checks fail although the hosts are well.
+#[test]
+fn late_answers_of_other_hosts_do_not_confirm_a_failed_check() {
+    let mut harness = harness();
+    let (waiting, _, suspected) = two_flows(&mut harness, IDEMPOTENT, 1);
+    harness.advance(200);
+    harness.send(waiting, Mark::of(suspected), Kind::Data, 100, 50);
+    harness.send_opening(flow(500, ONCE), 0);
+    let hop = harness.last_hop();
+    harness.finish_checks(Some(suspected));
+    harness.advance(250);
+    harness.send(flow(500, ONCE), hop.mark.unwrap(), Kind::Data, 100, 50);
+    assert!(harness.record.resets.is_empty());
+}
+
+/// A host that returns must get its packets again: a check shows it within seconds, and so does its registration by a new
+/// process.
+#[test]
+fn a_host_that_returns_is_used_again() {
+    for restarts in [false, true] {
+        let mut harness = harness();
+        let (waiting, _, lost) = two_flows(&mut harness, IDEMPOTENT, 1);
+        harness.advance(200);
+        harness.send(waiting, Mark::of(lost), Kind::Data, 100, 50);
+        answer_elsewhere(&mut harness, lost, 500);
+        harness.finish_checks(Some(lost));
+        assert!(is_reset(&harness, waiting));
+        if restarts {
+            let zone = ["a", "b", "c"][usize::try_from(lost.0 / 100).unwrap()];
+            harness.register(&poplarpaddle::registry::Host { born: 2, ..host(lost.0, "bookings", zone) });
+        } else {
+            for _ in 0..25 {
+                harness.advance(100);
+                harness.finish_checks(None);
+            }
+            assert!(harness.record.events.iter().any(|event| event.starts_with("host.reachable")));
+        }
+        let resets = harness.record.resets.len();
+        harness.send(flow(900, IDEMPOTENT), Mark::of(lost), Kind::Data, 100, 50);
+        assert_eq!(harness.last_hop().host, lost);
+        assert_eq!(harness.record.resets.len(), resets);
+    }
+}
+
+/// Hosts that stay away must not be checked again and again, nor all at once when many are in doubt.
+#[test]
+fn checks_are_limited() {
+    let mut harness = Harness::with_hosts(1, 30);
+    harness.route(IDEMPOTENT, Some(&Route { idempotent: true, ..route("bookings") }));
+    let placed: Vec<(Flow, HostId)> =
+        (1..=90).map(|caller| (flow(caller, IDEMPOTENT), harness.establish(flow(caller, IDEMPOTENT)))).collect();
+    harness.advance(200);
+    for (flow, host) in &placed {
+        harness.send(*flow, Mark::of(*host), Kind::Data, 100, 50);
+    }
+    assert_eq!(harness.record.checks.len(), 16);
+    let (flow, host) = placed[0];
+    let mut checks = 0;
+    for _ in 0..100 {
+        checks += harness.finish_checks(Some(host));
+        harness.advance(100);
+        harness.send(flow, Mark::of(host), Kind::Data, 100, 50);
+    }
+    assert!(checks <= 16 + 10, "{checks} checks in 10 s");
+}
+
+/// The loss of a zone makes its hosts doubtful, so that requests on flows there end without a retransmission.
+#[test]
+fn hosts_in_a_lost_zone_are_checked() {
+    let mut harness = harness();
+    let mut in_zone = Vec::new();
+    for caller in 1..40 {
+        let placed = harness.establish(flow(caller, IDEMPOTENT));
+        if placed.0 / 100 == 1 {
+            in_zone.push((flow(caller, IDEMPOTENT), placed));
+        }
+    }
+    // The openings to zone b and the pings of its members stay unanswered.
+    for caller in 500..560 {
+        harness.send_opening(flow(caller, ONCE), 0);
+        let hop = harness.last_hop();
+        harness.advance(10);
+        if hop.host.0 / 100 != 1 {
+            harness.send(flow(caller, ONCE), hop.mark.unwrap(), Kind::Data, 100, 50);
+        }
+    }
+    assert!(harness.record.events.contains(&"zone.lost b".to_owned()));
+    let checks = std::mem::take(&mut harness.record.checks);
+    assert!(checks.len() >= 2, "{checks:?}");
+    for (id, _) in checks {
+        harness.engine.checked(harness.now, id, false, &mut harness.record);
+    }
+    answer_elsewhere(&mut harness, HostId(101), 700);
+    assert!(in_zone.iter().all(|(flow, _)| is_reset(&harness, *flow)), "{:?}", harness.record.events);
+}
--- a/crates/poplarpaddle/tests/direct/zones.rs
+++ b/crates/poplarpaddle/tests/direct/zones.rs
@@ -140,3 +140,28 @@
     assert!(!harness.record.events.iter().any(|event| event.starts_with("zone.lost")));
     assert!(harness.record.events.contains(&format!("host.silent {}", name(HostId(101)))));
 }
+
+/// When every member of a lost zone is gone for good, no message can show that the zone is reachable again. An opening
+/// per second has to try it, and the first answer ends the loss.
+#[test]
+fn a_lost_zone_without_members_is_tried_by_openings() {
+    let mut harness = Harness::with_hosts(5, 4);
+    run_traffic(&mut harness, 1000, 1000, &[0, 1, 2]);
+    run_traffic(&mut harness, 3000, 1000, &[0, 2]);
+    assert!(harness.record.events.contains(&"zone.lost b".to_owned()));
+    harness.record.zones_without_members = vec!["b"];
+    run_traffic(&mut harness, 5000, 1500, &[0, 1, 2]);
+    assert!(harness.record.events.contains(&"zone.regained b".to_owned()), "{:?}", harness.record.events);
+}
+
+/// While members can be pinged, their answers end the loss of a zone, so no caller has to wait for a trial.
+#[test]
+fn a_lost_zone_with_members_gets_no_openings() {
+    let mut harness = Harness::with_hosts(5, 4);
+    run_traffic(&mut harness, 1000, 1000, &[0, 1, 2]);
+    run_traffic(&mut harness, 3000, 1000, &[0, 2]);
+    harness.record.sent.clear();
+    harness.record.decisions.clear();
+    run_traffic(&mut harness, 5000, 3000, &[0, 2]);
+    assert!(harness.record.sent.iter().all(|sent| zone_of(sent.hop.host.0) != 1));
+}
