--- a/crates/poplarpaddle/tests/fleet/spread.rs
+++ b/crates/poplarpaddle/tests/fleet/spread.rs
@@ -262,3 +262,65 @@
         node.changes_since(now, 0, 0).unwrap();
     }
 }
+
+/// Every call that must return the current state counts towards the rate of the store, so a fleet that starts at once must
+/// not make them from every member.
+#[test]
+fn members_that_start_at_once_read_an_outdated_state() {
+    let mut simulation = Simulation::running(&[7, 9, 4]);
+    for index in 0..simulation.instances.len() {
+        simulation.kill(index);
+    }
+    for instance in &mut simulation.instances {
+        (instance.store_calls, instance.stale_calls) = (0, 0);
+    }
+    for index in 0..simulation.instances.len() {
+        simulation.start(index);
+    }
+    simulation.run(2000);
+    let calls: u64 = simulation.instances.iter().map(|instance| instance.store_calls).sum();
+    assert!(simulation.instances.iter().all(|instance| instance.stale_calls <= 2));
+    assert!(calls <= 16, "{calls} calls by 20 members in 2 s");
+}
+
+/// What a member reads at its start may be seconds old. It must learn of the changes since then as soon as the reader
+/// knows them, also when the store has dropped its history.
+#[test]
+fn an_outdated_state_is_brought_up_to_date() {
+    for history_is_gone in [false, true] {
+        let mut simulation = Simulation::running(&[7, 9, 4]);
+        simulation.stale_store = Some(simulation.store.clone());
+        for index in 0..simulation.instances.len() {
+            simulation.kill(index);
+        }
+        simulation.publish(9, &[443, 8443]);
+        simulation.put_host(3, State::Draining);
+        simulation.remove_host(4);
+        if history_is_gone {
+            simulation.compact();
+        }
+        for index in 0..simulation.instances.len() {
+            simulation.start(index);
+        }
+        simulation.run(700);
+        assert_version(&simulation, 9, &[]);
+        for instance in &simulation.instances {
+            assert_eq!(instance.hosts["i-3"].state, State::Draining, "{}", instance.address);
+            assert!(!instance.hosts.contains_key("i-4"), "{}", instance.address);
+        }
+    }
+}
+
+/// A member that meets no other one confirms the outdated state by itself.
+#[test]
+fn a_member_alone_confirms_its_state_at_the_store() {
+    let mut simulation = Simulation::running(&[1]);
+    simulation.stale_store = Some(simulation.store.clone());
+    simulation.kill(0);
+    simulation.publish(9, &[443]);
+    simulation.remove_host(4);
+    simulation.start(0);
+    simulation.run(400);
+    assert_version(&simulation, 9, &[]);
+    assert!(!simulation.instances[0].hosts.contains_key("i-4"));
+}
