--- a/crates/poplarpaddle-io/src/http.rs
+++ b/crates/poplarpaddle-io/src/http.rs
@@ -6,7 +6,6 @@
 ///
 /// A server may send a second copy of a response late. On a connection that is used again, the copy would be taken for
 /// the response to the next call.
-#[must_use]
 pub fn client() -> ClientBuilder {
     reqwest::Client::builder().no_proxy().pool_max_idle_per_host(0)
 }
--- a/crates/poplarpaddle/src/direct/reach.rs
+++ b/crates/poplarpaddle/src/direct/reach.rs
@@ -19,7 +19,7 @@
 use crate::packet::{Flow, View};
 use crate::time::Time;
 
-/// Pause between two checks of a host; doubles with each further check with the same result.
+/// Pause between two checks of a host; doubles with each further one that fails.
 const INITIAL_PAUSE: Duration = Duration::from_millis(500);
 
 /// Maximum pause between two checks. A host that returns is known to be reachable after this time at the latest.
--- a/crates/poplarpaddle/src/direct/select.rs
+++ b/crates/poplarpaddle/src/direct/select.rs
@@ -58,13 +58,13 @@
 
     /// Returns true when the host or its zone is unreachable or the host is paused because it does not answer openings.
     pub(super) fn is_failing(&self, now: Time, host: &Host) -> bool {
-        self.links[host.zone].is_down() || is_paused(now, host)
+        self.links[host.zone].is_down() || is_avoided(now, host)
     }
 
     fn cost(&self, now: Time, host: &Host, tie_breaker: u32) -> Cost {
         let busy = u64::from(host.busy);
         let failing = self.is_failing(now, host);
-        let is_trial = self.links[host.zone].is_trial_due(now) && !is_paused(now, host);
+        let is_trial = self.links[host.zone].is_trial_due(now) && !is_avoided(now, host);
         let capacity = u32::from(host.record.slots) + u32::from(self.settings.limit.backlog);
         let cold_percent = if now.reached(host.record.cold_until) { 100 } else { COLD_PERCENT };
         Cost {
@@ -89,6 +89,6 @@
 }
 
 /// Returns true when the host is unreachable or paused because it does not answer openings.
-fn is_paused(now: Time, host: &Host) -> bool {
+fn is_avoided(now: Time, host: &Host) -> bool {
     host.reach.is_unreachable() || !now.reached(host.limit.paused_until())
 }
