Let the hosts of the stand-in accept connections, and allow resets of crashed hosts' flows

Change: hosts of the stand-in accept TCP connections while they live, as the platform's do, so that a check of a living host succeeds. A reset counts as a violation unless the host that last sent to that flow is dead.

--- a/crates/poplarpaddle-standins/src/site/plan.rs
+++ b/crates/poplarpaddle-standins/src/site/plan.rs
@@ -78,7 +78,7 @@
     pub altered: u64,
     /// Attempts that received an incorrect response or an altered packet.
     pub wrong: u64,
-    /// Open flows that the system under test reset.
+    /// Open flows that the system under test reset while their host was alive.
     pub reset_by_system: u64,
     /// SYNs that reached a draining host after the drain grace period.
     pub drained_late: u64,
--- a/crates/poplarpaddle-standins/src/site/run.rs
+++ b/crates/poplarpaddle-standins/src/site/run.rs
@@ -10,6 +10,7 @@
 use serde_json::json;
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::mpsc;
+use tokio::task::AbortHandle;
 
 use super::consumer::{Attempt, Outcome};
 use super::host::{Host, Output};
@@ -44,6 +45,10 @@
     store: Store,
     rng: Pcg64Mcg,
     hosts: Vec<Server>,
+    /// Tasks that accept connections to the hosts, in the order of `hosts`.
+    acceptors: Vec<AbortHandle>,
+    /// Index of the host that last sent a packet to the consumer endpoint.
+    senders: BTreeMap<SocketAddrV4, usize>,
     balancers: Vec<Balancer>,
     requests: BTreeMap<u64, Request>,
     /// Id of the request whose current attempt uses the consumer endpoint.
@@ -109,6 +114,7 @@
         let socket =
             std::sync::Arc::new(UdpSocket::bind(server.address).await.wrap_err("cannot bind the address of a host")?);
         host_sockets.push(std::sync::Arc::clone(&socket));
+        site.acceptors.push(spawn_acceptor(server.address).await?);
         spawn_receiver(socket, sender.clone(), move |bytes| Event::Host(index, bytes));
     }
     let mut consumer_sockets = Vec::new();
@@ -138,6 +144,13 @@
     Ok(site.into_report())
 }
 
+/// Spawns a task that accepts the connections to a host and closes them.
+async fn spawn_acceptor(address: SocketAddrV4) -> Result<AbortHandle> {
+    let listener = TcpListener::bind(address).await.wrap_err("cannot listen for connections to a host")?;
+    let task = tokio::spawn(async move { while listener.accept().await.is_ok() {} });
+    Ok(task.abort_handle())
+}
+
 /// Spawns a task that forwards the datagrams of a socket as events.
 fn spawn_receiver(
     socket: std::sync::Arc<UdpSocket>,
@@ -199,6 +212,8 @@
             store,
             hosts,
             balancers,
+            acceptors: Vec::new(),
+            senders: BTreeMap::new(),
             requests: BTreeMap::new(),
             attempts: BTreeMap::new(),
             runs: BTreeMap::new(),
@@ -314,6 +329,7 @@
             self.report.misrouted += u64::from(service != self.hosts[index].service);
         }
         for (to, bytes) in output.packets {
+            self.senders.insert(to, index);
             to_consumers.push((index, SocketAddrV4::new(*to.ip(), port), bytes));
         }
     }
@@ -398,7 +414,10 @@
                 return self.remove_request(id);
             }
             Outcome::Wrong => self.report.wrong += 1,
-            Outcome::ResetBySystem => self.report.reset_by_system += 1,
+            Outcome::ResetBySystem => {
+                let host = self.senders.get(&request.consumer).map(|index| &self.hosts[*index].host);
+                self.report.reset_by_system += u64::from(host.is_none_or(|host| host.alive));
+            }
             Outcome::Unopened => self.report.unopened += 1,
             Outcome::Rejected => self.report.rejected += 1,
             Outcome::ResetByHost => {}
@@ -438,7 +457,10 @@
             match fault.kind {
                 FaultKind::Store(behavior) => self.store.set_behavior(behavior),
                 FaultKind::Compact => self.store.compact(),
-                FaultKind::Crash => self.hosts[index].host.crash(),
+                FaultKind::Crash => {
+                    self.hosts[index].host.crash();
+                    self.acceptors[index].abort();
+                }
                 FaultKind::Drain => {
                     self.hosts[index].draining = Some(now);
                     self.write_registration(&self.hosts[index], "draining");
@@ -453,6 +475,7 @@
                 FaultKind::Crash | FaultKind::Drain => {
                     self.store.remove("servers", &self.hosts[index].name);
                     self.hosts[index].host.alive = false;
+                    self.acceptors[index].abort();
                 }
                 FaultKind::Compact | FaultKind::Configure => {}
             }
