--- a/crates/poplarpaddle-balancer/src/direct/task.rs
+++ b/crates/poplarpaddle-balancer/src/direct/task.rs
@@ -50,8 +50,6 @@
 pub(super) enum Input {
     /// Outcome of a read or watch of a collection in the store.
     Store(Topic, Result<Response>),
-    /// Outcome of a read of a collection in the store that may be outdated.
-    StoreStale(Topic, Result<Response>),
     /// Outcome of a pull from a peer.
     Pulled(MemberId, Result<Transfer>),
     /// Result of a check of a host: whether it accepted a connection.
@@ -205,7 +203,6 @@
         self.save_hosts_confirmed();
         match input {
             Input::Store(topic, response) => self.node.store_answered(now, topic, response),
-            Input::StoreStale(topic, response) => self.node.store_answered_stale(now, topic, response),
             Input::Pulled(member, transfer) => self.node.pulled(now, member, transfer),
             Input::Checked(id, is_reachable) => {
                 self.with_engine(|engine, now, outlet| engine.checked(now, id, is_reachable, outlet));
@@ -287,7 +284,6 @@
                 }
             }
             Action::Read(topic) => self.read(topic),
-            Action::ReadStale(topic) => self.read_stale(topic),
             Action::Watch { topic, revision, until } => self.watch(topic, revision, until),
             Action::Pull { member, peer, hosts, routes, until } => self.pull(member, peer, (hosts, routes), until),
             Action::HostsChanged(names) => self.update_hosts(&names),
@@ -325,8 +321,7 @@
     /// to place new flows at a removed host for a grace period.
     fn update_hosts(&mut self, names: &[String]) {
         let now = self.clock.now();
-        let was_confirmed = self.hosts_confirmed > Time::default();
-        let was_unavailable = was_confirmed && now.reached(self.hosts_confirmed + self.bound);
+        let was_unavailable = now.reached(self.hosts_confirmed + self.bound);
         let grace = if was_unavailable { now + RENEWAL_GRACE } else { now };
         for name in names {
             self.engine.set_host(now, name, self.node.hosts().get(name), grace);
@@ -344,17 +339,6 @@
         });
     }
 
-    fn read_stale(&self, topic: Topic) {
-        let (store, outcomes, telemetry, clock) =
-            (Arc::clone(&self.store), self.outcomes.clone(), self.telemetry.clone(), self.clock);
-        tokio::spawn(async move {
-            let started = clock.now();
-            let response = store.read_stale(topic, started + READ_TIMEOUT).await;
-            telemetry.record_call("read_stale", outcome_label(&response), clock.now().since(started));
-            drop(outcomes.send(Input::StoreStale(topic, response)));
-        });
-    }
-
     fn watch(&self, topic: Topic, revision: u64, until: Time) {
         let (store, outcomes, telemetry, clock) =
             (Arc::clone(&self.store), self.outcomes.clone(), self.telemetry.clone(), self.clock);
--- a/crates/poplarpaddle/src/feed.rs
+++ b/crates/poplarpaddle/src/feed.rs
@@ -15,12 +15,9 @@
 //! let now = Time::from_millis(1);
 //! let mut feed = Feed::new(Settings::default(), MemberId(1));
 //! feed.tick(now, &[MemberId(1)]);
-//! assert_eq!(feed.actions(), [Action::ReadStale(Topic::Hosts), Action::ReadStale(Topic::Routes)]);
+//! assert_eq!(feed.actions(), [Action::Read(Topic::Hosts), Action::Read(Topic::Routes)]);
 //! ```
 //!
-//! A member that has just started reads a state that may be outdated, which the store serves at little cost to any number
-//! of members. It uses this state, but counts it as unconfirmed until the reader announces the current revisions.
-//!
 //! # Trade-offs
 //!
 //! A reader holds no lease and writes nothing, so two members that both act as the reader cost only an additional
@@ -47,9 +44,6 @@
 /// Time for a peer to answer a pull of changes; afterwards another peer may be pulled from.
 const PULL_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// Time after the first read in which a member meets others, so that only one of them confirms the state at the store.
-const MEETING_TIME: Duration = Duration::from_millis(150);
-
 /// Collection in the store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize, derive_more::Display)]
 pub enum Topic {
@@ -136,8 +130,6 @@
 pub enum Action {
     /// Read a snapshot of a collection from the store.
     Read(Topic),
-    /// Read a snapshot of a collection that may be outdated.
-    ReadStale(Topic),
     /// Watch a collection in the store for changes after a revision.
     Watch {
         /// The collection.
@@ -168,13 +160,6 @@
         /// Revision of the store.
         as_of: u64,
     },
-    /// The state was current at some time before.
-    Stale {
-        /// Revision of the last change.
-        revision: u64,
-        /// Revision of the store after which there may have been changes.
-        as_of: u64,
-    },
     /// The store no longer has the changes after the revision of the watch.
     HistoryGone,
     /// The store gave no usable response.
@@ -275,14 +260,7 @@
     #[must_use]
     pub fn is_reader(&self, now: Time, topic: Topic) -> bool {
         let collection = &self.collections[topic as usize];
-        now.reached(collection.peer_confirmed + self.takeover_age(collection))
-    }
-
-    /// Returns the age of the last confirmation from peers at which this member reads the collection itself. It is
-    /// shorter while the state has never been confirmed, because peers that have no state wait for that.
-    fn takeover_age(&self, collection: &Collection) -> Duration {
-        let age = self.settings.takeover_age(self.rank());
-        if collection.confirmed > Time::default() { age } else { age / 4 }
+        now.reached(collection.peer_confirmed + self.settings.takeover_age(self.rank()))
     }
 
     /// Processes everything that is due at `now`. `members` are the reachable members including this one, in the order
@@ -300,10 +278,11 @@
     /// Returns the time at which [`Self::tick`] has to be called next.
     #[must_use]
     pub fn deadline(&self) -> Time {
+        let takeover_age = self.settings.takeover_age(self.rank());
         let due = self.collections.iter().map(|collection| match collection.call {
             Call::InFlight => Time::NEVER,
-            Call::Backoff(until) => until.max(collection.peer_confirmed + self.takeover_age(collection)),
-            Call::Idle => collection.peer_confirmed + self.takeover_age(collection),
+            Call::Backoff(until) => until.max(collection.peer_confirmed + takeover_age),
+            Call::Idle => collection.peer_confirmed + takeover_age,
         });
         due.min().unwrap_or(Time::NEVER)
     }
@@ -321,14 +300,6 @@
                 collection.reread = false;
                 self.announce(now, self.me);
             }
-            Outcome::Stale { revision, as_of } => {
-                collection.revision = collection.revision.max(revision);
-                collection.as_of = collection.as_of.max(as_of);
-                // The members have as long to confirm the state as after a confirmation.
-                collection.peer_confirmed = collection.peer_confirmed.max(now);
-                collection.call = Call::Backoff(now + MEETING_TIME);
-                collection.reread = collection.as_of == 0;
-            }
             Outcome::HistoryGone => {
                 collection.call = Call::Idle;
                 collection.reread = true;
@@ -340,7 +311,7 @@
                     Call::Backoff(now + jitter(INITIAL_BACKOFF * (1 << doublings), self.me, collection.failures));
                 // During an outage, registrations may have expired and been renewed. A snapshot shows the current
                 // state.
-                collection.reread |= collection.as_of > 0;
+                collection.reread = true;
             }
         }
     }
@@ -419,15 +390,10 @@
             return;
         }
         collection.call = Call::InFlight;
-        let action = if collection.reread {
+        let action = if collection.as_of == 0 || collection.reread {
             Action::Read(topic)
-        } else if collection.as_of == 0 {
-            Action::ReadStale(topic)
         } else {
-            // The first watch returns at once, to confirm what a stale read has returned.
-            let is_confirmed = collection.confirmed > Time::default();
-            let until = if is_confirmed { now + self.settings.watch_timeout() } else { now };
-            Action::Watch { topic, revision: collection.as_of, until }
+            Action::Watch { topic, revision: collection.as_of, until: now + self.settings.watch_timeout() }
         };
         self.actions.push(action);
     }
--- a/crates/poplarpaddle/src/fleet.rs
+++ b/crates/poplarpaddle/src/fleet.rs
@@ -16,7 +16,7 @@
 //! let me = Record { id, name, zone, region, peer: address, relay: address, incarnation, state };
 //! let mut node = Node::new(Time::from_millis(1), Settings::default(), me);
 //! node.tick(Time::from_millis(500));
-//! assert!(node.actions().iter().any(|action| matches!(action, Action::ReadStale(_))));
+//! assert!(node.actions().iter().any(|action| matches!(action, Action::Read(_))));
 //! ```
 //!
 //! # Trade-offs
@@ -66,8 +66,6 @@
     Send(SocketAddr, Vec<u8>),
     /// Read a snapshot of a collection from the store.
     Read(Topic),
-    /// Read a snapshot of a collection that may be outdated.
-    ReadStale(Topic),
     /// Watch a collection in the store for changes.
     Watch {
         /// The collection.
@@ -152,10 +150,6 @@
     /// Reads a snapshot of a collection. The caller ignores responses after `deadline`.
     fn read(&self, topic: Topic, deadline: Time) -> Pending<'_>;
 
-    /// Reads a snapshot of a collection that may be outdated. The revision of the response is one after which there may
-    /// have been changes that the snapshot lacks.
-    fn read_stale(&self, topic: Topic, deadline: Time) -> Pending<'_>;
-
     /// Watches a collection for changes after `revision`. The store responds at the time `until` if there is no change.
     /// The caller ignores responses after `deadline`.
     fn watch(&self, topic: Topic, revision: u64, until: Time, deadline: Time) -> Pending<'_>;
@@ -280,20 +274,6 @@
     /// Handles the response of the store to a read or watch of `topic`.
     pub fn store_answered(&mut self, now: Time, topic: Topic, response: Result<Response>) {
         let outcome = response.and_then(|response| self.apply(now, topic, response));
-        self.call_ended(now, topic, outcome);
-    }
-
-    /// Handles the response of the store to a read of `topic` that may be outdated.
-    pub fn store_answered_stale(&mut self, now: Time, topic: Topic, response: Result<Response>) {
-        let outcome = response.and_then(|response| self.apply(now, topic, response)).map(|outcome| match outcome {
-            feed::Outcome::Confirmed { revision, as_of } => feed::Outcome::Stale { revision, as_of },
-            other => other,
-        });
-        self.call_ended(now, topic, outcome);
-    }
-
-    /// Handles the end of a call to the store, whose response was already applied.
-    fn call_ended(&mut self, now: Time, topic: Topic, outcome: Result<feed::Outcome>) {
         let was_lost = std::mem::replace(&mut self.store_lost[topic as usize], outcome.is_err());
         match &outcome {
             Err(error) if !was_lost => self.record_event(now, "store.lost", &topic.to_string(), error.to_string()),
@@ -402,7 +382,6 @@
     fn perform(&mut self, action: feed::Action) {
         match action {
             feed::Action::Read(topic) => self.actions.push(Action::Read(topic)),
-            feed::Action::ReadStale(topic) => self.actions.push(Action::ReadStale(topic)),
             feed::Action::Watch { topic, revision, until } => {
                 self.actions.push(Action::Watch { topic, revision, until });
             }
--- a/crates/poplarpaddle/tests/fleet/world.rs
+++ b/crates/poplarpaddle/tests/fleet/world.rs
@@ -59,13 +59,6 @@
         run_id: u64,
         call: u64,
     },
-    /// Response to a read that may be outdated.
-    StoreStale {
-        node: usize,
-        run_id: u64,
-        topic: Topic,
-        response: Result<Response>,
-    },
     /// A watch fails because there was no response.
     WatchTimeout {
         node: usize,
@@ -94,7 +87,7 @@
 type Routes = Vec<(Address, Route)>;
 
 /// The simulated store.
-#[derive(Debug, Default, Clone)]
+#[derive(Debug, Default)]
 pub struct Store {
     pub revision: u64,
     hosts: BTreeMap<String, (Host, u64)>,
@@ -113,8 +106,6 @@
     pub address: SocketAddr,
     pub store_access: Access,
     pub store_calls: u64,
-    /// Number of reads that may return an outdated state.
-    pub stale_calls: u64,
     /// Version of the configuration in force at the node, which must not decrease until the node is restarted.
     version: u64,
     /// Hosts as passed to the data path.
@@ -129,8 +120,6 @@
     pub now: Time,
     pub instances: Vec<Instance>,
     pub store: Store,
-    /// Earlier state of the store that stale reads return; none when they return the current one.
-    pub stale_store: Option<Store>,
     pub bound: Duration,
     /// Pairs of nodes that cannot reach each other.
     cuts: BTreeSet<(usize, usize)>,
@@ -169,7 +158,6 @@
                     address,
                     store_access: Access::Reachable,
                     store_calls: 0,
-                    stale_calls: 0,
                     version: 0,
                     hosts: BTreeMap::new(),
                     zone_alive_at: BTreeMap::new(),
@@ -181,7 +169,6 @@
             now: Time::from_millis(10_000),
             instances,
             store: Store::default(),
-            stale_store: None,
             bound: Duration::from_secs(3),
             cuts: BTreeSet::new(),
             events: BinaryHeap::new(),
@@ -356,9 +343,6 @@
             Event::Store { node, run_id, topic, response } => {
                 self.with_node(node, run_id, |node| node.store_answered(now, topic, response))
             }
-            Event::StoreStale { node, run_id, topic, response } => {
-                self.with_node(node, run_id, |node| node.store_answered_stale(now, topic, response))
-            }
             Event::WatchEnd { node, run_id, call } => {
                 let is_reachable = self.instances[node].store_access == Access::Reachable;
                 if let Some(position) = self.watches.iter().position(|watch| watch.call == call && is_reachable) {
@@ -406,8 +390,7 @@
         let (from, run_id, now) = (self.instances[index].address, self.instances[index].run_id, self.now);
         match action {
             Action::Send(to, bytes) => self.schedule(HOP_MS, Event::Datagram { to, from, bytes }),
-            Action::Read(topic) => self.read(index, run_id, topic, false),
-            Action::ReadStale(topic) => self.read(index, run_id, topic, true),
+            Action::Read(topic) => self.read(index, run_id, topic),
             Action::Watch { topic, revision, until } => self.watch(index, run_id, topic, revision, until),
             Action::Pull { member, peer, hosts, routes, .. } => {
                 let reachable = self.index(peer).filter(|other| self.reaches(index, *other));
@@ -436,20 +419,13 @@
         }
     }
 
-    fn read(&mut self, node: usize, run_id: u64, topic: Topic, is_stale: bool) {
-        let instance = &mut self.instances[node];
-        *if is_stale { &mut instance.stale_calls } else { &mut instance.store_calls } += 1;
+    fn read(&mut self, node: usize, run_id: u64, topic: Topic) {
+        self.instances[node].store_calls += 1;
         let (wait, response) = match self.instances[node].store_access {
-            Access::Reachable if is_stale => {
-                (STORE_MS, Ok(self.stale_store.as_ref().unwrap_or(&self.store).stale(topic)))
-            }
             Access::Reachable => (STORE_MS, Ok(self.store.snapshot(topic))),
             Access::Refused => (HOP_MS, Err(Error::new(Kind::Unavailable, "status 503"))),
             Access::Silent => (READ_TIMEOUT_MS, Err(Error::new(Kind::Timeout, "no response to a read"))),
         };
-        if is_stale {
-            return self.schedule(wait, Event::StoreStale { node, run_id, topic, response });
-        }
         self.schedule(wait, Event::Store { node, run_id, topic, response });
     }
 
@@ -526,21 +502,6 @@
         }
     }
 
-    /// Returns a snapshot as a read that may be outdated does: with the revision of the last change that it contains.
-    fn stale(&self, topic: Topic) -> Response {
-        match self.snapshot(topic) {
-            Response::Hosts { mut delta, faults } => {
-                delta.to = delta.put.iter().map(|item| item.changed).max().unwrap_or_default();
-                Response::Hosts { delta, faults }
-            }
-            Response::Routes { content, .. } => {
-                let as_of = self.config.as_ref().map_or(0, |(_, _, revision)| *revision);
-                Response::Routes { as_of, content }
-            }
-            other => other,
-        }
-    }
-
     /// Returns the changes after a revision, or none when there are none.
     fn changes(&self, topic: Topic, since: u64) -> Option<Response> {
         if since + 1 < self.floor {
