--- a/crates/poplarpaddle/tests/direct/random.rs
+++ b/crates/poplarpaddle/tests/direct/random.rs
@@ -21,7 +21,8 @@
 const SERVICES: [&str; 2] = ["bookings", "crewdocs"];
 const STEPS: u32 = 600;
 
-/// Time after the return of a host within which it may still count as unreachable.
+/// Time after the return of a host within which it may still count as unreachable: the longest pause between two checks,
+/// and the time until the simulation ends a check.
 const RETURN_BOUND: Duration = Duration::from_millis(2500);
 
 fn seeds() -> std::ops::Range<u64> {
@@ -217,7 +218,7 @@
         self.balancers[balancer].packet(self.now, mark, &view, &mut effects);
         if is_established {
             let must_reach = self.must_reach(caller, mark);
-            let is_reset = effects.resets.contains(&flow(caller, port));
+            let is_reset = effects.decisions.contains(&(flow(caller, port), Verdict::Reset, Some(Reason::Unreachable)));
             let forwarded = effects.sent.iter().any(|(hop, bytes)| bytes[0] == 1 && Mark::of(hop.host) == mark);
             assert!(
                 forwarded || is_reset || !must_reach,
@@ -251,9 +252,10 @@
         }
         for reset in effects.resets {
             let has_route = self.routes.contains_key(&reset.service.port());
+            let is_unreachable = effects.decisions.contains(&(reset, Verdict::Reset, Some(Reason::Unreachable)));
             let verdict = effects.decisions.iter().find(|(flow, ..)| *flow == reset).map(|(_, verdict, _)| *verdict);
             assert!(
-                !has_route || verdict == Some(Verdict::Refused) || !effects.unreachable.is_empty(),
+                !has_route || verdict == Some(Verdict::Refused) || is_unreachable,
                 "seed {seed}: a flow with a route was reset by {verdict:?}"
             );
         }
