Make members tell each other which hosts do not respond

Each of 295 balancers sends such a host one request in 10 s, so a balancer that goes by its own observations learns nothing. Ruled out: the check by a TCP connect, which these hosts accept.

Change: a request without a response, while other hosts answer later requests, is reported to two members that the identifier of the host selects. When several members have reported a host within a second, and their reports are more than 15 % of its requests, all members are told, and new flows avoid it for 4 s. A suspicion never concerns more than a quarter of the hosts of a service, and makes the host the last choice, not a forbidden one.

The simulated members of the fleet tests drew the same random numbers, because their seed and their identifier cancelled out; now they draw different ones.

Seen failing with the mechanism off: load::members_of_a_large_fleet_avoid_silent_hosts (10 % of the requests met silent hosts instead of less than 3 %), outliers::a_host_that_other_members_report_is_avoided_for_seconds_and_then_tried_again, outliers::a_suspected_host_is_used_when_the_others_are_full. The others are new.

--- a/crates/poplarpaddle-balancer/src/direct/outlet.rs
+++ b/crates/poplarpaddle-balancer/src/direct/outlet.rs
@@ -3,7 +3,7 @@
 use std::net::{SocketAddr, SocketAddrV4};
 use std::time::Duration;
 
-use poplarpaddle::direct::{CheckId, Decision, Hop, Layout, Outlet};
+use poplarpaddle::direct::{CheckId, Decision, Hop, Layout, Outlet, Silence};
 use poplarpaddle::event::Event;
 use poplarpaddle::fleet::Node;
 use poplarpaddle::packet::Flow;
@@ -28,6 +28,8 @@
     pub(super) pings: &'a mut Vec<String>,
     /// Checks of hosts that the engine requested during the call.
     pub(super) checks: &'a mut Vec<(CheckId, SocketAddrV4)>,
+    /// Hosts that did not respond during the call.
+    pub(super) silences: &'a mut Vec<Silence>,
     /// Node whose members can be pinged.
     pub(super) node: &'a Node,
     /// Version of the configuration, for the log.
@@ -69,6 +71,10 @@
         self.checks.push((id, address));
     }
 
+    fn report_silence(&mut self, silence: &Silence) {
+        self.silences.push(*silence);
+    }
+
     fn record_decision(&mut self, decision: &Decision<'_>) {
         self.journal.record_decision(self.now, decision, self.version, self.age);
     }
--- a/crates/poplarpaddle-balancer/src/direct/task.rs
+++ b/crates/poplarpaddle-balancer/src/direct/task.rs
@@ -241,7 +241,7 @@
 
     fn with_engine(&mut self, call: impl FnOnce(&mut Engine, Time, &mut dyn poplarpaddle::direct::Outlet)) {
         let now = self.clock.now();
-        let (mut pings, mut checks) = (Vec::new(), Vec::new());
+        let (mut pings, mut checks, mut silences) = (Vec::new(), Vec::new(), Vec::new());
         let mut datagram = Vec::new();
         let mut outlet = Sender {
             now,
@@ -253,6 +253,7 @@
             unsent: &mut self.unsent,
             pings: &mut pings,
             checks: &mut checks,
+            silences: &mut silences,
             node: &self.node,
             version: self.node.general().version,
             age: now.since(self.node.feed().confirmed(Topic::Hosts)),
@@ -261,9 +262,12 @@
         for (id, address) in checks {
             self.check(id, address);
         }
-        if pings.is_empty() {
+        if pings.is_empty() && silences.is_empty() {
             return;
         }
+        for silence in silences {
+            self.node.report_silence(now, silence.host, silence.rate);
+        }
         for zone in pings {
             self.node.ping_zone(now, &zone, PINGS_PER_ZONE);
         }
@@ -294,6 +298,11 @@
                 }
             }
             Action::ZoneAlive(zone) => self.with_engine(|engine, now, outlet| engine.zone_alive(now, &zone, outlet)),
+            Action::HostsSuspected(hosts) => {
+                for host in hosts {
+                    self.with_engine(|engine, now, outlet| engine.suspect(now, host, outlet));
+                }
+            }
             Action::Event(event) => self.record_event(event),
         }
     }
--- a/crates/poplarpaddle/src/direct.rs
+++ b/crates/poplarpaddle/src/direct.rs
@@ -27,6 +27,11 @@
 //! A host that crashes or is cut off leaves its established flows without an answer. The engine checks hosts that it has
 //! a reason to doubt, and resets the flows of those that are unreachable, if their requests may run twice.
 //!
+//! # Outliers
+//!
+//! A host can accept connections and yet not respond to requests. New flows avoid hosts that are silent while others
+//! respond, to this balancer or to several members.
+//!
 //! # Trade-offs
 //!
 //! Losing an entry only makes the request counts less exact, so entries are not replicated to peers. In return, each
@@ -38,11 +43,13 @@
 mod host;
 mod link;
 mod opening;
+mod outlier;
 mod queue;
 mod reach;
 mod route;
 mod select;
 mod settings;
+mod sweep;
 
 pub use engine::Engine;
 pub use settings::{Counters, Settings};
@@ -173,6 +180,15 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct CheckId(host::Index);
 
+/// A host that does not respond while others do, as reported to [`Outlet::report_silence`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Silence {
+    /// The host.
+    pub host: HostId,
+    /// Rate at which this balancer sends requests to an average host of the service, in requests per 1,000 s.
+    pub rate: u32,
+}
+
 /// Encoding of packets in the datagrams of a transport.
 pub trait Layout: Send + Sync {
     /// Parses a caller's datagram into the mark and a view of the packet.
@@ -206,6 +222,10 @@
     /// [`Settings::check_timeout`]. The result is passed to [`Engine::checked`].
     fn check(&mut self, id: CheckId, address: SocketAddrV4);
 
+    /// Reports a host that did not respond, to those members that collect such reports. The hosts that several members
+    /// report are passed to [`Engine::suspect`].
+    fn report_silence(&mut self, silence: &Silence);
+
     /// Records a decision about a flow.
     fn record_decision(&mut self, decision: &Decision<'_>);
 
--- a/crates/poplarpaddle/src/direct/engine.rs
+++ b/crates/poplarpaddle/src/direct/engine.rs
@@ -2,7 +2,6 @@
 
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
-use std::time::Duration;
 
 use rand::{RngExt as _, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -20,12 +19,6 @@
 use crate::retry::Budget;
 use crate::time::Time;
 
-/// Time between two sweeps for idle flows, overdue requests and expired hosts.
-const SWEEP_INTERVAL: Duration = Duration::from_millis(500);
-
-/// Time between two sweeps while openings are queued, because requests that become overdue free capacity for them.
-const QUEUE_SWEEP_INTERVAL: Duration = Duration::from_millis(50);
-
 /// State of a flow that the engine has seen.
 #[derive(Debug)]
 pub(super) struct Entry {
@@ -39,6 +32,8 @@
     pub(super) busy: bool,
     /// True while that request has taken longer than most requests of the service.
     pub(super) overdue: bool,
+    /// True once that request counts as evidence about its host, or no longer can.
+    pub(super) judged: bool,
     /// Acknowledgement number of the caller's last packet with payload.
     pub(super) request_ack: Option<u32>,
     /// Sequence number of that packet.
@@ -59,17 +54,21 @@
     pub(super) retries: Budget,
     pub(super) random: Pcg64Mcg,
     pub(super) counters: Counters,
-    next_sweep: Time,
+    pub(super) next_sweep: Time,
+    /// When overdue requests are searched for.
+    pub(super) next_overdue: Time,
     /// True once hosts and routes have been known.
     ready: bool,
     buffer: Buffer,
     pub(super) queue: Queue,
     /// True when a request ended or became overdue since the queue was last served.
-    capacity_freed: bool,
+    pub(super) capacity_freed: bool,
     /// Number of checks of hosts in progress.
     pub(super) checks: usize,
     /// When the latest opening was sent that a host answered promptly.
     pub(super) last_prompt_answer: Time,
+    /// When the latest request was sent that a host has answered.
+    pub(super) last_answered_request: Time,
 }
 
 impl Engine {
@@ -86,12 +85,14 @@
             random: Pcg64Mcg::seed_from_u64(settings.seed),
             counters: Counters::default(),
             next_sweep: Time::NEVER,
+            next_overdue: Time::NEVER,
             ready: false,
             buffer: Buffer::default(),
             queue: Queue::new(settings.seed),
             capacity_freed: false,
             checks: 0,
             last_prompt_answer: Time::default(),
+            last_answered_request: Time::default(),
             settings,
         }
     }
@@ -131,9 +132,7 @@
         if let Some(index) = known.filter(|index| self.hosts.find(name) != Some(*index)) {
             self.hosts.deregister(index, now, remove_at);
         }
-        if self.next_sweep == Time::NEVER {
-            self.next_sweep = now + SWEEP_INTERVAL;
-        }
+        self.start_sweeps(now);
         self.update_ready();
     }
 
@@ -186,11 +185,7 @@
         self.tick_links(now, outlet);
         self.tick_openings(now, outlet);
         self.tick_queue(now, outlet);
-        if now.reached(self.next_sweep) {
-            self.next_sweep = now + if self.queue.is_empty() { SWEEP_INTERVAL } else { QUEUE_SWEEP_INTERVAL };
-            self.sweep(now);
-            self.recheck_hosts(now, outlet);
-        }
+        self.sweep_if_due(now, outlet);
         self.serve_queue_if_freed(now, outlet);
     }
 
@@ -202,7 +197,7 @@
             return Time::default();
         }
         let links = self.links.iter().map(|link| link.deadline(self.settings.ping_timeout));
-        links.chain([opening, self.next_sweep, self.queue.deadline()]).min().unwrap_or(Time::NEVER)
+        links.chain([opening, self.next_sweep, self.next_overdue, self.queue.deadline()]).min().unwrap_or(Time::NEVER)
     }
 
     /// Sets `ready` once hosts and routes are known. The engine stays ready when a configuration removes the last
@@ -267,6 +262,7 @@
     /// Ends the request in progress of a flow, if there is one.
     pub(super) fn end_request(&mut self, entry: &mut Entry) {
         let overdue = std::mem::take(&mut entry.overdue);
+        entry.judged = false;
         if std::mem::take(&mut entry.busy) {
             self.hosts.end_request(entry.host, overdue);
             self.capacity_freed = true;
@@ -360,6 +356,7 @@
             last_packet,
             busy: false,
             overdue: false,
+            judged: false,
             request_ack: None,
             request_sequence: 0,
             pending: None,
@@ -373,14 +370,16 @@
     fn track_request(&mut self, now: Time, entry: &mut Entry, packet: &View<'_>) {
         let previous = std::mem::replace(&mut entry.last_packet, now);
         if packet.has_payload() {
-            entry.request_ack = Some(packet.acknowledgement);
-            entry.request_sequence = packet.sequence;
+            let request = (Some(packet.acknowledgement), packet.sequence);
+            entry.judged &= request == (entry.request_ack, entry.request_sequence);
+            (entry.request_ack, entry.request_sequence) = request;
             if !std::mem::replace(&mut entry.busy, true) {
                 self.hosts.begin_request(entry.host);
             }
+            self.expect_response(now);
         } else if entry.request_ack.is_some_and(|ack| ack != packet.acknowledgement) {
             if entry.busy {
-                self.hosts.sample_response(entry.host, now.since(previous));
+                self.request_answered(now, entry.host, previous);
             }
             self.end_request(entry);
         }
@@ -420,34 +419,4 @@
             self.next_sweep = self.next_sweep.min(now);
         }
     }
-
-    /// Schedules a sweep within [`QUEUE_SWEEP_INTERVAL`], because an opening was queued.
-    pub(super) fn sweep_soon(&mut self, now: Time) {
-        self.next_sweep = self.next_sweep.min(now + QUEUE_SWEEP_INTERVAL);
-    }
-
-    /// Flags requests that take longer than most as overdue. Their flows may have been rerouted to another balancer, which then
-    /// sees the end of the request instead of this one.
-    fn flag_overdue_requests(&mut self, now: Time) {
-        for entry in self.flows.values_mut().filter(|entry| entry.busy && !entry.overdue) {
-            let bound = self.hosts.response_bound(entry.host).unwrap_or_default().max(self.settings.min_overdue_time);
-            if now.reached(entry.last_packet + bound) {
-                entry.overdue = true;
-                self.hosts.count_overdue(entry.host);
-                self.capacity_freed = true;
-            }
-        }
-    }
-
-    /// Removes idle flows and expired hosts, and flags overdue requests.
-    fn sweep(&mut self, now: Time) {
-        let timeout = self.settings.idle_timeout;
-        let idle = |(flow, entry): (&Flow, &Entry)| now.reached(entry.last_packet + timeout).then_some(*flow);
-        let idle_flows: Vec<Flow> = self.flows.iter().filter_map(idle).collect();
-        for flow in idle_flows {
-            self.remove_flow(&flow);
-        }
-        self.flag_overdue_requests(now);
-        self.hosts.remove_expired(now);
-    }
 }
--- a/crates/poplarpaddle/src/direct/host.rs
+++ b/crates/poplarpaddle/src/direct/host.rs
@@ -4,7 +4,8 @@
 
 use smallvec::SmallVec;
 
-use super::estimate::Estimate;
+use super::estimate::{Estimate, Rate};
+use super::outlier::Suspicion;
 use super::reach::Reach;
 use crate::limit::Limit;
 use crate::map::{self, Map};
@@ -33,6 +34,7 @@
     /// When the host last answered an opening.
     pub(super) last_answer: Time,
     pub(super) reach: Reach,
+    pub(super) suspicion: Suspicion,
     /// Time until which the host accepts new flows after its registration ended; none while it is registered.
     pub(super) grace: Option<Time>,
     /// When the host is removed from the table.
@@ -58,6 +60,8 @@
     hosts: Vec<Index>,
     /// Time from a request to the first bytes of its response.
     response_time: Estimate,
+    /// Rate at which this balancer sends requests to all hosts.
+    requests: Rate,
 }
 
 /// Every host that may have flows: registered ones, and others until [`Host::remove_at`].
@@ -125,9 +129,29 @@
     pub(super) fn begin_request(&mut self, index: Index) {
         if let Some(host) = self.hosts.get_mut(&index) {
             host.busy += 1;
+            if let Some(service) = self.services.get_mut(&host.record.service) {
+                service.requests.count();
+            }
         }
     }
 
+    /// Updates the rates of requests.
+    pub(super) fn measure_rates(&mut self, now: Time) {
+        for service in self.services.values_mut() {
+            service.requests.measure(now);
+        }
+    }
+
+    /// Returns the rate at which this balancer sends requests to an average host of the same service as `index`, in
+    /// requests per 1,000 s.
+    pub(super) fn rate(&self, index: Index) -> u32 {
+        let service = self.hosts.get(&index).and_then(|host| self.services.get(&host.record.service));
+        service.map_or(0, |service| {
+            let hosts = u32::try_from(service.hosts.len()).unwrap_or(u32::MAX).max(1);
+            service.requests.per_second().saturating_mul(1000) / hosts
+        })
+    }
+
     /// Counts a request in progress that takes longer than most.
     pub(super) fn count_overdue(&mut self, index: Index) {
         if let Some(host) = self.hosts.get_mut(&index) {
@@ -171,6 +195,7 @@
             if entry.record.born != host.born {
                 entry.unanswered = 0;
                 entry.reach = Reach::default();
+                entry.suspicion = Suspicion::default();
             }
             entry.record = host.clone();
             entry.grace = None;
@@ -193,6 +218,7 @@
             unanswered: 0,
             last_answer: Time::default(),
             reach: Reach::default(),
+            suspicion: Suspicion::default(),
             grace: None,
             remove_at: Time::NEVER,
         };
--- a/crates/poplarpaddle/src/direct/opening.rs
+++ b/crates/poplarpaddle/src/direct/opening.rs
@@ -68,7 +68,6 @@
         }
         match self.queue.push(self.priority_rank(packet.flow.service), opening) {
             None => {
-                self.sweep_soon(now);
                 self.record_decision(&Decision::new(packet.flow, Verdict::Queued, None), outlet);
             }
             Some(opening) => self.send_first(now, opening, index, outlet),
@@ -86,6 +85,7 @@
             last_packet: now,
             busy: false,
             overdue: false,
+            judged: false,
             request_ack: None,
             request_sequence: 0,
             pending,
@@ -276,6 +276,7 @@
         self.timers.push(Reverse((due, flow)));
         self.send(&hop, &pending.bytes, outlet);
         self.hosts.begin_request(index);
+        self.expect_response(now);
         if let Some(host) = self.hosts.get_mut(index) {
             host.limit.record_start(now);
             let (busy, unanswered) = (host.busy, host.unanswered);
@@ -321,5 +322,6 @@
         if is_silent {
             self.doubt_host(now, index, outlet);
         }
+        self.report_silence(now, index, sent, outlet);
     }
 }
--- a/crates/poplarpaddle/src/direct/select.rs
+++ b/crates/poplarpaddle/src/direct/select.rs
@@ -17,6 +17,16 @@
 /// Scale factor of loads, which keeps fractions when the load is divided by the number of slots.
 const LOAD_UNIT: u64 = 100;
 
+/// How well a host is able to take a new flow, best first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Fitness {
+    Free,
+    /// The host does not respond to requests.
+    Suspected,
+    /// The slots and the backlog of the host are taken.
+    Full,
+}
+
 /// Cost of selecting a host; the lowest wins. Fields are compared in this order.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 struct Cost {
@@ -24,8 +34,7 @@
     no_trial: bool,
     /// True for hosts that do not answer or whose zone is unreachable.
     failing: bool,
-    /// True for hosts whose slots and backlog are taken.
-    full: bool,
+    fitness: Fitness,
     /// Requests in progress per slot, including the new one, weighted by [`COLD_PERCENT`] on cold hosts.
     load: u64,
     /// Random number that decides between hosts that are equal otherwise.
@@ -53,7 +62,7 @@
         if !cost.no_trial {
             self.links[zone].start_trial(now);
         }
-        Some((index, !cost.full))
+        Some((index, cost.fitness != Fitness::Full))
     }
 
     /// Returns true when the host or its zone is unreachable or the host is paused because it does not answer openings.
@@ -67,11 +76,16 @@
         let is_trial = self.links[host.zone].is_trial_due(now) && !is_avoided(now, host);
         let capacity = u32::from(host.record.slots) + u32::from(self.settings.limit.backlog);
         let cold_percent = if now.reached(host.record.cold_until) { 100 } else { COLD_PERCENT };
+        // A failing host never counts as full: its requests may have ended without this balancer seeing it.
+        let fitness = match (host.busy - host.overdue >= capacity, host.suspicion.is_active(now)) {
+            (true, _) if !failing => Fitness::Full,
+            (_, true) => Fitness::Suspected,
+            (_, false) => Fitness::Free,
+        };
         Cost {
             no_trial: !is_trial,
             failing,
-            // A failing host never counts as full: its requests may have ended without this balancer seeing it.
-            full: !failing && host.busy - host.overdue >= capacity,
+            fitness,
             load: (busy + 1) * LOAD_UNIT * cold_percent / u64::from(host.record.slots.max(1)),
             tie_breaker,
         }
--- a/crates/poplarpaddle/src/fleet.rs
+++ b/crates/poplarpaddle/src/fleet.rs
@@ -26,6 +26,7 @@
 
 mod apply;
 mod messages;
+mod outlier;
 
 use std::net::SocketAddr;
 use std::pin::Pin;
@@ -35,6 +36,7 @@
 use crate::event::Event;
 use crate::feed::{self, Announcement, Feed, Topic};
 use crate::map::{self, Map};
+use crate::mark::HostId;
 use crate::membership::{self, Membership};
 use crate::path::MemberId;
 use crate::registry::{Address, General, HostDelta, Hosts, Route, Routes};
@@ -42,6 +44,8 @@
 use crate::wire::{Record, State, Transfer, VERSION};
 
 use messages::Requests;
+pub use outlier::MAX_OUTLIERS;
+use outlier::Outliers;
 
 /// Time budget per host or route in a snapshot. An entry has about 66 bytes, so this limits snapshots to 10 Mbit/s.
 const ENTRY_TRANSFER_TIME: Duration = Duration::from_micros(50);
@@ -94,6 +98,8 @@
     RoutesChanged(Vec<Address>),
     /// A message from a member of this zone arrived, so the zone is reachable.
     ZoneAlive(String),
+    /// Several members report that these hosts do not respond.
+    HostsSuspected(Vec<HostId>),
     /// Record an event.
     Event(Event),
 }
@@ -164,6 +170,7 @@
     routes: Routes,
     general: General,
     requests: Requests,
+    outliers: Outliers,
     /// True for each topic whose last call to the store failed.
     store_lost: [bool; 2],
     /// Revisions of the invalid registrations that were reported, by name.
@@ -190,6 +197,7 @@
             routes: Routes::default(),
             general: General::default(),
             requests: Requests::default(),
+            outliers: Outliers::default(),
             store_lost: [false; 2],
             reported: map::seeded(0),
             membership_revision: 0,
@@ -251,7 +259,8 @@
     /// Returns the time at which [`Self::tick`] has to be called next.
     #[must_use]
     pub fn deadline(&self) -> Time {
-        self.membership.deadline().min(self.feed.deadline()).min(self.requests.deadline())
+        let messages = self.requests.deadline().min(self.outliers.deadline());
+        self.membership.deadline().min(self.feed.deadline()).min(messages)
     }
 
     /// Replaces the seed addresses through which this node finds other members.
@@ -371,6 +380,7 @@
         self.routes.advance(self.feed.as_of(Topic::Routes));
         self.feed.tick(now, &self.members);
         self.send_gossip(now);
+        self.spread_outliers(now);
         for event in self.membership.events() {
             self.actions.push(Action::Event(event));
         }
--- a/crates/poplarpaddle/src/fleet/messages.rs
+++ b/crates/poplarpaddle/src/fleet/messages.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use super::{Action, Node};
+use super::{Action, MAX_OUTLIERS, Node};
 use crate::error::{Error, Kind, Result};
 use crate::feed::Announcement;
 use crate::map::{self, Map};
@@ -76,14 +76,22 @@
                 membership::check(self.membership.me(), gossip)?;
                 gossip.sender.id
             }
-            Body::Announce(id) | Body::Ping(id) | Body::Pong(id) => *id,
+            Body::Announce(id) | Body::Ping(id) | Body::Pong(id) | Body::Report(id, _) => *id,
+            Body::Outliers(id, hosts) if hosts.len() <= MAX_OUTLIERS => *id,
+            Body::Outliers(_, hosts) => {
+                let text = format!("{} outliers exceed the maximum of {MAX_OUTLIERS}", hosts.len());
+                return Err(Error::new(Kind::Message, text));
+            }
         };
+        let is_member = self.membership.record(sender).is_some();
         let forward = matches!(datagram.body, Body::Announce(_));
         match datagram.body {
             Body::Request(gossip) => self.handle_request(now, from, datagram.number, &gossip),
             Body::Response(gossip) => self.handle_response(now, datagram.number, &gossip)?,
             Body::Ping(_) => self.send(from, datagram.number, self.positions(now), Body::Pong(self.membership.me().id)),
-            Body::Announce(_) | Body::Pong(_) => {}
+            Body::Report(_, report) if is_member => self.collect(now, sender, report),
+            Body::Outliers(_, hosts) if is_member => self.handle_outliers(now, &hosts),
+            Body::Announce(_) | Body::Pong(_) | Body::Report(..) | Body::Outliers(..) => {}
         }
         self.feed.receive(now, sender, &datagram.news, forward);
         if let Some(record) = self.membership.record(sender) {
@@ -149,7 +157,7 @@
         }
     }
 
-    fn send(&mut self, to: SocketAddr, number: u32, announcement: Announcement, body: Body) {
+    pub(super) fn send(&mut self, to: SocketAddr, number: u32, announcement: Announcement, body: Body) {
         let datagram = Datagram { version: VERSION, number, news: announcement, body };
         match datagram.encode() {
             Ok(bytes) => self.actions.push(Action::Send(to, bytes)),
--- a/crates/poplarpaddle/src/membership.rs
+++ b/crates/poplarpaddle/src/membership.rs
@@ -450,7 +450,7 @@
     }
 
     /// Returns up to `count` random members that are not dead, without this member and `except`.
-    fn sample(&mut self, count: usize, except: Option<MemberId>) -> Vec<Record> {
+    pub(crate) fn sample(&mut self, count: usize, except: Option<MemberId>) -> Vec<Record> {
         let me = self.me.id;
         let ids: Vec<_> = self.ring.ids().iter().copied().filter(|id| *id != me && Some(*id) != except).collect();
         let chosen = ids.sample(&mut self.random, count);
--- a/crates/poplarpaddle/src/wire.rs
+++ b/crates/poplarpaddle/src/wire.rs
@@ -10,6 +10,7 @@
 
 use crate::error::{Error, Kind, Result};
 use crate::feed::Announcement;
+use crate::mark::HostId;
 use crate::path::{Hop, MemberId};
 use crate::registry::{General, HostDelta, RouteDelta};
 
@@ -144,6 +145,19 @@
     Ping(MemberId),
     /// Answers a [`Body::Ping`]. Holds the id of the sender.
     Pong(MemberId),
+    /// Reports that a host did not respond to the sender. Holds the id of the sender.
+    Report(MemberId, Report),
+    /// Tells of hosts that several members reported. Holds the id of the sender.
+    Outliers(MemberId, Vec<HostId>),
+}
+
+/// Report that a host did not respond to a member.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Report {
+    /// The host.
+    pub host: HostId,
+    /// Rate at which the member sends requests to an average host of the service, in requests per 1,000 s.
+    pub rate: u32,
 }
 
 /// One UDP datagram between balancers whose hosts register themselves.
--- a/crates/poplarpaddle/tests/direct/main.rs
+++ b/crates/poplarpaddle/tests/direct/main.rs
@@ -2,6 +2,7 @@
 #![allow(missing_docs, clippy::pedantic, reason = "tests name their failures in their names and comments")]
 
 mod openings;
+mod outliers;
 mod random;
 mod routing;
 mod start;
--- a/crates/poplarpaddle/tests/direct/random.rs
+++ b/crates/poplarpaddle/tests/direct/random.rs
@@ -6,7 +6,7 @@
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
-use poplarpaddle::direct::{CheckId, Decision, Engine, Hop, Outlet, Reason, Settings, Verdict};
+use poplarpaddle::direct::{CheckId, Decision, Engine, Hop, Outlet, Reason, Settings, Silence, Verdict};
 use poplarpaddle::mark::{HostId, Mark};
 use poplarpaddle::packet::{Direction, Flow, Kind, View};
 use poplarpaddle::registry::{Host, Route, State};
@@ -40,6 +40,7 @@
     /// Hosts of the resets for [`Reason::Unreachable`].
     unreachable: Vec<String>,
     checks: Vec<(CheckId, SocketAddrV4)>,
+    silences: Vec<Silence>,
 }
 
 impl Outlet for Effects {
@@ -59,6 +60,10 @@
         self.checks.push((id, address));
     }
 
+    fn report_silence(&mut self, silence: &Silence) {
+        self.silences.push(*silence);
+    }
+
     fn record_decision(&mut self, decision: &Decision<'_>) {
         if decision.reason == Some(Reason::Unreachable) {
             self.unreachable.push(decision.host.expect("the host of the flow is known").to_owned());
@@ -266,6 +271,11 @@
             );
         }
         self.checks.extend(effects.checks.into_iter().map(|(id, address)| (balancer, id, address)));
+        for silence in effects.silences {
+            for engine in &mut self.balancers {
+                engine.suspect(self.now, silence.host, &mut Effects::default());
+            }
+        }
         for (flow, verdict, reason) in effects.decisions {
             if verdict == Verdict::Refused && reason == Some(Reason::NoHost) {
                 let service = self.routes[&flow.service.port()];
--- a/crates/poplarpaddle/tests/direct/support.rs
+++ b/crates/poplarpaddle/tests/direct/support.rs
@@ -2,7 +2,7 @@
 
 use std::net::{Ipv4Addr, SocketAddrV4};
 
-use poplarpaddle::direct::{CheckId, Decision, Engine, Hop, Outlet, Reason, Settings, Verdict};
+use poplarpaddle::direct::{CheckId, Decision, Engine, Hop, Outlet, Reason, Settings, Silence, Verdict};
 use poplarpaddle::mark::{HostId, Mark};
 use poplarpaddle::packet::{Direction, Flow, Kind, View};
 use poplarpaddle::registry::{Host, Route, State};
@@ -25,6 +25,7 @@
     pub checks: Vec<(CheckId, SocketAddrV4)>,
     pub decisions: Vec<(Flow, Verdict, Option<Reason>)>,
     pub events: Vec<String>,
+    pub silences: Vec<Silence>,
     /// Zones without known members, for which [`Outlet::ping`] returns false.
     pub zones_without_members: Vec<&'static str>,
 }
@@ -50,6 +51,10 @@
         self.checks.push((id, address));
     }
 
+    fn report_silence(&mut self, silence: &Silence) {
+        self.silences.push(*silence);
+    }
+
     fn record_decision(&mut self, decision: &Decision<'_>) {
         self.decisions.push((decision.flow, decision.verdict, decision.reason));
     }
--- a/crates/poplarpaddle/tests/fleet/main.rs
+++ b/crates/poplarpaddle/tests/fleet/main.rs
@@ -2,6 +2,8 @@
 #![allow(missing_docs, clippy::pedantic, reason = "tests name their failures in their names and comments")]
 
 mod ledger;
+mod load;
+mod outliers;
 mod random;
 mod spread;
 mod world;
--- a/crates/poplarpaddle/tests/fleet/world.rs
+++ b/crates/poplarpaddle/tests/fleet/world.rs
@@ -113,6 +113,10 @@
     pub zone_alive_at: BTreeMap<String, Time>,
     /// Number of snapshots of the hosts that the node has sent to others.
     pub snapshots: u64,
+    /// Hosts that the data path was told to suspect.
+    pub suspected: Vec<HostId>,
+    /// Number of datagrams that the node has sent.
+    pub datagrams: u64,
 }
 
 /// Simulated fleet with its store.
@@ -162,6 +166,8 @@
                     hosts: BTreeMap::new(),
                     zone_alive_at: BTreeMap::new(),
                     snapshots: 0,
+                    suspected: Vec::new(),
+                    datagrams: 0,
                 });
             }
         }
@@ -212,12 +218,18 @@
             incarnation: 0,
             state: State::Alive,
         };
-        let membership = membership::Settings { seed: id.0, seeds, alone_ms: 50, ..Default::default() };
+        let membership = membership::Settings { seeds, alone_ms: 50, ..Default::default() };
         let feed = feed::Settings { bound: self.bound };
         instance.node = Some(Node::new(now, Settings { membership, feed }, me));
         self.tick(index);
     }
 
+    /// Passes the node to `call` and performs its actions.
+    pub fn with(&mut self, index: usize, call: impl FnOnce(&mut Node, Time)) {
+        let (run_id, now) = (self.instances[index].run_id, self.now);
+        self.with_node(index, run_id, |node| call(node, now));
+    }
+
     pub fn kill(&mut self, index: usize) {
         self.instances[index].node = None;
     }
@@ -389,7 +401,10 @@
     fn perform(&mut self, index: usize, action: Action) {
         let (from, run_id, now) = (self.instances[index].address, self.instances[index].run_id, self.now);
         match action {
-            Action::Send(to, bytes) => self.schedule(HOP_MS, Event::Datagram { to, from, bytes }),
+            Action::Send(to, bytes) => {
+                self.instances[index].datagrams += 1;
+                self.schedule(HOP_MS, Event::Datagram { to, from, bytes });
+            }
             Action::Read(topic) => self.read(index, run_id, topic),
             Action::Watch { topic, revision, until } => self.watch(index, run_id, topic, revision, until),
             Action::Pull { member, peer, hosts, routes, .. } => {
@@ -415,6 +430,7 @@
                 }
             }
             Action::ZoneAlive(zone) => drop(self.instances[index].zone_alive_at.insert(zone, now)),
+            Action::HostsSuspected(hosts) => self.instances[index].suspected.extend(hosts),
             Action::RoutesChanged(_) | Action::Event(_) => {}
         }
     }
