Let members try a suspected host again at different times

Change: up to the same time again is added to a suspicion at random. The first members that try a host again report it, and the others then avoid it for longer. Seen failing without the jitter: outliers::members_try_a_suspected_host_again_at_different_times (39 of 40 members).

--- a/crates/poplarpaddle/src/direct/outlier.rs
+++ b/crates/poplarpaddle/src/direct/outlier.rs
@@ -13,6 +13,8 @@
 
 use std::time::Duration;
 
+use rand::RngExt as _;
+
 use super::host::Index;
 use super::{Engine, Outlet, Silence};
 use crate::mark::{HostId, Mark};
@@ -21,10 +23,14 @@
 /// Time for which new flows avoid a host that did not respond to this balancer.
 const OWN_SUSPICION: Duration = Duration::from_secs(1);
 
-/// Time for which new flows avoid a host that did not respond to several members; doubles with each further suspicion in
-/// a row.
+/// Minimum time for which new flows avoid a host that did not respond to several members; doubles with each further
+/// suspicion in a row. Up to [`MAX_JITTER_PERCENT`] is added at random, so that few members try the host again first and
+/// tell the others if it is still silent.
 const SHARED_SUSPICION: Duration = Duration::from_secs(4);
 
+/// Maximum share of that time that is added to it, in percent.
+const MAX_JITTER_PERCENT: u32 = 100;
+
 /// Maximum exponent of that time.
 const MAX_DOUBLINGS: u32 = 2;
 
@@ -77,12 +83,13 @@
         self.until = self.until.max(now + OWN_SUSPICION);
     }
 
-    /// Records that the host did not respond to several members.
-    fn begin_shared(&mut self, now: Time) {
+    /// Records that the host did not respond to several members. Adds `jitter_percent` to the time of the suspicion.
+    fn begin_shared(&mut self, now: Time, jitter_percent: u32) {
         if now.reached(self.until + FORGET_TIME) {
             self.in_a_row = 0;
         }
-        self.until = self.until.max(now + SHARED_SUSPICION * (1 << self.in_a_row));
+        let time = SHARED_SUSPICION * (1 << self.in_a_row) * (100 + jitter_percent) / 100;
+        self.until = self.until.max(now + time);
         self.in_a_row = (self.in_a_row + 1).min(MAX_DOUBLINGS);
     }
 }
@@ -93,11 +100,12 @@
         let mut sharing = self.hosts.with_mark(Mark::of(id)).iter().copied();
         let found = sharing.find(|index| self.hosts.get(*index).is_some_and(|host| host.record.id == id));
         let Some(index) = found.filter(|index| self.may_suspect(now, *index)) else { return };
+        let jitter_percent = self.random.random_range(0..=MAX_JITTER_PERCENT);
         let Some(host) = self.hosts.get_mut(index) else { return };
         if host.suspicion.answered_recently(now) {
             return;
         }
-        host.suspicion.begin_shared(now);
+        host.suspicion.begin_shared(now, jitter_percent);
         outlet.record_event(now, "host.suspected", &host.name, "it did not respond to several members");
     }
 
