Reject damaged datagrams and the positions of strangers

Cause: a new test sends damaged copies of each kind of datagram to a node. Afterwards a new version of the configuration was in force at no member, and stayed so for 45 s of the test: one changed byte in the position of the sender claimed a revision that the store had not reached, and every member took it over and passed it on. The position of a sender that is no member had the same effect. Change: a datagram ends with a checksum, so the version of the peer protocol is 2; positions count only from members. Seen failing before: malformed::damaged_datagrams_do_not_stop_a_node, malformed::the_position_of_a_stranger_has_no_effect (the latter also with the checksum).

--- a/crates/poplarpaddle-io/tests/peer.rs
+++ b/crates/poplarpaddle-io/tests/peer.rs
@@ -60,3 +60,35 @@
     }
     server.await.unwrap();
 }
+
+/// Fetches from a server that sends `head` and half of a body of 100 bytes, and then closes the connection.
+async fn fetch_broken(head: &'static str) -> poplarpaddle::error::Result<Vec<u8>> {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let server = tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let mut request = [0; 1024];
+        let _length = stream.read(&mut request).await.unwrap();
+        stream.write_all(head.as_bytes()).await.unwrap();
+        stream.write_all(&[7; 50]).await.unwrap();
+    });
+    let deadline = Clock::new().now() + Duration::from_secs(30);
+    let fetched = Client::new(None).unwrap().fetch(address, "/peer/parcel", deadline).await;
+    server.await.unwrap();
+    fetched
+}
+
+/// A response that breaks off must not be taken for a complete one.
+#[tokio::test]
+async fn a_response_that_breaks_off_is_an_error() {
+    for head in [
+        "HTTP/1.1 200 OK\r\ncontent-length: 100\r\n\r\n",
+        // A chunk of 100 bytes.
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n64\r\n",
+        // A complete chunk of 50 bytes, but not the last one.
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n32\r\n",
+    ] {
+        let fetched = fetch_broken(head).await;
+        assert!(fetched.is_err(), "{head:?} gave {fetched:?}");
+    }
+}
--- a/crates/poplarpaddle/src/fleet/messages.rs
+++ b/crates/poplarpaddle/src/fleet/messages.rs
@@ -93,8 +93,9 @@
             Body::Outliers(_, hosts) if is_member => self.handle_outliers(now, &hosts),
             Body::Announce(_) | Body::Pong(_) | Body::Report(..) | Body::Outliers(..) => {}
         }
-        self.feed.receive(now, sender, &datagram.news, forward);
+        // The position of a stranger may refer to a different store.
         if let Some(record) = self.membership.record(sender) {
+            self.feed.receive(now, sender, &datagram.news, forward);
             self.actions.push(Action::ZoneAlive(record.zone.clone()));
         }
         self.dispatch(now);
--- a/crates/poplarpaddle/src/wire.rs
+++ b/crates/poplarpaddle/src/wire.rs
@@ -18,7 +18,10 @@
 pub const MAX_GOSSIP: usize = 16 * 1024;
 
 /// Version of the peer protocol. Messages of another version are rejected.
-pub const VERSION: u8 = 1;
+pub const VERSION: u8 = 2;
+
+/// Length of the checksum of a datagram, in bytes.
+const CHECKSUM_LENGTH: usize = 4;
 
 /// State of a member in gossip messages. At the same incarnation, a later variant overrides an earlier one.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
@@ -174,26 +177,35 @@
 }
 
 impl Datagram {
-    /// Returns the encoded datagram.
+    /// Returns the encoded datagram, which ends with a checksum.
     ///
     /// # Errors
     ///
     /// [`Kind::Internal`] if the encoder fails, which no value of this type causes.
     pub fn encode(&self) -> Result<Vec<u8>> {
-        rmp_serde::to_vec(self).map_err(|e| Error::new(Kind::Internal, format!("cannot encode a datagram: {e}")))
+        let mut bytes = rmp_serde::to_vec(self)
+            .map_err(|e| Error::new(Kind::Internal, format!("cannot encode a datagram: {e}")))?;
+        bytes.extend(checksum(&bytes));
+        Ok(bytes)
     }
 
     /// Decodes a datagram.
     ///
     /// # Errors
     ///
-    /// [`Kind::Message`] if `bytes` is longer than [`MAX_GOSSIP`], malformed, or of another version.
+    /// [`Kind::Message`] if `bytes` is longer than [`MAX_GOSSIP`], damaged, malformed, or of another version.
     pub fn decode(bytes: &[u8]) -> Result<Self> {
         if bytes.len() > MAX_GOSSIP {
             let text = format!("datagram of {} bytes exceeds the maximum of {MAX_GOSSIP} bytes", bytes.len());
             return Err(Error::new(Kind::Message, text));
         }
-        let datagram: Self = rmp_serde::from_slice(bytes)
+        // A damaged position of the state would spread to all members, which would then wait for that revision.
+        let split = bytes.split_last_chunk().filter(|(content, sum)| checksum(content) == **sum);
+        let Some((content, _sum)) = split else {
+            let text = "the checksum of a datagram does not match: it is damaged or of another version";
+            return Err(Error::new(Kind::Message, text));
+        };
+        let datagram: Self = rmp_serde::from_slice(content)
             .map_err(|e| Error::new(Kind::Message, format!("cannot decode a datagram: {e}")))?;
         if datagram.version != VERSION {
             return Err(Error::new(
@@ -205,6 +217,13 @@
     }
 }
 
+/// Returns the checksum of the content of a datagram.
+fn checksum(content: &[u8]) -> [u8; CHECKSUM_LENGTH] {
+    let mut sum = [0; CHECKSUM_LENGTH];
+    blake3::Hasher::new().update(content).finalize_xof().fill(&mut sum);
+    sum
+}
+
 /// State transfer: the hosts and routes that changed at a member, or all of them, as the answer to a pull.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Transfer {
--- a/crates/poplarpaddle/tests/fleet/main.rs
+++ b/crates/poplarpaddle/tests/fleet/main.rs
@@ -3,6 +3,7 @@
 
 mod ledger;
 mod load;
+mod malformed;
 mod outliers;
 mod random;
 mod spread;
