--- a/crates/poplarpaddle/src/fleet/messages.rs
+++ b/crates/poplarpaddle/src/fleet/messages.rs
@@ -10,7 +10,7 @@
 use crate::membership::{self, Outbound};
 use crate::path::MemberId;
 use crate::time::Time;
-use crate::wire::{Body, Datagram, Gossip, VERSION};
+use crate::wire::{Body, DATAGRAM_VERSION, Datagram, Gossip, VERSION};
 
 /// Time for a peer to respond to a gossip request. A round trip within a region takes a few milliseconds.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(300);
@@ -159,7 +159,7 @@
     }
 
     pub(super) fn send(&mut self, to: SocketAddr, number: u32, announcement: Announcement, body: Body) {
-        let datagram = Datagram { version: VERSION, number, news: announcement, body };
+        let datagram = Datagram { version: DATAGRAM_VERSION, number, news: announcement, body };
         match datagram.encode() {
             Ok(bytes) => self.actions.push(Action::Send(to, bytes)),
             Err(error) => self.record_event(Time::default(), "note.failed", &to.to_string(), error.to_string()),
--- a/crates/poplarpaddle/src/wire.rs
+++ b/crates/poplarpaddle/src/wire.rs
@@ -18,7 +18,10 @@
 pub const MAX_GOSSIP: usize = 16 * 1024;
 
 /// Version of the peer protocol. Messages of another version are rejected.
-pub const VERSION: u8 = 2;
+pub const VERSION: u8 = 1;
+
+/// Version of [`Datagram`]. Datagrams of another version are rejected.
+pub const DATAGRAM_VERSION: u8 = 2;
 
 /// Length of the checksum of a datagram, in bytes.
 const CHECKSUM_LENGTH: usize = 4;
@@ -166,7 +169,7 @@
 /// One UDP datagram between balancers whose hosts register themselves.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Datagram {
-    /// [`VERSION`] of the sender.
+    /// [`DATAGRAM_VERSION`] of the sender.
     pub version: u8,
     /// Number of the request, repeated in the response.
     pub number: u32,
@@ -207,10 +210,10 @@
         };
         let datagram: Self = rmp_serde::from_slice(content)
             .map_err(|e| Error::new(Kind::Message, format!("cannot decode a datagram: {e}")))?;
-        if datagram.version != VERSION {
+        if datagram.version != DATAGRAM_VERSION {
             return Err(Error::new(
                 Kind::Message,
-                format!("datagram version {} is not supported, expected {VERSION}", datagram.version),
+                format!("datagram version {} is not supported, expected {DATAGRAM_VERSION}", datagram.version),
             ));
         }
         Ok(datagram)
--- a/crates/poplarpaddle/tests/fleet/malformed.rs
+++ b/crates/poplarpaddle/tests/fleet/malformed.rs
@@ -2,7 +2,7 @@
 
 use poplarpaddle::mark::HostId;
 use poplarpaddle::path::MemberId;
-use poplarpaddle::wire::{Body, Datagram, Report, Transfer, VERSION};
+use poplarpaddle::wire::{Body, DATAGRAM_VERSION, Datagram, Report, Transfer};
 use rand::{RngExt as _, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
@@ -15,7 +15,7 @@
 fn messages(simulation: &mut Simulation) -> Vec<Vec<u8>> {
     let sender = simulation.node(1).membership().me().id;
     let news = simulation.node(1).feed().announcement(simulation.now, sender);
-    let encode = |body| Datagram { version: VERSION, number: 0, news, body }.encode().unwrap();
+    let encode = |body| Datagram { version: DATAGRAM_VERSION, number: 0, news, body }.encode().unwrap();
     let mut messages: Vec<Vec<u8>> = [
         Body::Announce(sender),
         Body::Ping(sender),
@@ -105,7 +105,7 @@
         position.as_of = 1 << 40;
     }
     for body in [Body::Announce(MemberId(9)), Body::Ping(MemberId(9)), Body::Pong(MemberId(9))] {
-        let bytes = Datagram { version: VERSION, number: 0, news, body }.encode().unwrap();
+        let bytes = Datagram { version: DATAGRAM_VERSION, number: 0, news, body }.encode().unwrap();
         simulation.with(0, |node, now| node.datagram(now, "10.9.9.9:7000".parse().unwrap(), &bytes).unwrap());
     }
     simulation.publish(9, &[443]);
--- a/crates/poplarpaddle/tests/fleet/outliers.rs
+++ b/crates/poplarpaddle/tests/fleet/outliers.rs
@@ -114,7 +114,7 @@
     let mut simulation = Simulation::running(&[1]);
     let news = simulation.node(0).feed().announcement(simulation.now, MemberId(9));
     let send = |simulation: &mut Simulation, body| {
-        let bytes = Datagram { version: poplarpaddle::wire::VERSION, number: 0, news, body }.encode().unwrap();
+        let bytes = Datagram { version: poplarpaddle::wire::DATAGRAM_VERSION, number: 0, news, body }.encode().unwrap();
         let mut outcome = Ok(());
         simulation.with(0, |node, now| outcome = node.datagram(now, "10.9.9.9:7000".parse().unwrap(), &bytes));
         outcome
