--- a/crates/poplarpaddle-standins/src/site.rs
+++ b/crates/poplarpaddle-standins/src/site.rs
@@ -5,11 +5,14 @@
 //! code with the adapter under test.
 
 pub mod consumer;
+mod entry;
+mod fault;
 pub mod host;
 pub mod packet;
 pub mod plan;
 pub mod router;
 pub mod run;
+mod socket;
 pub mod store;
 
 pub use plan::{Fault, FaultKind, Plan, Report};
--- a/crates/poplarpaddle-standins/src/site/run.rs
+++ b/crates/poplarpaddle-standins/src/site/run.rs
@@ -1,32 +1,26 @@
 //! Runs a simulation of the store, routers, hosts and consumers, and checks what they observe.
 
 use std::collections::BTreeMap;
-use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+use std::net::{Ipv4Addr, SocketAddrV4};
 use std::time::{Duration, Instant};
 
 use eyre::{Result, WrapErr, bail};
 use rand::RngExt as _;
 use rand_pcg::Pcg64Mcg;
-use serde_json::json;
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::mpsc;
 use tokio::task::AbortHandle;
 
 use super::consumer::{Attempt, Outcome};
 use super::host::{Host, Output};
-use super::plan::{Fault, FaultKind, Plan, Report};
+use super::plan::{FaultKind, Plan, Report};
 use super::router::{self, Balancer};
-use super::store::{Behavior, Store};
+use super::socket::{poll_readiness, spawn_acceptor, spawn_receiver};
+use super::store::Store;
 
 /// Interval between two checks of the timers.
 const TICK: Duration = Duration::from_millis(5);
 
-/// Interval and timeout of the readiness checks that routers send to a balancer.
-const READINESS_INTERVAL: Duration = Duration::from_millis(500);
-
-/// Maximum size of a datagram, in bytes.
-const MAX_DATAGRAM: usize = 2048;
-
 /// Number of consumers, each with its own address.
 const CONSUMERS: u8 = 8;
 
@@ -40,13 +34,13 @@
 const DRAIN_GRACE: Duration = Duration::from_secs(3);
 
 /// State of a simulation run.
-struct Site {
+pub(super) struct Site {
     plan: Plan,
-    store: Store,
-    rng: Pcg64Mcg,
-    hosts: Vec<Server>,
+    pub(super) store: Store,
+    pub(super) rng: Pcg64Mcg,
+    pub(super) hosts: Vec<Server>,
     /// Tasks that accept connections to the hosts, in the order of `hosts`.
-    acceptors: Vec<AbortHandle>,
+    pub(super) acceptors: Vec<AbortHandle>,
     /// Index of the host that last sent a packet to the consumer endpoint.
     senders: BTreeMap<SocketAddrV4, usize>,
     balancers: Vec<Balancer>,
@@ -58,21 +52,21 @@
     next_id: u64,
     next_port: u16,
     /// Version of the configuration in the store.
-    version: u64,
+    pub(super) version: u64,
     /// Response times in milliseconds.
     response_times: Vec<u64>,
     report: Report,
 }
 
 /// A host with its registration in the store.
-struct Server {
-    host: Host,
-    name: String,
-    /// Index into [`SERVICES`].
-    service: usize,
-    zone: String,
-    address: SocketAddrV4,
-    draining: Option<Instant>,
+pub(super) struct Server {
+    pub(super) host: Host,
+    pub(super) name: String,
+    /// Index into [`SERVICES`](super::entry::SERVICES).
+    pub(super) service: usize,
+    pub(super) zone: String,
+    pub(super) address: SocketAddrV4,
+    pub(super) draining: Option<Instant>,
 }
 
 /// A request of a consumer, over all its attempts.
@@ -86,7 +80,7 @@
 }
 
 /// Input of the simulation.
-enum Event {
+pub(super) enum Event {
     /// Datagram for the host with this index.
     Host(usize, Vec<u8>),
     /// Datagram for a consumer.
@@ -95,9 +89,6 @@
     Ready(usize, bool),
 }
 
-/// Names of the two services.
-const SERVICES: [&str; 2] = ["bookings", "crewdocs"];
-
 /// Runs `plan` and returns the report.
 ///
 /// # Errors
@@ -144,45 +135,6 @@
     Ok(site.into_report())
 }
 
-/// Spawns a task that accepts the connections to a host and closes them.
-async fn spawn_acceptor(address: SocketAddrV4) -> Result<AbortHandle> {
-    let listener = TcpListener::bind(address).await.wrap_err("cannot listen for connections to a host")?;
-    let task = tokio::spawn(async move { while listener.accept().await.is_ok() {} });
-    Ok(task.abort_handle())
-}
-
-/// Spawns a task that forwards the datagrams of a socket as events.
-fn spawn_receiver(
-    socket: std::sync::Arc<UdpSocket>,
-    sender: mpsc::UnboundedSender<Event>,
-    wrap: impl Fn(Vec<u8>) -> Event + Send + 'static,
-) {
-    tokio::spawn(async move {
-        let mut buffer = vec![0; MAX_DATAGRAM];
-        while let Ok((length, _)) = socket.recv_from(&mut buffer).await {
-            if sender.send(wrap(buffer[..length].to_vec())).is_err() {
-                return;
-            }
-        }
-    });
-}
-
-/// Spawns a task that checks the readiness of a balancer periodically.
-fn poll_readiness(index: usize, address: SocketAddr, sender: mpsc::UnboundedSender<Event>) {
-    tokio::spawn(async move {
-        let client = reqwest::Client::new();
-        loop {
-            let url = format!("http://{address}/poplarpaddle/ready");
-            let response = client.get(url).timeout(READINESS_INTERVAL).send().await;
-            let ready = response.is_ok_and(|response| response.status().is_success());
-            if sender.send(Event::Ready(index, ready)).is_err() {
-                return;
-            }
-            tokio::time::sleep(READINESS_INTERVAL).await;
-        }
-    });
-}
-
 /// A datagram to send: the index of the sending socket, the destination and the payload.
 type Outgoing = (usize, SocketAddrV4, Vec<u8>);
 
@@ -226,36 +178,6 @@
         }
     }
 
-    fn write_config(&mut self) {
-        self.version += self.rng.random_range(1..9);
-        let route = |name: &str, host: &str, port: u16, service: &str| {
-            json!({"name": name, "host": host, "path_prefix": format!("/{port}/"), "route_type": "idempotent",
-                "timeout_ms": 2000, "target_latency_ms": 200, "priority": 1, "service": service, "max_attempts": 2})
-        };
-        let mut routes =
-            vec![route("r-1", "198.18.0.1", 443, SERVICES[0]), route("r-2", "198.18.0.2", 443, SERVICES[1])];
-        routes.push(route("r-3", "198.18.0.3", 1000 + u16::try_from(self.version % 500).unwrap_or(0), SERVICES[0]));
-        let services = SERVICES.map(|name| json!({"name": name, "health_path": "/health", "max_conns": 4444}));
-        let limits = json!({"idle_timeout_ms": 15000});
-        let spec = json!({"version": self.version, "routes": routes, "services": services, "limits": limits});
-        self.store.set("config", "main", spec);
-    }
-
-    fn register_hosts(&self) {
-        // Other writers leave entries that do not describe a host. They must not affect the valid ones.
-        self.store.set("servers", "i-bad", json!({"service": 7}));
-        self.store.set("servers", "list", json!([1, 2, 3]));
-        for server in &self.hosts {
-            self.write_registration(server, "ready");
-        }
-    }
-
-    fn write_registration(&self, server: &Server, state: &str) {
-        let spec = json!({"service": SERVICES[server.service], "address": server.address.to_string(),
-            "zone": server.zone, "version": "v1", "slots": 3, "state": state, "cold_left_ms": 0, "seq": 4, "born": 1});
-        self.store.set("servers", &server.name, spec);
-    }
-
     async fn run_traffic(
         &mut self,
         events: &mut mpsc::UnboundedReceiver<Event>,
@@ -444,50 +366,6 @@
         self.report.run_twice += u64::from(!request.idempotent && runs > 1);
     }
 
-    /// Starts the faults whose time has come and ends the active ones whose duration has passed.
-    fn apply_faults(
-        &mut self,
-        now: Instant,
-        start: Instant,
-        faults: &mut Vec<Fault>,
-        active: &mut Vec<(Instant, FaultKind, usize)>,
-    ) {
-        for fault in faults.extract_if(.., |fault| now >= start + fault.at) {
-            let index = self.pick_host();
-            match fault.kind {
-                FaultKind::Store(behavior) => self.store.set_behavior(behavior),
-                FaultKind::Compact => self.store.compact(),
-                FaultKind::Crash => {
-                    self.hosts[index].host.crash();
-                    self.acceptors[index].abort();
-                }
-                FaultKind::Drain => {
-                    self.hosts[index].draining = Some(now);
-                    self.write_registration(&self.hosts[index], "draining");
-                }
-                FaultKind::Configure => self.write_config(),
-            }
-            active.push((now + fault.duration, fault.kind, index));
-        }
-        for (_, kind, index) in active.extract_if(.., |(at, ..)| now >= *at) {
-            match kind {
-                FaultKind::Store(_) => self.store.set_behavior(Behavior::Normal),
-                FaultKind::Crash | FaultKind::Drain => {
-                    self.store.remove("servers", &self.hosts[index].name);
-                    self.hosts[index].host.alive = false;
-                    self.acceptors[index].abort();
-                }
-                FaultKind::Compact | FaultKind::Configure => {}
-            }
-        }
-    }
-
-    fn pick_host(&mut self) -> usize {
-        let is_candidate = |server: &Server| server.service == 0 && server.host.alive && server.draining.is_none();
-        let candidates: Vec<usize> = (0..self.hosts.len()).filter(|index| is_candidate(&self.hosts[*index])).collect();
-        router::pick(&mut self.rng, &candidates).unwrap_or_default()
-    }
-
     fn into_report(mut self) -> Report {
         let remaining: Vec<u64> = self.requests.keys().copied().collect();
         for id in remaining {
