--- a/review/standin/src/edge.rs
+++ b/review/standin/src/edge.rs
@@ -92,8 +92,12 @@
 
     /// Sends SIGTERM, as the platform does to stop a process.
     pub fn terminate(&self) {
+        self.signal("-TERM");
+    }
+
+    pub fn signal(&self, signal: &str) {
         if let Some(child) = &self.child {
-            let _ = Command::new("kill").args(["-TERM", &child.id().to_string()]).status();
+            let _ = Command::new("kill").args([signal, &child.id().to_string()]).status();
         }
     }
 
