--- a/review/standin/src/edge.rs
+++ b/review/standin/src/edge.rs
@@ -97,7 +97,7 @@
 
     pub fn signal(&self, signal: &str) {
         if let Some(child) = &self.child {
-            let _ = Command::new("kill").args([signal, &child.id().to_string()]).status();
+            let _ = Command::new("sh").args(["-c", &format!("kill {signal} {}", child.id())]).status();
         }
     }
 
