--- a/review/run-case.sh
+++ b/review/run-case.sh
@@ -4,7 +4,7 @@
 set -u
 folder=$1 scenario=$2
 root=$(cd "$folder/../.." && pwd)
-program=$root/review/standin/target/release/review-standin
+program=$root/target/review/release/review-standin
 if [ ! -x "$program" ] || [ ! -x "$root/target/release/poplarpaddle-edge" ]; then
     echo "run the build of the deploy file and review/build.sh first" >&2
     exit 2
