Log the sequence number of resets, and checks that fail

Cause: the log of a reset told neither its sequence number nor how long ago the caller was heard, and a check of a host that failed left no line until it was confirmed. Change: decisions that reset an established flow carry their basis (`sequence`, `caller_seen_ms`). A failed check writes `host.check_failed`, and `host.unreachable` says how old the check is and what confirmed it.

--- a/crates/poplarpaddle-balancer/src/direct/journal.rs
+++ b/crates/poplarpaddle-balancer/src/direct/journal.rs
@@ -83,8 +83,10 @@
             "busy" => decision.busy,
             "unanswered" => decision.unanswered,
             "attempt" => decision.attempt,
+            "sequence" => decision.basis.map(|basis| basis.sequence),
+            "caller_seen_ms" => decision.basis.map(|basis| millis(now.since(basis.seen))),
             "config" => version,
-            "state_age_ms" => u64::try_from(age.as_millis()).unwrap_or(u64::MAX));
+            "state_age_ms" => millis(age));
     }
 
     /// Logs a change in the detected state of a member, host or zone.
@@ -115,3 +117,7 @@
         }
     }
 }
+
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/poplarpaddle/src/direct.rs
+++ b/crates/poplarpaddle/src/direct.rs
@@ -155,13 +155,24 @@
     pub unanswered: u32,
     /// Number of times that this opening was sent so far.
     pub attempt: u32,
+    /// What a reset of an established flow is based on; none for other verdicts.
+    pub basis: Option<Basis>,
+}
+
+/// What a reset of an established flow is based on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Basis {
+    /// Sequence number of the reset.
+    pub sequence: u32,
+    /// When the caller's last packet arrived here.
+    pub seen: Time,
 }
 
 impl Decision<'_> {
     /// Returns a decision that involves no host.
     #[must_use]
     pub const fn new(flow: Flow, verdict: Verdict, reason: Option<Reason>) -> Self {
-        Self { flow, verdict, reason, host: None, busy: 0, unanswered: 0, attempt: 0 }
+        Self { flow, verdict, reason, host: None, busy: 0, unanswered: 0, attempt: 0, basis: None }
     }
 }
 
--- a/crates/poplarpaddle/src/direct/opening.rs
+++ b/crates/poplarpaddle/src/direct/opening.rs
@@ -281,7 +281,8 @@
             host.limit.record_start(now);
             let (busy, unanswered) = (host.busy, host.unanswered);
             let name = host.name.clone();
-            let decision = Decision { flow, verdict, reason, host: Some(&name), busy, unanswered, attempt };
+            let decision =
+                Decision { host: Some(&name), busy, unanswered, attempt, ..Decision::new(flow, verdict, reason) };
             self.record_decision(&decision, outlet);
         }
         if self.flows.len() < self.settings.max_flows {
--- a/crates/poplarpaddle/src/direct/reach.rs
+++ b/crates/poplarpaddle/src/direct/reach.rs
@@ -15,7 +15,7 @@
 
 use super::engine::Entry;
 use super::host::Index;
-use super::{CheckId, Decision, Engine, Outlet, Reason, Verdict};
+use super::{Basis, CheckId, Decision, Engine, Outlet, Reason, Verdict};
 use crate::packet::{Flow, View};
 use crate::time::Time;
 
@@ -95,7 +95,13 @@
         }
         if let State::Checking(since) = host.reach.state {
             // An answer that arrived meanwhile has more weight than the check.
-            host.reach.state = if host.last_answer >= since { State::Trusted } else { State::Failed(since) };
+            if host.last_answer >= since {
+                host.reach.state = State::Trusted;
+                return;
+            }
+            host.reach.state = State::Failed(since);
+            let detail = format!("the check began {} ms ago", now.since(since).as_millis());
+            outlet.record_event(now, "host.check_failed", &host.name, &detail);
             self.confirm_failed_checks(now, outlet);
         }
     }
@@ -147,14 +153,18 @@
     /// Makes the hosts unreachable whose checks failed while the own link works, and resets their flows.
     fn confirm_failed_checks(&mut self, now: Time, outlet: &mut dyn Outlet) {
         let own_link_worked = self.last_prompt_answer;
-        let is_confirmed = |state| matches!(state, State::Failed(since) if own_link_worked >= since);
-        let confirmed = self.hosts.iter().filter(|(_, host)| is_confirmed(host.reach.state));
-        let confirmed: Vec<Index> = confirmed.map(|(index, _)| index).collect();
-        for index in confirmed {
+        let failed = self.hosts.iter().filter_map(|(index, host)| match host.reach.state {
+            State::Failed(since) if own_link_worked >= since => Some((index, since)),
+            _ => None,
+        });
+        let confirmed: Vec<(Index, Time)> = failed.collect();
+        for (index, since) in confirmed {
             let Some(host) = self.hosts.get_mut(index) else { continue };
             host.reach.state = State::Unreachable;
-            let detail = "the host did not accept a connection, while others answered";
-            outlet.record_event(now, "host.unreachable", &host.name, detail);
+            let (age, lag) = (now.since(since).as_millis(), own_link_worked.since(since).as_millis());
+            let detail =
+                format!("the check that began {age} ms ago failed; another host answered what was sent {lag} ms after");
+            outlet.record_event(now, "host.unreachable", &host.name, &detail);
             self.reset_flows(index, outlet);
         }
     }
@@ -164,14 +174,12 @@
         let routes = &self.routes;
         let may_reset = |(flow, entry): (&Flow, &Entry)| {
             let is_idempotent = routes.get(flow.service).is_some_and(|route| route.idempotent);
-            let acknowledgement = entry.request_ack.filter(|_| entry.host == index && is_idempotent)?;
-            Some((*flow, acknowledgement))
+            let sequence = entry.request_ack.filter(|_| entry.host == index && is_idempotent)?;
+            Some((*flow, Basis { sequence, seen: entry.last_packet }))
         };
-        let flows: Vec<(Flow, u32)> = self.flows.iter().filter_map(may_reset).collect();
-        for (flow, acknowledgement) in flows {
-            outlet.reset(&flow, acknowledgement);
-            self.remove_flow(&flow);
-            self.record_unreachable(flow, index, outlet);
+        let flows: Vec<(Flow, Basis)> = self.flows.iter().filter_map(may_reset).collect();
+        for (flow, basis) in flows {
+            self.reset_unreachable(flow, index, basis, outlet);
         }
     }
 
@@ -198,16 +206,21 @@
         if !is_unreachable || !self.routes.get(packet.flow.service).is_some_and(|route| route.idempotent) {
             return false;
         }
-        outlet.reset(&packet.flow, packet.acknowledgement);
-        self.remove_flow(&packet.flow);
-        self.record_unreachable(packet.flow, index, outlet);
+        let basis = Basis { sequence: packet.acknowledgement, seen: now };
+        self.reset_unreachable(packet.flow, index, basis, outlet);
         true
     }
 
-    fn record_unreachable(&mut self, flow: Flow, index: Index, outlet: &mut dyn Outlet) {
+    /// Resets a flow whose host `index` is unreachable.
+    fn reset_unreachable(&mut self, flow: Flow, index: Index, basis: Basis, outlet: &mut dyn Outlet) {
+        outlet.reset(&flow, basis.sequence);
+        self.remove_flow(&flow);
         let name = self.hosts.get(index).map(|host| host.name.clone());
-        let decision =
-            Decision { host: name.as_deref(), ..Decision::new(flow, Verdict::Reset, Some(Reason::Unreachable)) };
+        let decision = Decision {
+            host: name.as_deref(),
+            basis: Some(basis),
+            ..Decision::new(flow, Verdict::Reset, Some(Reason::Unreachable))
+        };
         self.record_decision(&decision, outlet);
     }
 }
