--- a/crates/poplarpaddle/src/direct.rs
+++ b/crates/poplarpaddle/src/direct.rs
@@ -162,9 +162,9 @@
 /// What a reset of an established flow is based on.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Basis {
-    /// Sequence number of the reset.
+    /// Sequence number of the reset: the acknowledgement number of the caller's last packet that arrived here.
     pub sequence: u32,
-    /// When the caller's last packet arrived here.
+    /// When that packet arrived.
     pub seen: Time,
 }
 
--- a/crates/poplarpaddle/src/direct/engine.rs
+++ b/crates/poplarpaddle/src/direct/engine.rs
@@ -38,6 +38,8 @@
     pub(super) request_ack: Option<u32>,
     /// Sequence number of that packet.
     pub(super) request_sequence: u32,
+    /// Acknowledgement number of the caller's last packet. It moves on while the caller receives a response.
+    pub(super) acknowledgement: u32,
     /// The opening, until a packet of the caller shows that a host answered it.
     pub(super) pending: Option<Box<Pending>>,
 }
@@ -359,6 +361,7 @@
             judged: false,
             request_ack: None,
             request_sequence: 0,
+            acknowledgement: packet.acknowledgement,
             pending: None,
         };
         self.track_request(now, &mut entry, packet);
@@ -369,6 +372,7 @@
     /// acknowledges the first bytes of the response.
     fn track_request(&mut self, now: Time, entry: &mut Entry, packet: &View<'_>) {
         let previous = std::mem::replace(&mut entry.last_packet, now);
+        entry.acknowledgement = packet.acknowledgement;
         if packet.has_payload() {
             let request = (Some(packet.acknowledgement), packet.sequence);
             entry.judged &= request == (entry.request_ack, entry.request_sequence);
--- a/crates/poplarpaddle/src/direct/opening.rs
+++ b/crates/poplarpaddle/src/direct/opening.rs
@@ -88,6 +88,7 @@
             judged: false,
             request_ack: None,
             request_sequence: 0,
+            acknowledgement: 0,
             pending,
         };
         self.send_opening(now, flow, entry, index, (Verdict::Placed, None), outlet);
--- a/crates/poplarpaddle/src/direct/reach.rs
+++ b/crates/poplarpaddle/src/direct/reach.rs
@@ -174,8 +174,9 @@
         let routes = &self.routes;
         let may_reset = |(flow, entry): (&Flow, &Entry)| {
             let is_idempotent = routes.get(flow.service).is_some_and(|route| route.idempotent);
-            let sequence = entry.request_ack.filter(|_| entry.host == index && is_idempotent)?;
-            Some((*flow, Basis { sequence, seen: entry.last_packet }))
+            let has_sent_request = entry.request_ack.is_some();
+            let basis = Basis { sequence: entry.acknowledgement, seen: entry.last_packet };
+            (entry.host == index && is_idempotent && has_sent_request).then_some((*flow, basis))
         };
         let flows: Vec<(Flow, Basis)> = self.flows.iter().filter_map(may_reset).collect();
         for (flow, basis) in flows {
--- a/crates/poplarpaddle/tests/direct/unreachable.rs
+++ b/crates/poplarpaddle/tests/direct/unreachable.rs
@@ -83,6 +83,25 @@
     }
 }
 
+/// The caller of a long download has acknowledged much of it when its host becomes unreachable. A reset with the
+/// acknowledgement number of the request is out of the caller's window then, so that the caller does not take it as a
+/// reset.
+#[test]
+fn a_reset_carries_the_acknowledgement_number_of_the_callers_last_packet() {
+    let mut harness = harness();
+    let (downloading, waiting, lost) = two_flows(&mut harness, IDEMPOTENT, 1);
+    for acknowledgement in [2_450, 100_050, 240_050] {
+        harness.advance(5);
+        harness.send(downloading, Mark::of(lost), Kind::Data, 0, acknowledgement);
+    }
+    harness.advance(185);
+    harness.send(waiting, Mark::of(lost), Kind::Data, 100, 50);
+    answer_elsewhere(&mut harness, lost, 500);
+    harness.finish_checks(Some(lost));
+    assert!(harness.record.resets.contains(&(downloading, 240_050)), "{:?}", harness.record.resets);
+    assert!(harness.record.resets.contains(&(waiting, 50)), "{:?}", harness.record.resets);
+}
+
 /// Requests that must not run twice may have run, so their callers gain nothing from a reset, and an answer may still
 /// come.
 #[test]
