Reset flows that may have moved only in answer to their packets

An entry stays for 3 s after its flow's last packet. If the routers move the flow meanwhile, its acknowledgements pass elsewhere, and a reset out of the entry carries an old number. Change: the engine is told when the members of its zone change and when its process leaves. For 2 s after that, and until the flow's next packet, it is not reset out of its entry; a packet of the flow is still answered with a reset at once.

--- a/crates/poplarpaddle-balancer/src/direct/task.rs
+++ b/crates/poplarpaddle-balancer/src/direct/task.rs
@@ -215,6 +215,7 @@
             Input::Seeds(seeds) => self.node.set_seeds(seeds),
             Input::Leave { earliest, latest } => {
                 self.stop = Some(Stop { earliest, latest });
+                self.engine.flows_may_move(now);
                 self.node.leave(now);
             }
         }
@@ -298,6 +299,7 @@
                 }
             }
             Action::ZoneAlive(zone) => self.with_engine(|engine, now, outlet| engine.zone_alive(now, &zone, outlet)),
+            Action::NeighborsChanged => self.engine.flows_may_move(self.clock.now()),
             Action::HostsSuspected(hosts) => {
                 for host in hosts {
                     self.with_engine(|engine, now, outlet| engine.suspect(now, host, outlet));
--- a/crates/poplarpaddle/src/direct/engine.rs
+++ b/crates/poplarpaddle/src/direct/engine.rs
@@ -71,6 +71,9 @@
     pub(super) last_prompt_answer: Time,
     /// When the latest request was sent that a host has answered.
     pub(super) last_answered_request: Time,
+    /// When the routers have settled after the latest change of the balancers that they send packets to. A flow without
+    /// a packet since then may continue at another balancer.
+    pub(super) routers_settled: Time,
 }
 
 impl Engine {
@@ -95,6 +98,7 @@
             checks: 0,
             last_prompt_answer: Time::default(),
             last_answered_request: Time::default(),
+            routers_settled: Time::default(),
             settings,
         }
     }
@@ -159,6 +163,12 @@
         }
     }
 
+    /// Records that the routers may move flows to and from this balancer, because it leaves or the balancers of its zone
+    /// change.
+    pub fn flows_may_move(&mut self, now: Time) {
+        self.routers_settled = now + self.settings.settle_time;
+    }
+
     /// Handles a packet of a caller. `mark` is the mark that the packet carries.
     pub fn packet(&mut self, now: Time, mark: Mark, packet: &View<'_>, outlet: &mut dyn Outlet) {
         if !self.ready {
--- a/crates/poplarpaddle/src/direct/reach.rs
+++ b/crates/poplarpaddle/src/direct/reach.rs
@@ -169,14 +169,16 @@
         }
     }
 
-    /// Resets the established flows at a host whose requests may run twice.
+    /// Resets the established flows at a host whose requests may run twice. Flows that the routers may have moved to
+    /// another balancer are left out, because their callers' acknowledgement numbers are not known here.
     fn reset_flows(&mut self, index: Index, outlet: &mut dyn Outlet) {
-        let routes = &self.routes;
+        let (routes, settled) = (&self.routes, self.routers_settled);
         let may_reset = |(flow, entry): (&Flow, &Entry)| {
             let is_idempotent = routes.get(flow.service).is_some_and(|route| route.idempotent);
             let has_sent_request = entry.request_ack.is_some();
             let basis = Basis { sequence: entry.acknowledgement, seen: entry.last_packet };
-            (entry.host == index && is_idempotent && has_sent_request).then_some((*flow, basis))
+            let is_here = basis.seen.reached(settled);
+            (entry.host == index && is_idempotent && has_sent_request && is_here).then_some((*flow, basis))
         };
         let flows: Vec<(Flow, Basis)> = self.flows.iter().filter_map(may_reset).collect();
         for (flow, basis) in flows {
--- a/crates/poplarpaddle/src/direct/settings.rs
+++ b/crates/poplarpaddle/src/direct/settings.rs
@@ -28,6 +28,8 @@
     pub check_timeout: Duration,
     /// Lower bound of the time without a response after which a request counts as overdue.
     pub min_overdue_time: Duration,
+    /// Time that the routers need to settle after a change of the balancers.
+    pub settle_time: Duration,
     /// Maximum time for which an opening is queued until a host has capacity.
     pub queue_timeout: Duration,
     /// Number of times that an opening is sent before only a retransmission by the caller makes the engine resend it.
@@ -54,6 +56,8 @@
             check_timeout: Duration::from_millis(200),
             // Responses take some tens of milliseconds, and twice that when the host queues the request.
             min_overdue_time: Duration::from_millis(150),
+            // Routers check a balancer twice a second and act on two failures; members learn of a change within a second.
+            settle_time: Duration::from_secs(2),
             // Callers retransmit an opening after 200 ms, and the retransmission may reach another balancer. Some
             // callers give up after 400 ms.
             queue_timeout: Duration::from_millis(180),
--- a/crates/poplarpaddle/src/fleet.rs
+++ b/crates/poplarpaddle/src/fleet.rs
@@ -98,6 +98,8 @@
     RoutesChanged(Vec<Address>),
     /// A message from a member of this zone arrived, so the zone is reachable.
     ZoneAlive(String),
+    /// The members in the own zone changed, so the routers may move flows between them.
+    NeighborsChanged,
     /// Several members report that these hosts do not respond.
     HostsSuspected(Vec<HostId>),
     /// Record an event.
@@ -177,7 +179,9 @@
     reported: Map<String, u64>,
     /// Reachable members including this one, in the order of identifiers.
     members: Vec<MemberId>,
-    /// Revision of the membership that `members` was derived from.
+    /// The other members in the own zone that are alive or suspect, in the order of identifiers.
+    neighbors: Vec<MemberId>,
+    /// Revision of the membership that `members` and `neighbors` were derived from.
     membership_revision: u64,
     /// Time at which all snapshots sent so far have been transferred at the permitted rate.
     transferring_until: Time,
@@ -191,6 +195,7 @@
         let feed = Feed::new(settings.feed, me.id);
         Self {
             members: vec![me.id],
+            neighbors: Vec::new(),
             membership: Membership::new(now, settings.membership, me),
             feed,
             hosts: Hosts::default(),
@@ -343,7 +348,7 @@
 
     /// Pings up to `count` members of `zone`, starting with a different one each time. Returns how many were pinged.
     pub fn ping_zone(&mut self, now: Time, zone: &str, count: usize) -> usize {
-        let mut peers: Vec<SocketAddr> = self.peers_in(zone).collect();
+        let mut peers: Vec<SocketAddr> = self.peers_in(zone).map(|record| record.peer).collect();
         let pinged = peers.len().min(count);
         if pinged > 0 {
             let start = self.requests.next_number() % peers.len();
@@ -361,11 +366,11 @@
         self.peers_in(zone).next().is_some()
     }
 
-    /// Returns the addresses of the members of a zone that are alive or suspect.
-    fn peers_in<'a>(&'a self, zone: &'a str) -> impl Iterator<Item = SocketAddr> + 'a {
+    /// Returns the other members of a zone that are alive or suspect.
+    fn peers_in<'a>(&'a self, zone: &'a str) -> impl Iterator<Item = &'a Record> + 'a {
         let may_be_alive =
             move |record: &&Record| record.zone == zone && matches!(record.state, State::Alive | State::Suspect);
-        self.membership.others().filter(may_be_alive).map(|record| record.peer)
+        self.membership.others().filter(may_be_alive)
     }
 
     /// Returns the announcement of the positions of this node.
@@ -404,7 +409,7 @@
         }
     }
 
-    /// Updates `members` after a change of the membership.
+    /// Updates `members` and `neighbors` after a change of the membership.
     fn refresh_members(&mut self) {
         if self.membership_revision == self.membership.revision() {
             return;
@@ -414,6 +419,11 @@
         let alive = self.membership.others().filter(|record| record.state == State::Alive);
         self.members = alive.map(|record| record.id).chain([me.id]).collect();
         self.members.sort_unstable();
+        let neighbors: Vec<MemberId> = self.peers_in(&me.zone).map(|record| record.id).collect();
+        if neighbors != self.neighbors {
+            self.neighbors = neighbors;
+            self.actions.push(Action::NeighborsChanged);
+        }
     }
 
     fn record_event(&mut self, now: Time, name: &str, subject: &str, detail: String) {
--- a/crates/poplarpaddle/tests/direct/unreachable.rs
+++ b/crates/poplarpaddle/tests/direct/unreachable.rs
@@ -102,6 +102,42 @@
     assert!(harness.record.resets.contains(&(waiting, 50)), "{:?}", harness.record.resets);
 }
 
+/// After a change of the members, the routers may send the later packets of a flow to another balancer. The number that
+/// this one knows may then be out of the caller's window, so the flow is only reset in answer to a packet.
+#[test]
+fn a_flow_that_may_have_moved_is_reset_only_in_answer_to_its_packets() {
+    let mut harness = harness();
+    let (moved, waiting, lost) = two_flows(&mut harness, IDEMPOTENT, 1);
+    harness.engine.flows_may_move(harness.now);
+    harness.advance(200);
+    harness.send(waiting, Mark::of(lost), Kind::Data, 100, 50);
+    answer_elsewhere(&mut harness, lost, 500);
+    harness.finish_checks(Some(lost));
+    assert!(!is_reset(&harness, moved) && !is_reset(&harness, waiting), "{:?}", harness.record.resets);
+    harness.send(moved, Mark::of(lost), Kind::Data, 100, 240_050);
+    assert!(harness.record.resets.contains(&(moved, 240_050)), "{:?}", harness.record.resets);
+}
+
+/// Once the routers have settled, a packet shows that they still send the flow here.
+#[test]
+fn a_flow_that_has_stayed_after_a_change_of_the_members_is_reset() {
+    let mut harness = harness();
+    let (stayed, waiting, lost) = two_flows(&mut harness, IDEMPOTENT, 1);
+    harness.engine.flows_may_move(harness.now);
+    for _ in 0..10 {
+        harness.advance(250);
+        harness.send(stayed, Mark::of(lost), Kind::Data, 0, 2_050);
+        harness.send(waiting, Mark::of(lost), Kind::Data, 0, 2_050);
+    }
+    for _ in 0..2 {
+        harness.advance(200);
+        harness.send(waiting, Mark::of(lost), Kind::Data, 100, 2_050);
+    }
+    answer_elsewhere(&mut harness, lost, 500);
+    harness.finish_checks(Some(lost));
+    assert!(harness.record.resets.contains(&(stayed, 2_050)), "{:?}", harness.record.resets);
+}
+
 /// Requests that must not run twice may have run, so their callers gain nothing from a reset, and an answer may still
 /// come.
 #[test]
--- a/crates/poplarpaddle/tests/fleet/spread.rs
+++ b/crates/poplarpaddle/tests/fleet/spread.rs
@@ -262,3 +262,29 @@
         node.changes_since(now, 0, 0).unwrap();
     }
 }
+
+/// The data path has to know that the routers may move flows: when a member of the zone starts, leaves or dies, but not at
+/// rest and not for members of other zones.
+#[test]
+fn the_members_of_a_zone_are_told_when_it_changes() {
+    let mut simulation = Simulation::running(&[3, 3]);
+    simulation.run(3000);
+    let told = |simulation: &Simulation, since: Time| -> Vec<usize> {
+        let is_told = |index: &usize| simulation.instances[*index].neighbors_changed_at >= since;
+        (1..simulation.instances.len()).filter(is_told).collect()
+    };
+    let start = simulation.now;
+    simulation.run(3000);
+    assert_eq!(told(&simulation, start), [] as [usize; 0], "nothing has changed");
+    simulation.with(0, |node, now| node.leave(now));
+    simulation.run(1000);
+    assert_eq!(told(&simulation, start), [1, 2], "a member of the zone leaves");
+    let start = simulation.now;
+    simulation.start(0);
+    simulation.run(1000);
+    assert_eq!(told(&simulation, start), [1, 2], "it starts again");
+    let start = simulation.now;
+    simulation.kill(0);
+    simulation.run(5000);
+    assert_eq!(told(&simulation, start), [1, 2], "it is gone");
+}
--- a/crates/poplarpaddle/tests/fleet/world.rs
+++ b/crates/poplarpaddle/tests/fleet/world.rs
@@ -111,6 +111,8 @@
     /// Hosts as passed to the data path.
     pub hosts: BTreeMap<String, Host>,
     pub zone_alive_at: BTreeMap<String, Time>,
+    /// When the data path was told last that the members in the node's zone changed.
+    pub neighbors_changed_at: Time,
     /// Number of snapshots of the hosts that the node has sent to others.
     pub snapshots: u64,
     /// Hosts that the data path was told to suspect.
@@ -165,6 +167,7 @@
                     version: 0,
                     hosts: BTreeMap::new(),
                     zone_alive_at: BTreeMap::new(),
+                    neighbors_changed_at: Time::default(),
                     snapshots: 0,
                     suspected: Vec::new(),
                     datagrams: 0,
@@ -430,6 +433,7 @@
                 }
             }
             Action::ZoneAlive(zone) => drop(self.instances[index].zone_alive_at.insert(zone, now)),
+            Action::NeighborsChanged => self.instances[index].neighbors_changed_at = now,
             Action::HostsSuspected(hosts) => self.instances[index].suspected.extend(hosts),
             Action::RoutesChanged(_) | Action::Event(_) => {}
         }
