--- a/crates/poplarpaddle/src/direct/engine.rs
+++ b/crates/poplarpaddle/src/direct/engine.rs
@@ -67,6 +67,8 @@
     pub(super) capacity_freed: bool,
     /// Number of checks of hosts in progress.
     pub(super) checks: usize,
+    /// Hosts whose latest check failed and is not confirmed.
+    pub(super) failed_checks: Vec<host::Index>,
     /// When the latest opening was sent that a host answered promptly.
     pub(super) last_prompt_answer: Time,
     /// When the latest request was sent that a host has answered.
@@ -96,6 +98,7 @@
             queue: Queue::new(settings.seed),
             capacity_freed: false,
             checks: 0,
+            failed_checks: Vec::new(),
             last_prompt_answer: Time::default(),
             last_answered_request: Time::default(),
             routers_settled: Time::default(),
@@ -258,7 +261,7 @@
         if self.links[zone].confirm_alive(now) == Some(Change::Regained) {
             outlet.record_event(now, "zone.regained", &self.links[zone].zone, detail);
             for host in self.hosts.iter_mut().filter(|host| host.zone == zone) {
-                host.reach.confirm();
+                host.reach.confirm(now);
             }
         }
     }
@@ -344,7 +347,7 @@
             return;
         }
         let Some(mut entry) = self.flows.remove(&packet.flow) else {
-            return self.track_unknown_flow(now, index, packet);
+            return self.track_unknown_flow(now, index, packet, outlet);
         };
         self.opening_answered(now, &entry, index, outlet);
         entry.pending = None;
@@ -352,12 +355,12 @@
             self.end_request(&mut entry);
             entry.host = index;
         }
-        self.track_request(now, &mut entry, packet);
+        self.track_request(now, &mut entry, packet, outlet);
         self.flows.insert(packet.flow, entry);
     }
 
     /// Adds an entry for a flow that another balancer placed, once it sends a request through this one.
-    fn track_unknown_flow(&mut self, now: Time, index: host::Index, packet: &View<'_>) {
+    fn track_unknown_flow(&mut self, now: Time, index: host::Index, packet: &View<'_>, outlet: &mut dyn Outlet) {
         if !packet.has_payload() || self.flows.len() >= self.settings.max_flows {
             return;
         }
@@ -374,13 +377,13 @@
             acknowledgement: packet.acknowledgement,
             pending: None,
         };
-        self.track_request(now, &mut entry, packet);
+        self.track_request(now, &mut entry, packet, outlet);
         self.flows.insert(packet.flow, entry);
     }
 
     /// Updates whether a request of the flow is in progress, which is the case from its payload until the caller
     /// acknowledges the first bytes of the response.
-    fn track_request(&mut self, now: Time, entry: &mut Entry, packet: &View<'_>) {
+    fn track_request(&mut self, now: Time, entry: &mut Entry, packet: &View<'_>, outlet: &mut dyn Outlet) {
         let previous = std::mem::replace(&mut entry.last_packet, now);
         entry.acknowledgement = packet.acknowledgement;
         if packet.has_payload() {
@@ -393,7 +396,7 @@
             self.expect_response(now);
         } else if entry.request_ack.is_some_and(|ack| ack != packet.acknowledgement) {
             if entry.busy {
-                self.request_answered(now, entry.host, previous);
+                self.request_answered(now, entry.host, previous, outlet);
             }
             self.end_request(entry);
         }
--- a/crates/poplarpaddle/src/direct/opening.rs
+++ b/crates/poplarpaddle/src/direct/opening.rs
@@ -147,7 +147,7 @@
         host.unanswered = 0;
         host.last_answer = now;
         host.limit.record_accept();
-        let was_unreachable = host.reach.confirm();
+        let was_unreachable = host.reach.confirm(now);
         let zone = host.zone;
         if was_silent || was_unreachable {
             outlet.record_event(now, "host.answers", &host.name, "an opening was answered");
--- a/crates/poplarpaddle/src/direct/reach.rs
+++ b/crates/poplarpaddle/src/direct/reach.rs
@@ -9,7 +9,8 @@
 //!
 //! A reset of a flow whose host is well does more harm than a late one of a flow whose host is gone. A failed check
 //! therefore counts only once another host has answered an opening that was sent after the check had begun. Otherwise the
-//! balancer's own link may be the cause.
+//! balancer's own link may be the cause. A failed check says nothing about later times: it has to be confirmed within a
+//! second, and a host is unreachable for three seconds at most, unless it fails a further check.
 
 use std::time::Duration;
 
@@ -28,57 +29,91 @@
 /// Maximum number of checks in progress. The loss of a zone casts doubt on many hosts at once.
 const MAX_CHECKS: usize = 16;
 
-/// What the checks of a host have shown.
+/// Time from the begin of a check within which its failure has to be confirmed. A host that was only interrupted answers
+/// again soon.
+const CONFIRM_TIME: Duration = Duration::from_secs(1);
+
+/// Time from the begin of a failed check for which the host counts as unreachable. It covers the longest pause between two
+/// checks.
+const VERDICT_TIME: Duration = Duration::from_secs(3);
+
+/// Progress of the latest check of a host.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum State {
-    /// There is no reason to doubt the host, or its last check succeeded.
-    Trusted,
-    /// A check that began at this time is in progress.
-    Checking(Time),
-    /// A check that began at this time failed, but no other host has answered since.
+    /// No check is in progress, and the latest one succeeded, was confirmed or is out of date.
+    Idle,
+    /// A check is in progress.
+    Checking,
+    /// The check failed. That counts if another host answers before this time.
     Failed(Time),
-    Unreachable,
 }
 
 /// Reachability of one host.
 #[derive(Debug)]
 pub(super) struct Reach {
     state: State,
+    /// When the latest check began.
+    checked: Time,
+    /// Time until which the host counts as unreachable, [`Time::default()`] while it does not.
+    unreachable_until: Time,
     next_check: Time,
     pause: Duration,
 }
 
 impl Default for Reach {
     fn default() -> Self {
-        Self { state: State::Trusted, next_check: Time::default(), pause: INITIAL_PAUSE }
+        Self {
+            state: State::Idle,
+            checked: Time::default(),
+            unreachable_until: Time::default(),
+            next_check: Time::default(),
+            pause: INITIAL_PAUSE,
+        }
     }
 }
 
 impl Reach {
-    pub(super) fn is_unreachable(&self) -> bool {
-        self.state == State::Unreachable
+    pub(super) fn is_unreachable(&self, now: Time) -> bool {
+        !now.reached(self.unreachable_until)
     }
 
     /// Records that the host is reachable, as an answer shows. Returns true when it was unreachable.
-    pub(super) fn confirm(&mut self) -> bool {
-        let was_unreachable = self.is_unreachable();
+    pub(super) fn confirm(&mut self, now: Time) -> bool {
+        let was_unreachable = self.is_unreachable(now);
         *self = Self { next_check: self.next_check, ..Self::default() };
         was_unreachable
     }
 
+    /// Records that the host answered a request that was sent at `sent`. Returns true when it was unreachable.
+    pub(super) fn answered(&mut self, now: Time, sent: Time) -> bool {
+        sent >= self.checked && self.confirm(now)
+    }
+
+    /// Returns true when the time until which the host counts as unreachable has passed, and clears it.
+    fn has_lapsed(&mut self, now: Time) -> bool {
+        let has_lapsed = self.unreachable_until != Time::default() && !self.is_unreachable(now);
+        if has_lapsed {
+            self.unreachable_until = Time::default();
+        }
+        has_lapsed
+    }
+
+    /// Returns true when the latest check failed and may still be confirmed.
+    fn has_failed(&self, now: Time) -> bool {
+        matches!(self.state, State::Failed(until) if !now.reached(until))
+    }
+
     /// Returns true when a check may begin at `now`.
     fn is_due(&self, now: Time) -> bool {
-        !matches!(self.state, State::Checking(_)) && now.reached(self.next_check)
+        self.state != State::Checking && now.reached(self.next_check)
     }
 
     /// Records that a check begins.
     fn begin(&mut self, now: Time) {
         self.next_check = now + self.pause;
         self.pause = (self.pause * 2).min(MAX_PAUSE);
-        // The host stays unreachable until a check succeeds.
-        if !self.is_unreachable() {
-            self.state = State::Checking(now);
-        }
+        self.checked = now;
+        self.state = State::Checking;
     }
 }
 
@@ -88,22 +123,25 @@
         self.checks = self.checks.saturating_sub(1);
         let Some(host) = self.hosts.get_mut(id.0) else { return };
         if is_reachable {
-            if host.reach.confirm() {
+            if host.reach.confirm(now) {
                 outlet.record_event(now, "host.reachable", &host.name, "the host accepted a connection");
             }
             return;
         }
-        if let State::Checking(since) = host.reach.state {
-            // An answer that arrived meanwhile has more weight than the check.
-            if host.last_answer >= since {
-                host.reach.state = State::Trusted;
-                return;
-            }
-            host.reach.state = State::Failed(since);
-            let detail = format!("the check began {} ms ago", now.since(since).as_millis());
-            outlet.record_event(now, "host.check_failed", &host.name, &detail);
-            self.confirm_failed_checks(now, outlet);
+        if host.reach.state != State::Checking {
+            return;
         }
+        let until = host.reach.checked + CONFIRM_TIME;
+        // An answer that arrived meanwhile has more weight than the check.
+        if host.last_answer >= host.reach.checked || now.reached(until) {
+            host.reach.state = State::Idle;
+            return;
+        }
+        host.reach.state = State::Failed(until);
+        let detail = format!("the check began {} ms ago", now.since(host.reach.checked).as_millis());
+        outlet.record_event(now, "host.check_failed", &host.name, &detail);
+        self.failed_checks.push(id.0);
+        self.confirm_failed_checks(now, outlet);
     }
 
     /// Begins a check of the host `index` unless one was made a moment ago.
@@ -129,11 +167,17 @@
         }
     }
 
-    /// Checks the registered hosts that are unreachable again.
+    /// Checks the registered hosts that are unreachable again, and trusts those whose last failed check is out of date.
     pub(super) fn recheck_hosts(&mut self, now: Time, outlet: &mut dyn Outlet) {
+        for host in self.hosts.iter_mut() {
+            if host.reach.has_lapsed(now) {
+                outlet.record_event(now, "host.reachable", &host.name, "its last failed check is out of date");
+            }
+        }
         let links = &self.links;
         let due = self.hosts.iter().filter(|(_, host)| {
-            host.is_registered() && host.reach.is_unreachable() && !links[host.zone].is_down() && host.reach.is_due(now)
+            let is_known = host.is_registered() && host.reach.is_unreachable(now);
+            is_known && !links[host.zone].is_down() && host.reach.is_due(now)
         });
         let due: Vec<Index> = due.map(|(index, _)| index).collect();
         for index in due {
@@ -153,14 +197,19 @@
     /// Makes the hosts unreachable whose checks failed while the own link works, and resets their flows.
     fn confirm_failed_checks(&mut self, now: Time, outlet: &mut dyn Outlet) {
         let own_link_worked = self.last_prompt_answer;
-        let failed = self.hosts.iter().filter_map(|(index, host)| match host.reach.state {
-            State::Failed(since) if own_link_worked >= since => Some((index, since)),
-            _ => None,
-        });
-        let confirmed: Vec<(Index, Time)> = failed.collect();
-        for (index, since) in confirmed {
+        let hosts = &self.hosts;
+        self.failed_checks.retain(|index| hosts.get(*index).is_some_and(|host| host.reach.has_failed(now)));
+        let is_confirmed = |index: &Index| hosts.get(*index).is_some_and(|host| own_link_worked >= host.reach.checked);
+        let confirmed: Vec<Index> = self.failed_checks.extract_if(.., |index| is_confirmed(index)).collect();
+        for index in confirmed {
             let Some(host) = self.hosts.get_mut(index) else { continue };
-            host.reach.state = State::Unreachable;
+            let since = host.reach.checked;
+            let was_unreachable = host.reach.is_unreachable(now);
+            host.reach.state = State::Idle;
+            host.reach.unreachable_until = since + VERDICT_TIME;
+            if was_unreachable {
+                continue;
+            }
             let (age, lag) = (now.since(since).as_millis(), own_link_worked.since(since).as_millis());
             let detail =
                 format!("the check that began {age} ms ago failed; another host answered what was sent {lag} ms after");
@@ -199,7 +248,7 @@
             return false;
         }
         let Some(host) = self.hosts.get(index) else { return false };
-        let is_unreachable = host.reach.is_unreachable();
+        let is_unreachable = host.reach.is_unreachable(now);
         let is_retransmission = self.flows.get(&packet.flow).is_some_and(|entry| {
             entry.request_ack == Some(packet.acknowledgement) && entry.request_sequence == packet.sequence
         });
--- a/crates/poplarpaddle/src/direct/select.rs
+++ b/crates/poplarpaddle/src/direct/select.rs
@@ -104,5 +104,5 @@
 
 /// Returns true when the host is unreachable or paused because it does not answer openings.
 fn is_avoided(now: Time, host: &Host) -> bool {
-    host.reach.is_unreachable() || !now.reached(host.limit.paused_until())
+    host.reach.is_unreachable(now) || !now.reached(host.limit.paused_until())
 }
--- a/crates/poplarpaddle/src/direct/sweep.rs
+++ b/crates/poplarpaddle/src/direct/sweep.rs
@@ -99,13 +99,16 @@
     }
 
     /// Records that the host `index` answered a request that was sent at `sent`.
-    pub(super) fn request_answered(&mut self, now: Time, index: Index, sent: Time) {
+    pub(super) fn request_answered(&mut self, now: Time, index: Index, sent: Time, outlet: &mut dyn Outlet) {
         let bound = self.hosts.response_bound(index).unwrap_or_default().max(self.settings.min_overdue_time);
         let time = now.since(sent);
         self.hosts.sample_response(index, time);
         self.last_answered_request = self.last_answered_request.max(sent);
         if let Some(host) = self.hosts.get_mut(index) {
             host.suspicion.answered(sent, time <= bound);
+            if host.reach.answered(now, sent) {
+                outlet.record_event(now, "host.reachable", &host.name, "a request was answered");
+            }
         }
     }
 }
--- a/crates/poplarpaddle/tests/direct/unreachable.rs
+++ b/crates/poplarpaddle/tests/direct/unreachable.rs
@@ -180,6 +180,57 @@
     assert!(is_reset(&harness, waiting), "another host has answered since");
 }
 
+/// A check that failed during a short interruption shows nothing about the host seconds later. In a quiet night, the next
+/// opening anywhere once confirmed it then, and flows were reset whose host had long answered again.
+#[test]
+fn an_old_failed_check_is_not_confirmed() {
+    let mut harness = harness();
+    let (waiting, _, interrupted) = two_flows(&mut harness, IDEMPOTENT, 1);
+    harness.advance(200);
+    harness.send(waiting, Mark::of(interrupted), Kind::Data, 100, 50);
+    assert_eq!(harness.finish_checks(Some(interrupted)), 1);
+    for _ in 0..4 {
+        harness.advance(1500);
+        harness.send(waiting, Mark::of(interrupted), Kind::Data, 0, 2_050);
+    }
+    answer_elsewhere(&mut harness, interrupted, 500);
+    assert!(harness.record.resets.is_empty(), "{:?}", harness.record.resets);
+}
+
+/// The answer to a request that was sent after the check had begun shows that the host is well.
+#[test]
+fn a_host_that_answers_requests_after_a_failed_check_is_trusted() {
+    let mut harness = harness();
+    let (waiting, other, interrupted) = two_flows(&mut harness, IDEMPOTENT, 1);
+    harness.advance(200);
+    harness.send(waiting, Mark::of(interrupted), Kind::Data, 100, 50);
+    assert_eq!(harness.finish_checks(Some(interrupted)), 1);
+    harness.send(other, Mark::of(interrupted), Kind::Data, 100, 60);
+    harness.advance(40);
+    harness.send(other, Mark::of(interrupted), Kind::Data, 0, 2_060);
+    answer_elsewhere(&mut harness, interrupted, 500);
+    assert!(harness.record.resets.is_empty(), "{:?}", harness.record.resets);
+}
+
+/// Many unreachable hosts are checked again one after the other. A host whose turn has not come must not lose flows for a
+/// check that failed seconds ago.
+#[test]
+fn an_unreachable_host_that_is_not_checked_again_is_trusted_after_seconds() {
+    let mut harness = harness();
+    let (waiting, _, lost) = two_flows(&mut harness, IDEMPOTENT, 1);
+    harness.advance(200);
+    harness.send(waiting, Mark::of(lost), Kind::Data, 100, 50);
+    answer_elsewhere(&mut harness, lost, 500);
+    harness.finish_checks(Some(lost));
+    assert!(is_reset(&harness, waiting));
+    // The results of further checks do not arrive.
+    harness.advance(3500);
+    let resets = harness.record.resets.len();
+    harness.send(flow(900, IDEMPOTENT), Mark::of(lost), Kind::Data, 100, 50);
+    assert_eq!(harness.last_hop().host, lost);
+    assert_eq!(harness.record.resets.len(), resets);
+}
+
 /// Answers that take longer than a check show a congested link, on which checks fail although the hosts are well.
 #[test]
 fn late_answers_of_other_hosts_do_not_confirm_a_failed_check() {
