Let answers to requests confirm failed checks

Cause: a failed check was confirmed only by answered openings. Now that it expires after a second, a balancer with few openings and many requests on long flows would never reset the flows of a host that is gone. Change: a request that another host answers within the time of a check shows as well that the own link works, unless the caller has repeated it, since the answer may then belong to a copy from before the check. Result: `answers_to_requests_at_other_hosts_confirm_a_failed_check` failed before (no reset), and `the_answer_to_a_repeated_request_does_not_confirm_a_failed_check` guards the other side.

--- a/crates/poplarpaddle/src/direct/engine.rs
+++ b/crates/poplarpaddle/src/direct/engine.rs
@@ -34,16 +34,30 @@
     pub(super) overdue: bool,
     /// True once that request counts as evidence about its host, or no longer can.
     pub(super) judged: bool,
-    /// Acknowledgement number of the caller's last packet with payload.
-    pub(super) request_ack: Option<u32>,
-    /// Sequence number of that packet.
-    pub(super) request_sequence: u32,
+    /// The caller's last packet with payload; none before the first one.
+    pub(super) request: Option<Request>,
     /// Acknowledgement number of the caller's last packet. It moves on while the caller receives a response.
     pub(super) acknowledgement: u32,
     /// The opening, until a packet of the caller shows that a host answered it.
     pub(super) pending: Option<Box<Pending>>,
 }
 
+/// A caller's packet with payload, which is a request or the end of one.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Request {
+    acknowledgement: u32,
+    sequence: u32,
+    /// True once the caller has retransmitted it, so that an answer may belong to an earlier copy.
+    is_repeated: bool,
+}
+
+impl Request {
+    /// Returns true when the packet is a copy of this one.
+    pub(super) fn is_copy(&self, packet: &View<'_>) -> bool {
+        (self.acknowledgement, self.sequence) == (packet.acknowledgement, packet.sequence)
+    }
+}
+
 /// Data path of one balancer.
 #[derive(Debug)]
 pub struct Engine {
@@ -69,7 +83,7 @@
     pub(super) checks: usize,
     /// Hosts whose latest check failed and is not confirmed.
     pub(super) failed_checks: Vec<host::Index>,
-    /// When the latest opening was sent that a host answered promptly.
+    /// When the latest opening or request was sent that a host answered promptly.
     pub(super) last_prompt_answer: Time,
     /// When the latest request was sent that a host has answered.
     pub(super) last_answered_request: Time,
@@ -372,8 +386,7 @@
             busy: false,
             overdue: false,
             judged: false,
-            request_ack: None,
-            request_sequence: 0,
+            request: None,
             acknowledgement: packet.acknowledgement,
             pending: None,
         };
@@ -387,16 +400,22 @@
         let previous = std::mem::replace(&mut entry.last_packet, now);
         entry.acknowledgement = packet.acknowledgement;
         if packet.has_payload() {
-            let request = (Some(packet.acknowledgement), packet.sequence);
-            entry.judged &= request == (entry.request_ack, entry.request_sequence);
-            (entry.request_ack, entry.request_sequence) = request;
+            let is_repeated = entry.request.is_some_and(|request| request.is_copy(packet));
+            entry.judged &= is_repeated;
+            let (acknowledgement, sequence) = (packet.acknowledgement, packet.sequence);
+            entry.request = Some(Request { acknowledgement, sequence, is_repeated });
             if !std::mem::replace(&mut entry.busy, true) {
                 self.hosts.begin_request(entry.host);
             }
             self.expect_response(now);
-        } else if entry.request_ack.is_some_and(|ack| ack != packet.acknowledgement) {
+        } else if let Some(request) = entry.request
+            && request.acknowledgement != packet.acknowledgement
+        {
             if entry.busy {
                 self.request_answered(now, entry.host, previous, outlet);
+                if !request.is_repeated {
+                    self.own_link_works(now, previous, outlet);
+                }
             }
             self.end_request(entry);
         }
--- a/crates/poplarpaddle/src/direct/opening.rs
+++ b/crates/poplarpaddle/src/direct/opening.rs
@@ -86,8 +86,7 @@
             busy: false,
             overdue: false,
             judged: false,
-            request_ack: None,
-            request_sequence: 0,
+            request: None,
             acknowledgement: 0,
             pending,
         };
--- a/crates/poplarpaddle/src/direct/reach.rs
+++ b/crates/poplarpaddle/src/direct/reach.rs
@@ -8,9 +8,9 @@
 //! # Trade-offs
 //!
 //! A reset of a flow whose host is well does more harm than a late one of a flow whose host is gone. A failed check
-//! therefore counts only once another host has answered an opening that was sent after the check had begun. Otherwise the
-//! balancer's own link may be the cause. A failed check says nothing about later times: it has to be confirmed within a
-//! second, and a host is unreachable for three seconds at most, unless it fails a further check.
+//! therefore counts only once another host has answered an opening or request that was sent after the check had begun.
+//! Otherwise the balancer's own link may be the cause. A failed check says nothing about later times: it has to be
+//! confirmed within a second, and a host is unreachable for three seconds at most, unless it fails a further check.
 
 use std::time::Duration;
 
@@ -185,7 +185,8 @@
         }
     }
 
-    /// Records that a host answered an opening that was sent at `sent`, which shows that this balancer's own link works.
+    /// Records that a host answered an opening or request that was sent at `sent`, which shows that this balancer's own link
+    /// works.
     pub(super) fn own_link_works(&mut self, now: Time, sent: Time, outlet: &mut dyn Outlet) {
         if now.since(sent) > self.settings.check_timeout {
             return;
@@ -224,7 +225,7 @@
         let (routes, settled) = (&self.routes, self.routers_settled);
         let may_reset = |(flow, entry): (&Flow, &Entry)| {
             let is_idempotent = routes.get(flow.service).is_some_and(|route| route.idempotent);
-            let has_sent_request = entry.request_ack.is_some();
+            let has_sent_request = entry.request.is_some();
             let basis = Basis { sequence: entry.acknowledgement, seen: entry.last_packet };
             let is_here = basis.seen.reached(settled);
             (entry.host == index && is_idempotent && has_sent_request && is_here).then_some((*flow, basis))
@@ -249,9 +250,8 @@
         }
         let Some(host) = self.hosts.get(index) else { return false };
         let is_unreachable = host.reach.is_unreachable(now);
-        let is_retransmission = self.flows.get(&packet.flow).is_some_and(|entry| {
-            entry.request_ack == Some(packet.acknowledgement) && entry.request_sequence == packet.sequence
-        });
+        let request = self.flows.get(&packet.flow).and_then(|entry| entry.request);
+        let is_retransmission = request.is_some_and(|request| request.is_copy(packet));
         if is_unreachable || is_retransmission || self.links[host.zone].is_down() {
             self.doubt_host(now, index, outlet);
         }
--- a/crates/poplarpaddle/tests/direct/unreachable.rs
+++ b/crates/poplarpaddle/tests/direct/unreachable.rs
@@ -212,6 +212,41 @@
     assert!(harness.record.resets.is_empty(), "{:?}", harness.record.resets);
 }
 
+/// On a balancer with few openings, answers to requests show that its own link works.
+#[test]
+fn answers_to_requests_at_other_hosts_confirm_a_failed_check() {
+    let mut harness = harness();
+    let (waiting, _, crashed) = two_flows(&mut harness, IDEMPOTENT, 1);
+    let elsewhere =
+        (200..).find(|caller| harness.establish(flow(*caller, ONCE)) != crashed).map(|caller| flow(caller, ONCE));
+    let (elsewhere, well) = (elsewhere.unwrap(), harness.last_hop().host);
+    harness.advance(200);
+    harness.send(waiting, Mark::of(crashed), Kind::Data, 100, 50);
+    assert_eq!(harness.finish_checks(Some(crashed)), 1);
+    assert!(harness.record.resets.is_empty());
+    harness.send(elsewhere, Mark::of(well), Kind::Data, 100, 70);
+    harness.advance(40);
+    harness.send(elsewhere, Mark::of(well), Kind::Data, 0, 2_070);
+    assert!(is_reset(&harness, waiting), "{:?}", harness.record.events);
+}
+
+/// A request that its caller has retransmitted may be answered because of its first copy, which was sent before the check.
+#[test]
+fn the_answer_to_a_repeated_request_does_not_confirm_a_failed_check() {
+    let mut harness = harness();
+    let (waiting, _, suspected) = two_flows(&mut harness, IDEMPOTENT, 1);
+    let elsewhere =
+        (200..).find(|caller| harness.establish(flow(*caller, ONCE)) != suspected).map(|caller| flow(caller, ONCE));
+    let (elsewhere, well) = (elsewhere.unwrap(), harness.last_hop().host);
+    harness.advance(200);
+    harness.send(waiting, Mark::of(suspected), Kind::Data, 100, 50);
+    assert_eq!(harness.finish_checks(Some(suspected)), 1);
+    harness.send(elsewhere, Mark::of(well), Kind::Data, 100, 50);
+    harness.advance(5);
+    harness.send(elsewhere, Mark::of(well), Kind::Data, 0, 2_050);
+    assert!(harness.record.resets.is_empty(), "{:?}", harness.record.resets);
+}
+
 /// Many unreachable hosts are checked again one after the other. A host whose turn has not come must not lose flows for a
 /// check that failed seconds ago.
 #[test]
