--- a/crates/poplarpaddle/src/direct.rs
+++ b/crates/poplarpaddle/src/direct.rs
@@ -17,10 +17,11 @@
 //! # Unanswered openings
 //!
 //! A host's answer goes to the caller, and the caller's next packet shows that the answer arrived. If no such packet
-//! arrives within a few round trips, the opening was lost or its host is dead, full or unreachable. The engine then
-//! sends the opening again: once to the same host if other openings show that the host answers, and to another host
-//! otherwise. If two hosts answered the same opening, the flow would break, because the caller would repeat the mark of
-//! the second answer and acknowledge the first.
+//! arrives within a few round trips, the opening was lost, its host is dead, full or unreachable, or the packet passes
+//! through another balancer. If two hosts answered the same opening, the flow would break, because the caller would repeat
+//! the mark of the second answer and acknowledge the first. The engine therefore sends the opening to the same host again.
+//! It uses another host only if the caller retransmits the opening, which shows that no answer has arrived, or if the first
+//! host is known to be unreachable by other means.
 //!
 //! # Unreachable hosts
 //!
--- a/crates/poplarpaddle/src/direct/engine.rs
+++ b/crates/poplarpaddle/src/direct/engine.rs
@@ -443,7 +443,7 @@
             }
         }
         for zone in lost {
-            self.expire_openings(now, zone);
+            self.expire_openings(now, |_, host| host.zone == zone);
             self.doubt_zone(now, zone, outlet);
         }
     }
--- a/crates/poplarpaddle/src/direct/opening.rs
+++ b/crates/poplarpaddle/src/direct/opening.rs
@@ -6,7 +6,7 @@
 use smallvec::SmallVec;
 
 use super::engine::Entry;
-use super::host::Index;
+use super::host::{Host, Index};
 use super::queue::Opening;
 use super::{Decision, Engine, Hop, Outlet, Reason, Verdict};
 use crate::packet::{Flow, View};
@@ -24,6 +24,8 @@
     due: Time,
     /// Number of times that it was sent.
     attempts: u8,
+    /// True if there was evidence already that the current host is gone when the opening was first sent to it.
+    is_trial: bool,
     /// Hosts that it was moved away from because they did not answer.
     tried: SmallVec<[Index; TRIED_INLINE]>,
     /// Bytes of the packet.
@@ -77,7 +79,8 @@
     /// Sends an opening to a host for the first time.
     fn send_first(&mut self, now: Time, opening: Opening, index: Index, outlet: &mut dyn Outlet) {
         let Opening { flow, sequence, bytes, .. } = opening;
-        let pending = Pending { sent: now, due: now, attempts: 0, tried: SmallVec::new(), bytes };
+        let is_trial = self.may_be_gone(now, index);
+        let pending = Pending { sent: now, due: now, attempts: 0, is_trial, tried: SmallVec::new(), bytes };
         let pending = Some(Box::new(pending));
         let entry = Entry {
             host: index,
@@ -172,12 +175,12 @@
         }
     }
 
-    /// Makes all pending openings to a zone that became unreachable count as unanswered now.
-    pub(super) fn expire_openings(&mut self, now: Time, zone: usize) {
+    /// Makes all pending openings to hosts that became unreachable count as unanswered now.
+    pub(super) fn expire_openings(&mut self, now: Time, is_lost: impl Fn(Index, &Host) -> bool) {
         let hosts = &self.hosts;
-        let in_zone = |index: Index| hosts.get(index).is_some_and(|host| host.zone == zone);
+        let is_lost = |index: Index| hosts.get(index).is_some_and(|host| is_lost(index, host));
         for (flow, entry) in &mut self.flows {
-            let Some(pending) = entry.pending.as_mut().filter(|_| in_zone(entry.host)) else { continue };
+            let Some(pending) = entry.pending.as_mut().filter(|_| is_lost(entry.host)) else { continue };
             if pending.due != Time::NEVER {
                 pending.due = now;
                 self.timers.push(Reverse((now, *flow)));
@@ -221,11 +224,13 @@
             self.flows.insert(flow, entry);
             return;
         }
-        let to = self.next_host(now, &flow, &entry);
+        let to = self.next_host(now, &flow, &entry, cause);
         let moved = to != from;
+        let is_trial = self.may_be_gone(now, to);
         if moved && let Some(pending) = entry.pending.as_mut() {
             pending.tried.push(from);
             pending.sent = now;
+            pending.is_trial = is_trial;
         }
         let reason = match self.hosts.get(from).map(|host| self.links[host.zone].is_down()) {
             Some(true) => Reason::ZoneDown,
@@ -236,10 +241,14 @@
         self.send_opening(now, flow, entry, to, (verdict, Some(reason)), outlet);
     }
 
-    /// Returns the host for the next attempt. The second attempt keeps the host if other openings show that it answers:
-    /// then only a packet was lost, and an answer from a second host would break the flow.
-    fn next_host(&mut self, now: Time, flow: &Flow, entry: &Entry) -> Index {
+    /// Returns the host for the next attempt. An answer from a second host would break the flow, so the host stays the same
+    /// while it may have answered. The second attempt keeps it if other openings show that it answers, since then only a
+    /// packet was lost.
+    fn next_host(&mut self, now: Time, flow: &Flow, entry: &Entry, cause: Cause) -> Index {
         let Some(pending) = &entry.pending else { return entry.host };
+        if cause == Cause::Timeout && !pending.is_trial && !self.is_lost(now, entry.host) {
+            return entry.host;
+        }
         let is_answering = self
             .hosts
             .get(entry.host)
@@ -254,6 +263,17 @@
         selected.map_or(entry.host, |(index, _)| index)
     }
 
+    /// Returns true when the host `index` or its zone is unreachable.
+    fn is_lost(&self, now: Time, index: Index) -> bool {
+        self.hosts.get(index).is_some_and(|host| self.links[host.zone].is_down() || host.reach.is_unreachable(now))
+    }
+
+    /// Returns true when the host `index` is unreachable, or has not passed a check while others answered.
+    fn may_be_gone(&self, now: Time, index: Index) -> bool {
+        let Some(host) = self.hosts.get(index) else { return false };
+        self.is_lost(now, index) || host.reach.is_doubted(now, self.last_prompt_answer)
+    }
+
     /// Sends an opening to the host `index`, starts its timer, and counts it as a request in progress.
     fn send_opening(
         &mut self,
--- a/crates/poplarpaddle/src/direct/reach.rs
+++ b/crates/poplarpaddle/src/direct/reach.rs
@@ -98,6 +98,12 @@
         has_lapsed
     }
 
+    /// Returns true while a check is in progress or has failed and may still be confirmed, if another host has answered what
+    /// was sent after it had begun. `last_answer` is when the latest opening or request was sent that was answered.
+    pub(super) fn is_doubted(&self, now: Time, last_answer: Time) -> bool {
+        (self.state == State::Checking || self.has_failed(now)) && last_answer >= self.checked
+    }
+
     /// Returns true when the latest check failed and may still be confirmed.
     fn has_failed(&self, now: Time) -> bool {
         matches!(self.state, State::Failed(until) if !now.reached(until))
@@ -216,6 +222,7 @@
                 format!("the check that began {age} ms ago failed; another host answered what was sent {lag} ms after");
             outlet.record_event(now, "host.unreachable", &host.name, &detail);
             self.reset_flows(index, outlet);
+            self.expire_openings(now, |other, _| other == index);
         }
     }
 
--- a/crates/poplarpaddle/tests/direct/openings.rs
+++ b/crates/poplarpaddle/tests/direct/openings.rs
@@ -2,8 +2,8 @@
 //! the same opening.
 
 use poplarpaddle::direct::{Reason, Verdict};
-use poplarpaddle::mark::Mark;
-use poplarpaddle::packet::Kind;
+use poplarpaddle::mark::{HostId, Mark};
+use poplarpaddle::packet::{Flow, Kind};
 use poplarpaddle::registry::Host;
 
 use super::support::{Harness, flow, host, route};
@@ -57,6 +57,65 @@
     assert!(harness.record.events.iter().any(|event| event.starts_with("host.silent")));
 }
 
+/// Sends an opening, and then an opening every 10 ms to other hosts, which answer. Returns the host of the first one.
+fn opening_without_answer(harness: &mut Harness, unanswered: Flow, millis: u16) -> HostId {
+    harness.send_opening(unanswered, 0);
+    let placed = harness.last_hop().host;
+    for caller in 0..millis / 10 {
+        harness.send_opening(flow(1000 + caller, 443), 0);
+        let hop = harness.last_hop();
+        harness.advance(10);
+        if hop.host != placed {
+            harness.send(flow(1000 + caller, 443), hop.mark.unwrap(), Kind::Data, 100, 50);
+            harness.send(flow(1000 + caller, 443), hop.mark.unwrap(), Kind::Closing, 0, 60);
+        }
+    }
+    placed
+}
+
+fn moves(harness: &Harness, of: Flow) -> usize {
+    harness.record.decisions.iter().filter(|(decided, verdict, _)| *decided == of && *verdict == Verdict::Moved).count()
+}
+
+/// When a balancer enters or leaves the rotation, the caller's next packet may pass through another one, and the flow is
+/// open although nothing shows it here. A second host once answered the same opening then and reset the flow.
+#[test]
+fn an_opening_without_an_answer_stays_at_its_host_until_its_caller_repeats_it() {
+    let mut harness = Harness::with_hosts(1, 5);
+    for caller in 1..50 {
+        harness.establish(flow(caller, 443));
+    }
+    let moved = flow(100, 443);
+    opening_without_answer(&mut harness, moved, 190);
+    // The host accepts connections.
+    harness.finish_checks(None);
+    assert_eq!(moves(&harness, moved), 0, "{:?}", harness.record.events);
+    harness.advance(10);
+    harness.send_opening(moved, 1);
+    assert_eq!(moves(&harness, moved), 1, "the caller has no answer yet, so no host has the flow");
+}
+
+/// A host that refuses connections is gone, so its openings need not wait for their callers.
+#[test]
+fn openings_leave_a_host_that_turns_out_to_be_unreachable() {
+    let mut harness = Harness::with_hosts(1, 5);
+    for caller in 1..50 {
+        harness.establish(flow(caller, 443));
+    }
+    let waiting = flow(100, 443);
+    let crashed = opening_without_answer(&mut harness, waiting, 70);
+    assert_eq!(moves(&harness, waiting), 0);
+    assert_eq!(harness.finish_checks(Some(crashed)), 1);
+    let elsewhere = flow(2000, 443);
+    harness.send_opening(elsewhere, 0);
+    let hop = harness.last_hop();
+    assert_ne!(hop.host, crashed);
+    harness.advance(8);
+    harness.send(elsewhere, hop.mark.unwrap(), Kind::Data, 100, 50);
+    harness.advance(1);
+    assert_eq!(moves(&harness, waiting), 1, "{:?}", harness.record.events);
+}
+
 /// A retransmission of the caller is forwarded at once, regardless of the engine's own timers and retry budget.
 #[test]
 fn a_retransmission_of_the_caller_is_forwarded() {
--- a/crates/poplarpaddle/tests/direct/random.rs
+++ b/crates/poplarpaddle/tests/direct/random.rs
@@ -41,6 +41,7 @@
     unreachable: Vec<String>,
     checks: Vec<(CheckId, SocketAddrV4)>,
     silences: Vec<Silence>,
+    pings: Vec<String>,
 }
 
 impl Outlet for Effects {
@@ -52,7 +53,8 @@
         self.resets.push(*flow);
     }
 
-    fn ping(&mut self, _zone: &str) -> bool {
+    fn ping(&mut self, zone: &str) -> bool {
+        self.pings.push(zone.to_owned());
         true
     }
 
@@ -270,6 +272,10 @@
                 "seed {seed}: a flow of {host} was reset although that host answers"
             );
         }
+        for zone in effects.pings {
+            // Members in every zone answer.
+            self.balancers[balancer].zone_alive(self.now, &zone, &mut Effects::default());
+        }
         self.checks.extend(effects.checks.into_iter().map(|(id, address)| (balancer, id, address)));
         for silence in effects.silences {
             for engine in &mut self.balancers {
@@ -299,6 +305,15 @@
         if is_answering && state.host.is_none() {
             state.host = Some(hop.host);
         }
+        let Some(first) = state.host.filter(|first| is_answering && *first != hop.host) else { return };
+        let is_repeated = state.retransmissions > 0;
+        // A host that is well passes a check within milliseconds, but the simulation may take longer.
+        let is_checked = |host: &Host| self.checks.iter().any(|(by, _, to)| *by == balancer && *to == host.address);
+        let first_is_gone = self.hosts.get(&first.0).is_none_or(is_checked) || self.may_be_unreachable(&name(first));
+        assert!(
+            is_repeated || first_is_gone,
+            "seed {seed}: balancer {balancer} sent the opening of caller {caller} to a second host without being asked"
+        );
     }
 
     /// Performs one random event.
