Let buffered openings expire when their callers repeat them

A starting balancer buffers openings until it knows hosts and routes, and placed them for up to 600 ms, though their callers repeat them after 200 ms and another balancer may have placed the copy. Change: an opening expires after 180 ms, its first copy after 380 ms, the last one as before. Result: `a_buffered_opening_is_not_placed_after_its_caller_has_repeated_it` failed before.

--- a/crates/poplarpaddle/src/direct/buffer.rs
+++ b/crates/poplarpaddle/src/direct/buffer.rs
@@ -14,9 +14,13 @@
 /// Maximum number of buffered bytes.
 const MAX_BYTES: usize = 1 << 20;
 
-/// Age at which a buffered packet expires. Callers retransmit an opening after 200 and 600 ms.
+/// Age at which a buffered packet expires.
 const MAX_AGE: Duration = Duration::from_millis(600);
 
+/// Ages at which an opening and its first copy expire. Callers retransmit an opening after 200 ms and once more after another
+/// 400 ms. Another balancer may place that copy, so the packet before it must not reach a host any more.
+const MAX_OPENING_AGES: [Duration; 2] = [Duration::from_millis(180), Duration::from_millis(380)];
+
 /// A packet with its own copy of the bytes.
 #[derive(Debug)]
 struct Packet {
@@ -40,12 +44,13 @@
         while self.packets.front().is_some_and(|packet| now.reached(packet.until)) {
             self.pop();
         }
+        let max_age = self.max_age(view);
         if self.packets.len() >= MAX_PACKETS || self.bytes + view.bytes.len() > MAX_BYTES {
             return false;
         }
         self.bytes += view.bytes.len();
         let packet =
-            Packet { until: now + MAX_AGE, mark, view: View { bytes: &[], ..*view }, bytes: view.bytes.into() };
+            Packet { until: now + max_age, mark, view: View { bytes: &[], ..*view }, bytes: view.bytes.into() };
         self.packets.push_back(packet);
         true
     }
@@ -68,6 +73,16 @@
         self.packets.is_empty()
     }
 
+    /// Returns the age at which a packet expires.
+    fn max_age(&self, view: &View<'_>) -> Duration {
+        if view.kind != Kind::Opening {
+            return MAX_AGE;
+        }
+        let is_earlier = |packet: &&Packet| packet.view.kind == Kind::Opening && packet.view.flow == view.flow;
+        let earlier = self.packets.iter().filter(is_earlier).count();
+        MAX_OPENING_AGES.get(earlier).copied().unwrap_or(MAX_AGE)
+    }
+
     fn pop(&mut self) -> Option<Packet> {
         let packet = self.packets.pop_front()?;
         self.bytes -= packet.bytes.len();
--- a/crates/poplarpaddle/tests/direct/start.rs
+++ b/crates/poplarpaddle/tests/direct/start.rs
@@ -48,6 +48,22 @@
     assert_eq!(harness.last_hop().host, one.id);
 }
 
+/// Once its caller has repeated an opening, the copy may have been placed by another balancer. The first packet must not
+/// reach a second host then.
+#[test]
+fn a_buffered_opening_is_not_placed_after_its_caller_has_repeated_it() {
+    let mut harness = Harness::new(1);
+    harness.send_opening(flow(1, 443), 0);
+    harness.advance(190);
+    harness.send_opening(flow(2, 443), 0);
+    harness.advance(15);
+    harness.register(&host(1, "bookings", "a"));
+    harness.route(443, Some(&route("bookings")));
+    harness.advance(1);
+    let placed: Vec<_> = harness.record.decisions.iter().map(|(flow, ..)| *flow).collect();
+    assert_eq!(placed, [flow(2, 443)]);
+}
+
 /// An opening that was buffered for too long has been retransmitted or given up by its caller.
 #[test]
 fn buffered_packets_expire() {
