Move an opening on its caller's copy only if other hosts answer in time

Cause: a caller's copy shows that it had no answer when it sent the copy. If all answers take longer than 200 ms, the answer is still on its way, and the copy reached a second host. Pings late by 30 ms also made zones look lost, which moved openings. Change: the first copy moves an opening only if another host has answered in time what was sent since; the second also if the host failed a check. The loss of a zone moves openings only with the same evidence. Why it works: in an overload nothing is answered in time, so nothing moves; when a host or zone is gone, the others answer.

--- a/crates/poplarpaddle/src/direct/opening.rs
+++ b/crates/poplarpaddle/src/direct/opening.rs
@@ -24,6 +24,8 @@
     due: Time,
     /// Number of times that it was sent.
     attempts: u8,
+    /// Number of times that its caller has retransmitted it through this balancer.
+    copies: u8,
     /// True if there was evidence already that the current host is gone when the opening was first sent to it.
     is_trial: bool,
     /// Hosts that it was moved away from because they did not answer.
@@ -80,7 +82,7 @@
     fn send_first(&mut self, now: Time, opening: Opening, index: Index, outlet: &mut dyn Outlet) {
         let Opening { flow, sequence, bytes, .. } = opening;
         let is_trial = self.may_be_gone(now, index);
-        let pending = Pending { sent: now, due: now, attempts: 0, is_trial, tried: SmallVec::new(), bytes };
+        let pending = Pending { sent: now, due: now, attempts: 0, copies: 0, is_trial, tried: SmallVec::new(), bytes };
         let pending = Some(Box::new(pending));
         let entry = Entry {
             host: index,
@@ -195,6 +197,7 @@
         if let Some(pending) = &mut entry.pending {
             // The packet differs from the first one, because the caller counts its retransmissions in it.
             pending.bytes = SmallVec::from_slice(packet.bytes);
+            pending.copies = pending.copies.saturating_add(1);
             return self.resend(now, packet.flow, Cause::Retransmission, outlet);
         }
         // The flow is established, so a late retransmission goes to its host.
@@ -246,7 +249,7 @@
     /// packet was lost.
     fn next_host(&mut self, now: Time, flow: &Flow, entry: &Entry, cause: Cause) -> Index {
         let Some(pending) = &entry.pending else { return entry.host };
-        if cause == Cause::Timeout && !pending.is_trial && !self.is_lost(now, entry.host) {
+        if !self.may_move(now, entry.host, pending, cause) {
             return entry.host;
         }
         let is_answering = self
@@ -263,6 +266,20 @@
         selected.map_or(entry.host, |(index, _)| index)
     }
 
+    /// Returns true when a pending opening may be sent to another host than `index`. The balancer's own timer shows little,
+    /// since the answer may pass through another balancer. A copy from the caller shows that it had no answer. While no other
+    /// opening is answered in time, for example on an overloaded machine, the answer may still be on its way. Then only
+    /// the second copy moves an opening, and only from a host that failed a check.
+    fn may_move(&self, now: Time, index: Index, pending: &Pending, cause: Cause) -> bool {
+        let Some(host) = self.hosts.get(index) else { return true };
+        let others_answer = self.last_prompt_answer >= pending.sent;
+        let is_overdue = match cause {
+            Cause::Timeout => pending.is_trial,
+            Cause::Retransmission => others_answer || (pending.copies > 1 && host.reach.has_failed(now)),
+        };
+        is_overdue || host.reach.is_unreachable(now) || (self.links[host.zone].is_down() && others_answer)
+    }
+
     /// Returns true when the host `index` or its zone is unreachable.
     fn is_lost(&self, now: Time, index: Index) -> bool {
         self.hosts.get(index).is_some_and(|host| self.links[host.zone].is_down() || host.reach.is_unreachable(now))
--- a/crates/poplarpaddle/src/direct/reach.rs
+++ b/crates/poplarpaddle/src/direct/reach.rs
@@ -105,7 +105,7 @@
     }
 
     /// Returns true when the latest check failed and may still be confirmed.
-    fn has_failed(&self, now: Time) -> bool {
+    pub(super) fn has_failed(&self, now: Time) -> bool {
         matches!(self.state, State::Failed(until) if !now.reached(until))
     }
 
--- a/crates/poplarpaddle/tests/direct/openings.rs
+++ b/crates/poplarpaddle/tests/direct/openings.rs
@@ -95,6 +95,32 @@
     assert_eq!(moves(&harness, moved), 1, "the caller has no answer yet, so no host has the flow");
 }
 
+/// When all answers take longer than callers wait before they repeat an opening, for example on an overloaded machine, the
+/// copy does not show that the host has not answered. A second host once got the copy then, and reset the flow.
+#[test]
+fn a_callers_copy_stays_at_its_host_while_no_host_answers_in_time() {
+    for accepts_connections in [true, false] {
+        let mut harness = Harness::with_hosts(1, 5);
+        for caller in 1..50 {
+            harness.establish(flow(caller, 443));
+        }
+        harness.advance(200);
+        let late = flow(100, 443);
+        harness.send_opening(late, 0);
+        let host = harness.last_hop().host;
+        for caller in 200..220 {
+            harness.send_opening(flow(caller, 443), 0);
+            harness.advance(10);
+        }
+        harness.finish_checks(if accepts_connections { None } else { Some(host) });
+        harness.send_opening(late, 1);
+        assert_eq!(moves(&harness, late), 0, "its answer may be on the way");
+        harness.advance(400);
+        harness.send_opening(late, 2);
+        assert_eq!(moves(&harness, late), usize::from(!accepts_connections));
+    }
+}
+
 /// A host that refuses connections is gone, so its openings need not wait for their callers.
 #[test]
 fn openings_leave_a_host_that_turns_out_to_be_unreachable() {
