Keep the services that routes have left in the store, for balancers that start later

Cause: after a configuration that moves a route to another service, established flows stay at their hosts. Only balancers that were running at the change knew that; one that started later dropped the packets of such flows as foreign_host until their callers gave up.

--- a/crates/poplarpaddle-balancer/src/direct/daemon.rs
+++ b/crates/poplarpaddle-balancer/src/direct/daemon.rs
@@ -150,7 +150,7 @@
         ..Default::default()
     };
     let feed = feed::Settings { bound: settings.bound };
-    Node::new(now, fleet::Settings { membership, feed }, record)
+    Node::new(now, fleet::Settings { membership, feed, flow_life: settings.flow_life }, record)
 }
 
 /// Reloads the settings on SIGHUP and when they were modified. Of the settings, only the seeds are applied to the
--- a/crates/poplarpaddle-balancer/src/direct/outlet.rs
+++ b/crates/poplarpaddle-balancer/src/direct/outlet.rs
@@ -3,7 +3,7 @@
 use std::net::{SocketAddr, SocketAddrV4};
 use std::time::Duration;
 
-use poplarpaddle::direct::{CheckId, Decision, Hop, Layout, Outlet, Silence};
+use poplarpaddle::direct::{CheckId, Decision, Hop, Layout, Outlet, Reason, Silence};
 use poplarpaddle::event::Event;
 use poplarpaddle::fleet::Node;
 use poplarpaddle::packet::Flow;
@@ -30,6 +30,8 @@
     pub(super) checks: &'a mut Vec<(CheckId, SocketAddrV4)>,
     /// Hosts that did not respond during the call.
     pub(super) silences: &'a mut Vec<Silence>,
+    /// True when a packet was dropped during the call because its route does not allow the host with its mark.
+    pub(super) has_foreign_packet: &'a mut bool,
     /// Node whose members can be pinged.
     pub(super) node: &'a Node,
     /// Version of the configuration, for the log.
@@ -76,6 +78,7 @@
     }
 
     fn record_decision(&mut self, decision: &Decision<'_>) {
+        *self.has_foreign_packet |= decision.reason == Some(Reason::ForeignHost);
         self.journal.record_decision(self.now, decision, self.version, self.age);
     }
 
--- a/crates/poplarpaddle-balancer/src/direct/task.rs
+++ b/crates/poplarpaddle-balancer/src/direct/task.rs
@@ -9,6 +9,7 @@
 use poplarpaddle::event::Event;
 use poplarpaddle::feed::Topic;
 use poplarpaddle::fleet::{Action, Node, Response, Store};
+use poplarpaddle::former;
 use poplarpaddle::path::MemberId;
 use poplarpaddle::time::Time;
 use poplarpaddle::wire::Transfer;
@@ -52,6 +53,10 @@
     Store(Topic, Result<Response>),
     /// Outcome of a pull from a peer.
     Pulled(MemberId, Result<Transfer>),
+    /// Outcome of saving former services of routes.
+    FormerSaved(Result<()>),
+    /// Outcome of loading former services of routes.
+    FormerLoaded(Result<Vec<former::Entry>>),
     /// Result of a check of a host: whether it accepted a connection.
     Checked(CheckId, bool),
     /// A peer pulls the changes after its revisions of hosts and routes.
@@ -204,6 +209,8 @@
         match input {
             Input::Store(topic, response) => self.node.store_answered(now, topic, response),
             Input::Pulled(member, transfer) => self.node.pulled(now, member, transfer),
+            Input::FormerSaved(outcome) => self.node.former_saved(now, &outcome),
+            Input::FormerLoaded(outcome) => self.node.former_loaded(now, outcome),
             Input::Checked(id, is_reachable) => {
                 self.with_engine(|engine, now, outlet| engine.checked(now, id, is_reachable, outlet));
             }
@@ -244,6 +251,7 @@
         let now = self.clock.now();
         let (mut pings, mut checks, mut silences) = (Vec::new(), Vec::new(), Vec::new());
         let mut datagram = Vec::new();
+        let mut has_foreign_packet = false;
         let mut outlet = Sender {
             now,
             layout: &*self.layout,
@@ -255,6 +263,7 @@
             pings: &mut pings,
             checks: &mut checks,
             silences: &mut silences,
+            has_foreign_packet: &mut has_foreign_packet,
             node: &self.node,
             version: self.node.general().version,
             age: now.since(self.node.feed().confirmed(Topic::Hosts)),
@@ -263,9 +272,12 @@
         for (id, address) in checks {
             self.check(id, address);
         }
-        if pings.is_empty() && silences.is_empty() {
+        if pings.is_empty() && silences.is_empty() && !has_foreign_packet {
             return;
         }
+        if has_foreign_packet {
+            self.node.report_missing_service(now);
+        }
         for silence in silences {
             self.node.report_silence(now, silence.host, silence.rate);
         }
@@ -305,10 +317,39 @@
                     self.with_engine(|engine, now, outlet| engine.suspect(now, host, outlet));
                 }
             }
+            Action::Former(action) => self.call_former(action),
+            Action::FormerServices(entries) => {
+                for former::Entry { address, service, until } in &entries {
+                    self.engine.allow_former_service(*address, service, *until);
+                }
+            }
             Action::Event(event) => self.record_event(event),
         }
     }
 
+    /// Saves or loads former services of routes.
+    fn call_former(&self, action: former::Action) {
+        let (store, outcomes, telemetry, clock) =
+            (Arc::clone(&self.store), self.outcomes.clone(), self.telemetry.clone(), self.clock);
+        tokio::spawn(async move {
+            let started = clock.now();
+            let deadline = started + READ_TIMEOUT;
+            let input = match action {
+                former::Action::Save(entries) => {
+                    let outcome = store.save_former(entries, deadline).await;
+                    telemetry.record_call("save_former", outcome_label(&outcome), clock.now().since(started));
+                    Input::FormerSaved(outcome)
+                }
+                former::Action::Load => {
+                    let outcome = store.load_former(deadline).await;
+                    telemetry.record_call("load_former", outcome_label(&outcome), clock.now().since(started));
+                    Input::FormerLoaded(outcome)
+                }
+            };
+            drop(outcomes.send(input));
+        });
+    }
+
     fn record_event(&self, event: Event) {
         self.journal.record_event(&event.name, &event.subject, &event.detail);
         self.telemetry.events.push(event);
--- a/crates/poplarpaddle/src/direct/engine.rs
+++ b/crates/poplarpaddle/src/direct/engine.rs
@@ -173,6 +173,12 @@
         self.update_ready();
     }
 
+    /// Allows established flows of the route at `address` to belong to `service` until `until`, because the route used that
+    /// service before this balancer started.
+    pub fn allow_former_service(&mut self, address: Address, service: &str, until: Time) {
+        self.routes.allow_former(address, service, until);
+    }
+
     /// Records that a message from a member in `zone` arrived, so the zone is reachable.
     pub fn zone_alive(&mut self, now: Time, zone: &str, outlet: &mut dyn Outlet) {
         if let Some(index) = self.links.iter().position(|link| link.zone == zone) {
--- a/crates/poplarpaddle/src/direct/route.rs
+++ b/crates/poplarpaddle/src/direct/route.rs
@@ -42,12 +42,19 @@
             return;
         };
         entry.former.retain(|former| !now.reached(former.until));
-        for service in services(&entry.route).filter(|service| !route.allows(service)) {
+        for service in entry.route.services().filter(|service| !route.allows(service)) {
             entry.former.push(Former { service: service.to_owned(), until: keep_until });
         }
         entry.route = route.clone();
     }
 
+    /// Allows established flows of a route to belong to `service` until `until`.
+    pub(super) fn allow_former(&mut self, address: Address, service: &str, until: Time) {
+        if let Some(entry) = self.entries.get_mut(&address) {
+            entry.former.push(Former { service: service.to_owned(), until });
+        }
+    }
+
     pub(super) fn get(&self, address: Address) -> Option<&Route> {
         self.entries.get(&address).map(|entry| &entry.route)
     }
@@ -64,12 +71,6 @@
     }
 }
 
-/// Returns the services that new flows of `route` go to.
-fn services(route: &Route) -> impl Iterator<Item = &str> {
-    let single = route.shares.is_empty().then_some(route.service.as_str());
-    single.into_iter().chain(route.shares.iter().map(|share| share.service.as_str()))
-}
-
 /// Returns the service for a new flow, by weight when the route has shares. `draw` is a random number.
 pub(super) fn choose(route: &Route, draw: u64) -> &str {
     let total: u64 = route.shares.iter().map(|share| u64::from(share.weight)).sum();
--- a/crates/poplarpaddle/src/feed.rs
+++ b/crates/poplarpaddle/src/feed.rs
@@ -362,6 +362,12 @@
         }
     }
 
+    /// Returns true when this member is the first one in the order of identifiers, which normally reads the store.
+    #[must_use]
+    pub fn is_first(&self) -> bool {
+        self.rank() == 0
+    }
+
     /// Returns the position of this member in the order of identifiers.
     fn rank(&self) -> usize {
         self.members.iter().position(|id| *id == self.me).unwrap_or(0)
--- a/crates/poplarpaddle/src/fleet.rs
+++ b/crates/poplarpaddle/src/fleet.rs
@@ -21,8 +21,8 @@
 //!
 //! # Trade-offs
 //!
-//! The node writes nothing to the store; members find each other only through seeds and gossip. A member that finds no
-//! other one still serves packets, but reads the store itself, which costs additional calls.
+//! The node writes nothing to the store but [`former`] services; members find each other only through seeds and gossip. A
+//! member that finds no other one still serves packets, but reads the store itself, which costs additional calls.
 
 mod apply;
 mod messages;
@@ -35,6 +35,7 @@
 use crate::error::{Error, Kind, Result};
 use crate::event::Event;
 use crate::feed::{self, Announcement, Feed, Topic};
+use crate::former::{self, Tracker};
 use crate::map::{self, Map};
 use crate::mark::HostId;
 use crate::membership::{self, Membership};
@@ -55,12 +56,24 @@
 const MAX_TRANSFER_BACKLOG: Duration = Duration::from_millis(100);
 
 /// Settings of a [`Node`].
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 pub struct Settings {
     /// Settings of the membership.
     pub membership: membership::Settings,
     /// Settings of the feed.
     pub feed: feed::Settings,
+    /// Maximum lifetime of a flow.
+    pub flow_life: Duration,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            membership: membership::Settings::default(),
+            feed: feed::Settings::default(),
+            flow_life: Duration::from_mins(1),
+        }
+    }
 }
 
 /// Action that a [`Node`] requests from its caller.
@@ -102,6 +115,10 @@
     NeighborsChanged,
     /// Several members report that these hosts do not respond.
     HostsSuspected(Vec<HostId>),
+    /// Call the store for former services of routes.
+    Former(former::Action),
+    /// Established flows of these routes may belong to these services.
+    FormerServices(Vec<former::Entry>),
     /// Record an event.
     Event(Event),
 }
@@ -151,9 +168,9 @@
 }
 
 /// Future of a response of the store.
-pub type Pending<'a> = Pin<Box<dyn Future<Output = Result<Response>> + Send + 'a>>;
+pub type Pending<'a, T = Response> = Pin<Box<dyn Future<Output = Result<T>> + Send + 'a>>;
 
-/// Reads hosts and routes from a store.
+/// Reads hosts and routes from a store, and keeps former services of routes there.
 pub trait Store: Send + Sync {
     /// Reads a snapshot of a collection. The caller ignores responses after `deadline`.
     fn read(&self, topic: Topic, deadline: Time) -> Pending<'_>;
@@ -161,6 +178,12 @@
     /// Watches a collection for changes after `revision`. The store responds at the time `until` if there is no change.
     /// The caller ignores responses after `deadline`.
     fn watch(&self, topic: Topic, revision: u64, until: Time, deadline: Time) -> Pending<'_>;
+
+    /// Adds entries to the former services in the store. Entries whose time is over are removed.
+    fn save_former(&self, entries: Vec<former::Entry>, deadline: Time) -> Pending<'_, ()>;
+
+    /// Loads the former services in the store.
+    fn load_former(&self, deadline: Time) -> Pending<'_, Vec<former::Entry>>;
 }
 
 /// One balancer.
@@ -173,6 +196,7 @@
     general: General,
     requests: Requests,
     outliers: Outliers,
+    former: Tracker,
     /// True for each topic whose last call to the store failed.
     store_lost: [bool; 2],
     /// Revisions of the invalid registrations that were reported, by name.
@@ -203,6 +227,7 @@
             general: General::default(),
             requests: Requests::default(),
             outliers: Outliers::default(),
+            former: Tracker::new(now, settings.flow_life),
             store_lost: [false; 2],
             reported: map::seeded(0),
             membership_revision: 0,
@@ -265,7 +290,7 @@
     #[must_use]
     pub fn deadline(&self) -> Time {
         let messages = self.requests.deadline().min(self.outliers.deadline());
-        self.membership.deadline().min(self.feed.deadline()).min(messages)
+        self.membership.deadline().min(self.feed.deadline()).min(self.former.deadline()).min(messages)
     }
 
     /// Replaces the seed addresses through which this node finds other members.
@@ -346,6 +371,39 @@
         self.dispatch(now);
     }
 
+    /// Records that a packet was dropped because the route of its flow does not allow the host with its mark.
+    pub fn report_missing_service(&mut self, now: Time) {
+        self.former.report_missing(now);
+        self.dispatch(now);
+    }
+
+    /// Handles the outcome of [`former::Action::Save`].
+    pub fn former_saved(&mut self, now: Time, outcome: &Result<()>) {
+        if let Err(error) = outcome {
+            self.record_event(now, "former.not_saved", "routes", error.to_string());
+        }
+        self.former.saved(now, outcome.is_ok());
+        self.dispatch(now);
+    }
+
+    /// Handles the outcome of [`former::Action::Load`].
+    pub fn former_loaded(&mut self, now: Time, outcome: Result<Vec<former::Entry>>) {
+        if let Err(error) = &outcome {
+            self.record_event(now, "former.not_loaded", "routes", error.to_string());
+        }
+        let new = self.former.loaded(now, outcome.ok());
+        if !new.is_empty() {
+            self.record_event(
+                now,
+                "former.loaded",
+                &new.len().to_string(),
+                "established flows may belong there".to_owned(),
+            );
+            self.actions.push(Action::FormerServices(new));
+        }
+        self.dispatch(now);
+    }
+
     /// Pings up to `count` members of `zone`, starting with a different one each time. Returns how many were pinged.
     pub fn ping_zone(&mut self, now: Time, zone: &str, count: usize) -> usize {
         let mut peers: Vec<SocketAddr> = self.peers_in(zone).map(|record| record.peer).collect();
@@ -392,6 +450,9 @@
         for action in self.feed.actions() {
             self.perform(action);
         }
+        while let Some(action) = self.former.next(now, self.feed.is_first()) {
+            self.actions.push(Action::Former(action));
+        }
     }
 
     fn perform(&mut self, action: feed::Action) {
--- a/crates/poplarpaddle/src/fleet/apply.rs
+++ b/crates/poplarpaddle/src/fleet/apply.rs
@@ -3,6 +3,7 @@
 use super::{Action, Fault, Node, Response, stale};
 use crate::error::Result;
 use crate::feed::{Announcement, Outcome, Topic};
+use crate::former::Entry;
 use crate::registry::{General, HostDelta, RouteDelta};
 use crate::time::Time;
 use crate::wire::Transfer;
@@ -21,6 +22,7 @@
             Response::Routes { as_of, content: Some((general, routes)) } => {
                 let delta = self.routes.snapshot_of(as_of, routes);
                 self.merge_routes(now, general, delta)?;
+                self.former.set_source();
             }
             Response::Routes { as_of, content: None } => self.routes.advance(as_of),
             Response::Unreadable { as_of, text } => {
@@ -88,6 +90,18 @@
         Ok(())
     }
 
+    /// Returns the services that routes no longer use after `delta`.
+    fn former_services(&self, now: Time, delta: &RouteDelta) -> Vec<Entry> {
+        let until = self.former.end_of_life(now);
+        let mut entries = Vec::new();
+        for item in &delta.put {
+            let Some(old) = self.routes.get(&item.key) else { continue };
+            let left = old.services().filter(|service| !item.value.allows(service));
+            entries.extend(left.map(|service| Entry { address: item.key, service: service.to_owned(), until }));
+        }
+        entries
+    }
+
     /// Applies a change of the routes. Within the lifetime of the process, the version of the configuration never
     /// decreases.
     fn merge_routes(&mut self, now: Time, general: General, delta: RouteDelta) -> Result<()> {
@@ -102,7 +116,9 @@
             return Err(stale(text));
         }
         let to = delta.to;
+        let former = self.former_services(now, &delta);
         let changed = self.routes.merge(delta)?;
+        self.former.record(former);
         if general != self.general {
             // Peers compare revisions, so a new version has to count as a change even if no route changed.
             self.routes.touch(to);
--- a/crates/poplarpaddle/src/lib.rs
+++ b/crates/poplarpaddle/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod feed;
 pub mod fleet;
 pub mod flow;
+pub mod former;
 pub mod health;
 pub mod ip;
 pub mod lease;
--- a/crates/poplarpaddle/src/registry.rs
+++ b/crates/poplarpaddle/src/registry.rs
@@ -80,7 +80,13 @@
     /// Returns true when new flows of the route may go to `service`.
     #[must_use]
     pub fn allows(&self, service: &str) -> bool {
-        if self.shares.is_empty() { self.service == service } else { self.shares.iter().any(|s| s.service == service) }
+        self.services().any(|allowed| allowed == service)
+    }
+
+    /// Returns the services that new flows of the route go to.
+    pub fn services(&self) -> impl Iterator<Item = &str> {
+        let single = self.shares.is_empty().then_some(self.service.as_str());
+        single.into_iter().chain(self.shares.iter().map(|share| share.service.as_str()))
     }
 }
 
--- a/crates/poplarpaddle/tests/direct/routing.rs
+++ b/crates/poplarpaddle/tests/direct/routing.rs
@@ -197,3 +197,22 @@
     harness.send(flow(1, 443), Mark::of(placed), Kind::Data, 100, 50);
     assert_eq!(harness.record.resets.len(), 2);
 }
+
+/// A balancer that starts after a route moved to another service drops the packets of its open flows until it is told of
+/// the former service.
+#[test]
+fn open_flows_of_a_former_service_continue_at_a_new_balancer() {
+    let mut harness = Harness::with_hosts(1, 2);
+    let former = host(77, "crewdocs", "a");
+    harness.register(&former);
+    harness.send(flow(1, 443), Mark::of(former.id), Kind::Data, 10, 51);
+    assert!(harness.record.sent.is_empty());
+    let until = Time::from_nanos(harness.now.as_nanos() + 5_000_000_000);
+    harness.engine.allow_former_service(flow(1, 443).service, "crewdocs", until);
+    harness.send(flow(1, 443), Mark::of(former.id), Kind::Data, 10, 51);
+    assert_eq!(harness.last_hop().host, former.id);
+    harness.advance(6000);
+    harness.record.sent.clear();
+    harness.send(flow(2, 443), Mark::of(former.id), Kind::Data, 10, 51);
+    assert!(harness.record.sent.is_empty(), "no flow from before the change is left");
+}
--- a/crates/poplarpaddle/tests/fleet/world.rs
+++ b/crates/poplarpaddle/tests/fleet/world.rs
@@ -8,6 +8,7 @@
 use poplarpaddle::error::{Error, Kind, Result};
 use poplarpaddle::feed::{self, Topic};
 use poplarpaddle::fleet::{Action, Node, Response, Settings};
+use poplarpaddle::former;
 use poplarpaddle::mark::HostId;
 use poplarpaddle::membership;
 use poplarpaddle::path::MemberId;
@@ -95,6 +96,8 @@
     config: Option<(General, Routes, u64)>,
     /// Changes before this revision are no longer known.
     floor: u64,
+    /// Former services that the nodes have saved.
+    pub former: Vec<former::Entry>,
 }
 
 /// A node and its state in the simulation.
@@ -115,6 +118,8 @@
     pub neighbors_changed_at: Time,
     /// Number of snapshots of the hosts that the node has sent to others.
     pub snapshots: u64,
+    /// Former services that the data path was told.
+    pub former: Vec<former::Entry>,
     /// Hosts that the data path was told to suspect.
     pub suspected: Vec<HostId>,
     /// Number of datagrams that the node has sent.
@@ -169,6 +174,7 @@
                     zone_alive_at: BTreeMap::new(),
                     neighbors_changed_at: Time::default(),
                     snapshots: 0,
+                    former: Vec::new(),
                     suspected: Vec::new(),
                     datagrams: 0,
                 });
@@ -223,7 +229,7 @@
         };
         let membership = membership::Settings { seeds, alone_ms: 50, ..Default::default() };
         let feed = feed::Settings { bound: self.bound };
-        instance.node = Some(Node::new(now, Settings { membership, feed }, me));
+        instance.node = Some(Node::new(now, Settings { membership, feed, ..Default::default() }, me));
         self.tick(index);
     }
 
@@ -272,11 +278,16 @@
     }
 
     pub fn publish(&mut self, version: u64, ports: &[u16]) {
+        self.publish_service(version, ports, "bookings");
+    }
+
+    /// Publishes a configuration whose routes lead to `service`.
+    pub fn publish_service(&mut self, version: u64, ports: &[u16], service: &str) {
         self.store.revision += 1;
         let general = General { version, idle_ms: 15_000 };
         let route = |port: &u16| {
             let address = format!("198.18.0.1:{port}").parse().unwrap();
-            (address, Route { service: "bookings".into(), timeout_ms: u32::from(*port), ..Default::default() })
+            (address, Route { service: service.into(), timeout_ms: u32::from(*port), ..Default::default() })
         };
         self.store.config = Some((general, ports.iter().map(route).collect(), self.store.revision));
         self.notify_watches(Topic::Routes);
@@ -435,10 +446,32 @@
             Action::ZoneAlive(zone) => drop(self.instances[index].zone_alive_at.insert(zone, now)),
             Action::NeighborsChanged => self.instances[index].neighbors_changed_at = now,
             Action::HostsSuspected(hosts) => self.instances[index].suspected.extend(hosts),
+            Action::Former(action) => self.call_former(index, action),
+            Action::FormerServices(entries) => self.instances[index].former.extend(entries),
             Action::RoutesChanged(_) | Action::Event(_) => {}
         }
     }
 
+    /// Performs a call about former services at once, since no test depends on its duration.
+    fn call_former(&mut self, index: usize, action: former::Action) {
+        let is_reachable = self.instances[index].store_access == Access::Reachable;
+        let outcome = if is_reachable { Ok(()) } else { Err(Error::new(Kind::Unavailable, "the store is away")) };
+        self.instances[index].store_calls += 1;
+        let now = self.now;
+        match action {
+            former::Action::Save(entries) => {
+                if is_reachable {
+                    self.store.former.extend(entries);
+                }
+                self.with(index, |node, _| node.former_saved(now, &outcome));
+            }
+            former::Action::Load => {
+                let entries = self.store.former.clone();
+                self.with(index, |node, _| node.former_loaded(now, outcome.map(|()| entries)));
+            }
+        }
+    }
+
     fn read(&mut self, node: usize, run_id: u64, topic: Topic) {
         self.instances[node].store_calls += 1;
         let (wait, response) = match self.instances[node].store_access {
