Drain zones in the data path for direct server return

Cause: an operator's order to send nothing more to the hosts of a zone had no place in the engine, so such a zone went on getting new flows. Change: Engine::set_zone_drain. Placement leaves out the hosts of drained zones, also for openings that were queued, buffered or repeated by their callers; established flows stay. Without a host elsewhere, openings are placed as if no zone was drained, and an event says so. The hosts of a zone that has returned are presumed cold for a while. Settings::zone_drains makes openings wait until the drains are known; without it nothing changes.

--- a/crates/poplarpaddle/src/direct.rs
+++ b/crates/poplarpaddle/src/direct.rs
@@ -33,12 +33,17 @@
 //! A host can accept connections and yet not respond to requests. New flows avoid hosts that are silent while others
 //! respond, to this balancer or to several members.
 //!
+//! # Drained zones
+//!
+//! An operator can drain a zone: its hosts keep their established flows and get no new ones.
+//!
 //! # Trade-offs
 //!
 //! Losing an entry only makes the request counts less exact, so entries are not replicated to peers. In return, each
 //! balancer knows only the part of a host's load that passes through itself.
 
 mod buffer;
+mod drain;
 mod engine;
 mod estimate;
 mod host;
--- /dev/null
+++ b/crates/poplarpaddle/src/direct/drain.rs
@@ -0,0 +1,172 @@
+//! Drained zones, whose hosts get no new flows, and the return of a zone.
+//!
+//! An operator drains a zone and takes it back later. The order is in force from the next opening on: openings that are
+//! queued, buffered or retransmitted by their callers leave the zone too. Established flows stay.
+//!
+//! If every usable host of a service is in a drained zone, its openings are placed as if no zone was drained. Hosts that
+//! are unreachable or do not answer count as usable here, because an order must not end when links fail.
+//!
+//! The hosts of a zone may have become cold while it was drained. Their registrations and the end of the drain arrive
+//! independently of each other, so the hosts of a zone that has just returned are presumed to be cold.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use rand::RngExt as _;
+use smallvec::SmallVec;
+
+use super::host::{Host, Index};
+use super::select::MAX_CANDIDATES;
+use super::{Engine, Outlet};
+use crate::time::Time;
+
+/// Time for which a host that starts is slower than usual.
+const COLD_START: Duration = Duration::from_secs(2);
+
+/// Time after the return of a zone in which registrations that were written before it may still arrive.
+const REORDERING: Duration = Duration::from_millis(500);
+
+/// Maximum number of hosts that are drawn at random to find [`MAX_CANDIDATES`] usable ones.
+const MAX_DRAWS: usize = 4 * MAX_CANDIDATES;
+
+/// State of the zone drains.
+#[derive(Debug)]
+pub(super) struct Drains {
+    /// False while openings wait until the drained zones are known.
+    is_known: bool,
+    /// Names of the drained zones, including those without hosts.
+    zones: BTreeSet<String>,
+    /// Whether the zone of each link is drained, by the index of the link.
+    links: Vec<bool>,
+    /// Services whose usable hosts are all in drained zones.
+    exhausted: BTreeSet<String>,
+    /// Those of them that no event has been recorded for.
+    unreported: Vec<String>,
+}
+
+impl Drains {
+    /// Returns the state without drained zones and links. `is_known` is false if openings have to wait until the drained
+    /// zones are known.
+    pub(super) const fn new(is_known: bool) -> Self {
+        Self { is_known, zones: BTreeSet::new(), links: Vec::new(), exhausted: BTreeSet::new(), unreported: Vec::new() }
+    }
+
+    pub(super) const fn is_known(&self) -> bool {
+        self.is_known
+    }
+
+    /// Adds the next link, which leads to `zone`.
+    pub(super) fn add_link(&mut self, zone: &str) {
+        self.links.push(self.zones.contains(zone));
+    }
+
+    /// Returns true when the host is in a drained zone.
+    pub(super) fn contains(&self, host: &Host) -> bool {
+        self.links[host.zone]
+    }
+
+    /// Returns true when the zone of a host may be drained.
+    fn is_active(&self) -> bool {
+        !self.zones.is_empty()
+    }
+
+    /// Drains a zone or ends its drain. Returns false if that changes nothing.
+    fn set(&mut self, zone: &str, drained: bool) -> bool {
+        // Every change gives another set of usable hosts, which is reported anew.
+        self.exhausted.clear();
+        if drained { self.zones.insert(zone.to_owned()) } else { self.zones.remove(zone) }
+    }
+
+    /// Records whether all usable hosts of a service are in drained zones.
+    fn set_exhausted(&mut self, service: &str, is_exhausted: bool) {
+        if is_exhausted == self.exhausted.contains(service) {
+            return;
+        }
+        if is_exhausted {
+            self.exhausted.insert(service.to_owned());
+            self.unreported.push(service.to_owned());
+        } else {
+            self.exhausted.remove(service);
+        }
+    }
+}
+
+impl Engine {
+    /// Drains a zone, so that its hosts get no new flows, or ends its drain. A zone without hosts may be drained too.
+    pub fn set_zone_drain(&mut self, now: Time, zone: &str, drained: bool, outlet: &mut dyn Outlet) {
+        if !self.drains.set(zone, drained) {
+            return;
+        }
+        let link = self.links.iter().position(|link| link.zone == zone);
+        let is_empty = link.is_none_or(|link| self.hosts.iter().all(|(_, host)| host.zone != link));
+        if drained && is_empty && !self.hosts.is_empty() {
+            outlet.record_event(now, "zone.without_hosts", zone, "the zone was drained, but no host is in it");
+        }
+        let Some(link) = link else { return };
+        self.drains.links[link] = drained;
+        if !drained {
+            self.presume_cold(now, link);
+        }
+        self.serve_queue_soon(now);
+    }
+
+    /// Records that the drained zones are known, which openings wait for if
+    /// [`Settings::zone_drains`](super::Settings::zone_drains) is set.
+    pub fn zone_drains_known(&mut self) {
+        self.drains.is_known = true;
+        self.update_ready();
+    }
+
+    /// Records an event for each service that has had to use drained zones since the last call.
+    pub(super) fn report_exhausted(&mut self, now: Time, outlet: &mut dyn Outlet) {
+        for service in self.drains.unreported.drain(..) {
+            let detail = "every usable host is in a drained zone, so new flows go there nevertheless";
+            outlet.record_event(now, "zones.all_drained", &service, detail);
+        }
+    }
+
+    /// Returns the hosts of a service to compare: usable ones outside drained zones. Returns none if no zone is drained or
+    /// all usable hosts are in drained zones.
+    pub(super) fn undrained_candidates(
+        &mut self,
+        now: Time,
+        service: &str,
+    ) -> Option<SmallVec<[Index; MAX_CANDIDATES]>> {
+        if !self.drains.is_active() {
+            return None;
+        }
+        let is_usable = |index: &Index| {
+            let host = self.hosts.get(*index).filter(|host| host.accepts_new(now) && !self.drains.contains(host));
+            host.is_some() && self.hosts.owns_mark(*index)
+        };
+        let hosts = self.hosts.with_service(service);
+        let mut usable = SmallVec::new();
+        if hosts.len() > MAX_CANDIDATES {
+            let draws = (0..MAX_DRAWS).map(|_| hosts[self.random.random_range(0..hosts.len())]);
+            usable.extend(draws.filter(is_usable).take(MAX_CANDIDATES));
+        }
+        if usable.is_empty() {
+            usable.extend(hosts.iter().copied().filter(is_usable).take(MAX_CANDIDATES));
+        }
+        let is_exhausted = usable.is_empty() && !hosts.is_empty();
+        self.drains.set_exhausted(service, is_exhausted);
+        (!usable.is_empty()).then_some(usable)
+    }
+
+    /// Ends the presumption that a host is cold, because its registration has changed, unless the registration may be
+    /// older than the return of its zone.
+    pub(super) fn confirm_warmth(&mut self, now: Time, index: Index) {
+        let Some(host) = self.hosts.get_mut(index) else { return };
+        if now.reached(host.warmth_known_from) {
+            host.presumed_cold_until = Time::default();
+        }
+    }
+
+    /// Presumes that the hosts of a zone are cold, because its drain has ended.
+    fn presume_cold(&mut self, now: Time, link: usize) {
+        for host in self.hosts.iter_mut().filter(|host| host.zone == link) {
+            host.presumed_cold_until = now + COLD_START;
+            host.warmth_known_from = now + REORDERING;
+        }
+    }
+}
--- a/crates/poplarpaddle/src/direct/engine.rs
+++ b/crates/poplarpaddle/src/direct/engine.rs
@@ -7,6 +7,7 @@
 use rand_pcg::Pcg64Mcg;
 
 use super::buffer::Buffer;
+use super::drain::Drains;
 use super::link::{Change, Link};
 use super::opening::Pending;
 use super::queue::Queue;
@@ -67,13 +68,14 @@
     pub(super) hosts: host::Table,
     pub(super) routes: route::Table,
     pub(super) links: Vec<Link>,
+    pub(super) drains: Drains,
     pub(super) retries: Budget,
     pub(super) random: Pcg64Mcg,
     pub(super) counters: Counters,
     pub(super) next_sweep: Time,
     /// When overdue requests are searched for.
     pub(super) next_overdue: Time,
-    /// True once hosts and routes have been known.
+    /// True once hosts, routes and, if required, zone drains have been known.
     ready: bool,
     buffer: Buffer,
     pub(super) queue: Queue,
@@ -96,12 +98,15 @@
     /// Returns an engine without hosts and routes.
     #[must_use]
     pub fn new(settings: Settings) -> Self {
+        let mut drains = Drains::new(!settings.zone_drains);
+        drains.add_link(&settings.zone);
         Self {
             flows: map::seeded(settings.seed),
             timers: BinaryHeap::new(),
             hosts: host::Table::default(),
             routes: route::Table::default(),
             links: vec![Link::new(&settings.zone)],
+            drains,
             retries: Budget::new(settings.retry),
             random: Pcg64Mcg::seed_from_u64(settings.seed),
             counters: Counters::default(),
@@ -155,6 +160,9 @@
         if let Some(index) = known.filter(|index| self.hosts.find(name) != Some(*index)) {
             self.hosts.deregister(index, now, remove_at);
         }
+        if let Some(index) = known {
+            self.confirm_warmth(now, index);
+        }
         self.start_sweeps(now);
         self.update_ready();
     }
@@ -203,6 +211,7 @@
             Kind::Data | Kind::Closing | Kind::Reset => self.forward_established(now, mark, packet, outlet),
         }
         self.serve_queue_if_freed(now, outlet);
+        self.report_exhausted(now, outlet);
     }
 
     /// Processes everything that is due at `now`.
@@ -216,6 +225,7 @@
         self.tick_queue(now, outlet);
         self.sweep_if_due(now, outlet);
         self.serve_queue_if_freed(now, outlet);
+        self.report_exhausted(now, outlet);
     }
 
     /// Returns the time at which [`Self::tick`] has to be called next.
@@ -229,10 +239,10 @@
         links.chain([opening, self.next_sweep, self.next_overdue, self.queue.deadline()]).min().unwrap_or(Time::NEVER)
     }
 
-    /// Sets `ready` once hosts and routes are known. The engine stays ready when a configuration removes the last
+    /// Sets `ready` once hosts, routes and, if required, zone drains are known. The engine stays ready when a configuration removes the last
     /// route.
-    fn update_ready(&mut self) {
-        self.ready |= !self.routes.is_empty() && !self.hosts.is_empty();
+    pub(super) fn update_ready(&mut self) {
+        self.ready |= !self.routes.is_empty() && !self.hosts.is_empty() && self.drains.is_known();
     }
 
     /// Chooses the service for a new flow by the weights of its route.
@@ -427,6 +437,7 @@
             return index;
         }
         self.links.push(Link::new(zone));
+        self.drains.add_link(zone);
         self.links.len() - 1
     }
 
@@ -449,7 +460,7 @@
     }
 
     /// Makes the next call of [`Self::tick`] due now if openings are queued, because the hosts changed.
-    fn serve_queue_soon(&mut self, now: Time) {
+    pub(super) fn serve_queue_soon(&mut self, now: Time) {
         if !self.queue.is_empty() {
             self.capacity_freed = true;
             self.next_sweep = self.next_sweep.min(now);
--- a/crates/poplarpaddle/src/direct/host.rs
+++ b/crates/poplarpaddle/src/direct/host.rs
@@ -35,6 +35,10 @@
     pub(super) last_answer: Time,
     pub(super) reach: Reach,
     pub(super) suspicion: Suspicion,
+    /// Time until which the host counts as cold whatever its registration says, because its zone has returned from a drain.
+    pub(super) presumed_cold_until: Time,
+    /// When a changed registration shows that the host is warm, although its zone has returned from a drain.
+    pub(super) warmth_known_from: Time,
     /// Time until which the host accepts new flows after its registration ended; none while it is registered.
     pub(super) grace: Option<Time>,
     /// When the host is removed from the table.
@@ -48,6 +52,11 @@
         is_active && self.record.state == State::Ready
     }
 
+    /// Returns true when the host is slower than usual, because it has just started or is presumed to have.
+    pub(super) fn is_cold(&self, now: Time) -> bool {
+        !now.reached(self.record.cold_until) || !now.reached(self.presumed_cold_until)
+    }
+
     pub(super) const fn is_registered(&self) -> bool {
         self.grace.is_none()
     }
@@ -219,6 +228,8 @@
             last_answer: Time::default(),
             reach: Reach::default(),
             suspicion: Suspicion::default(),
+            presumed_cold_until: Time::default(),
+            warmth_known_from: Time::default(),
             grace: None,
             remove_at: Time::NEVER,
         };
--- a/crates/poplarpaddle/src/direct/opening.rs
+++ b/crates/poplarpaddle/src/direct/opening.rs
@@ -252,10 +252,11 @@
         if !self.may_move(now, entry.host, pending, cause) {
             return entry.host;
         }
+        let accepts_new = |host: &Host| host.accepts_new(now) && !self.drains.contains(host);
         let is_answering = self
             .hosts
             .get(entry.host)
-            .is_some_and(|host| host.unanswered <= 1 && host.accepts_new(now) && !self.is_failing(now, host));
+            .is_some_and(|host| host.unanswered <= 1 && accepts_new(host) && !self.is_failing(now, host));
         if is_answering && pending.attempts < 2 {
             return entry.host;
         }
--- a/crates/poplarpaddle/src/direct/select.rs
+++ b/crates/poplarpaddle/src/direct/select.rs
@@ -9,7 +9,7 @@
 
 /// Maximum number of hosts compared for an opening. From a larger service, this many are drawn at random, so that the
 /// time per opening does not grow with the service.
-const MAX_CANDIDATES: usize = 64;
+pub(super) const MAX_CANDIDATES: usize = 64;
 
 /// Load of a request on a host that has just started, in percent of its load on a warm host.
 const COLD_PERCENT: u64 = 170;
@@ -44,7 +44,7 @@
 impl Engine {
     /// Returns the best host of `service` for a new flow, other than those in `excluded`, and whether it has capacity.
     pub(super) fn select_host(&mut self, now: Time, service: &str, excluded: &[Index]) -> Option<(Index, bool)> {
-        let candidates = self.candidates(service);
+        let candidates = self.undrained_candidates(now, service).unwrap_or_else(|| self.candidates(service));
         let mut best: Option<(Cost, Index)> = None;
         for index in candidates {
             if excluded.contains(&index) || !self.hosts.owns_mark(index) {
@@ -75,7 +75,7 @@
         let failing = self.is_failing(now, host);
         let is_trial = self.links[host.zone].is_trial_due(now) && !is_avoided(now, host);
         let capacity = u32::from(host.record.slots) + u32::from(self.settings.limit.backlog);
-        let cold_percent = if now.reached(host.record.cold_until) { 100 } else { COLD_PERCENT };
+        let cold_percent = if host.is_cold(now) { COLD_PERCENT } else { 100 };
         // A failing host never counts as full: its requests may have ended without this balancer seeing it.
         let fitness = match (host.busy - host.overdue >= capacity, host.suspicion.is_active(now)) {
             (true, _) if !failing => Fitness::Full,
--- a/crates/poplarpaddle/src/direct/settings.rs
+++ b/crates/poplarpaddle/src/direct/settings.rs
@@ -12,6 +12,8 @@
     pub zone: String,
     /// Seed of the random generator and of the hash of flows. Callers must not be able to predict it.
     pub seed: u64,
+    /// True if openings have to wait until the drained zones are known.
+    pub zone_drains: bool,
     /// Maximum number of flows with an entry.
     pub max_flows: usize,
     /// Time without packets after which the entry of a flow is removed, and its request no longer counts.
@@ -45,6 +47,7 @@
         Self {
             zone: String::new(),
             seed: 0,
+            zone_drains: false,
             max_flows: 65_536,
             idle_timeout: Duration::from_secs(3),
             linger: Duration::from_mins(1),
--- a/crates/poplarpaddle/tests/direct/main.rs
+++ b/crates/poplarpaddle/tests/direct/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the data path for direct server return.
 #![allow(missing_docs, clippy::pedantic, reason = "tests name their failures in their names and comments")]
 
+mod drains;
 mod openings;
 mod outliers;
 mod random;
