Replicate zone drains as a third topic and read them from the platform

Cause: evacuations in the platform's store were neither read nor spread. A node with the topic is ready once it knows the drains. An entry that cannot be read but has a name counts as the order, and is logged.

--- a/crates/poplarpaddle-balancer/src/direct/daemon.rs
+++ b/crates/poplarpaddle-balancer/src/direct/daemon.rs
@@ -5,6 +5,7 @@
 
 use eyre::Context as _;
 use poplarpaddle::direct::{Engine, Layout};
+use poplarpaddle::feed::Topic;
 use poplarpaddle::fleet::{Node, Store};
 use poplarpaddle::path::MemberId;
 use poplarpaddle::time::Time;
@@ -109,6 +110,7 @@
         engine: Engine::new(direct::Settings {
             zone: settings.zone.clone(),
             seed: rand::random(),
+            zone_drains: settings.zone_drains,
             linger: settings.flow_life,
             ..Default::default()
         }),
@@ -149,7 +151,8 @@
         alone_ms: ALONE_INTERVAL_MS,
         ..Default::default()
     };
-    let feed = feed::Settings { bound: settings.bound };
+    let topics: &[Topic] = if settings.zone_drains { &Topic::ALL } else { &Topic::REQUIRED };
+    let feed = feed::Settings { bound: settings.bound, topics };
     Node::new(now, fleet::Settings { membership, feed }, record)
 }
 
--- a/crates/poplarpaddle-balancer/src/direct/server.rs
+++ b/crates/poplarpaddle-balancer/src/direct/server.rs
@@ -7,6 +7,7 @@
 use axum::http::{StatusCode, header};
 use axum::response::{IntoResponse, Response};
 use axum::routing::get;
+use poplarpaddle::fleet::Revisions;
 use poplarpaddle_io::peer;
 use serde::Deserialize;
 use tokio::sync::{mpsc, oneshot};
@@ -22,13 +23,15 @@
     pub(super) telemetry: Telemetry,
 }
 
-/// Query parameters of `GET /peer/parcel`: the revisions of hosts and routes that the peer has.
+/// Query parameters of `GET /peer/parcel`: the revisions that the peer has.
 #[derive(Debug, Clone, Copy, Default, Deserialize)]
 struct Params {
     #[serde(default)]
     hosts: u64,
     #[serde(default)]
     routes: u64,
+    #[serde(default)]
+    zone_drains: u64,
 }
 
 /// Returns the HTTP routes for peers.
@@ -48,7 +51,8 @@
 async fn changes(State(context): State<Context>, Query(params): Query<Params>) -> Response {
     let (sender, receiver) = oneshot::channel();
     let stopping = || (StatusCode::SERVICE_UNAVAILABLE, "the balancer is shutting down").into_response();
-    if context.inputs.send(Input::Changes { hosts: params.hosts, routes: params.routes, reply: sender }).is_err() {
+    let since = Revisions { hosts: params.hosts, routes: params.routes, zone_drains: params.zone_drains };
+    if context.inputs.send(Input::Changes { since, reply: sender }).is_err() {
         return stopping();
     }
     match receiver.await {
--- a/crates/poplarpaddle-balancer/src/direct/settings.rs
+++ b/crates/poplarpaddle-balancer/src/direct/settings.rs
@@ -22,6 +22,8 @@
     pub seeds: Vec<SocketAddr>,
     /// Time within which a change in the store has to be in force.
     pub bound: Duration,
+    /// True if operators can drain zones through the store.
+    pub zone_drains: bool,
     /// Minimum time for which a leaving balancer continues to forward packets.
     pub drain: Duration,
     /// Maximum time for which a leaving balancer continues to forward packets while they still arrive.
@@ -43,6 +45,7 @@
             tools: loopback.into(),
             seeds: Vec::new(),
             bound: Duration::from_secs(7),
+            zone_drains: false,
             drain: Duration::from_millis(2500),
             max_drain: Duration::from_millis(4500),
             flow_life: Duration::from_mins(1),
--- a/crates/poplarpaddle-balancer/src/direct/task.rs
+++ b/crates/poplarpaddle-balancer/src/direct/task.rs
@@ -8,7 +8,7 @@
 use poplarpaddle::error::Result;
 use poplarpaddle::event::Event;
 use poplarpaddle::feed::Topic;
-use poplarpaddle::fleet::{Action, Node, Response, Store};
+use poplarpaddle::fleet::{Action, Node, Response, Revisions, Store};
 use poplarpaddle::path::MemberId;
 use poplarpaddle::time::Time;
 use poplarpaddle::wire::Transfer;
@@ -51,11 +51,11 @@
     /// Outcome of a read or watch of a collection in the store.
     Store(Topic, Result<Response>),
     /// Outcome of a pull from a peer.
-    Pulled(MemberId, Result<Transfer>),
+    Pulled(MemberId, Result<Box<Transfer>>),
     /// Result of a check of a host: whether it accepted a connection.
     Checked(CheckId, bool),
-    /// A peer pulls the changes after its revisions of hosts and routes.
-    Changes { hosts: u64, routes: u64, reply: oneshot::Sender<Result<Vec<u8>>> },
+    /// A peer pulls the changes after its revisions.
+    Changes { since: Revisions, reply: oneshot::Sender<Result<Vec<u8>>> },
     /// A request for the status.
     Status(oneshot::Sender<Status>),
     /// New seeds after a reload of the settings.
@@ -91,10 +91,13 @@
     routes: usize,
     members: usize,
     flows: u64,
-    /// Whether this process reads hosts and routes, in this order, from the store itself.
-    reads: [bool; 2],
-    /// Time since the store confirmed hosts and routes, in this order, in milliseconds.
-    age_ms: [u64; 2],
+    /// Drained zones; absent if operators cannot drain zones through the store.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    drained_zones: Option<Vec<String>>,
+    /// Whether this process reads hosts, routes and zone drains, in this order, from the store itself.
+    reads: Vec<bool>,
+    /// Time since the store confirmed hosts, routes and zone drains, in this order, in milliseconds.
+    age_ms: Vec<u64>,
 }
 
 /// Task that owns the engine and the node.
@@ -203,13 +206,13 @@
         self.save_hosts_confirmed();
         match input {
             Input::Store(topic, response) => self.node.store_answered(now, topic, response),
-            Input::Pulled(member, transfer) => self.node.pulled(now, member, transfer),
+            Input::Pulled(member, transfer) => self.node.pulled(now, member, transfer.map(|transfer| *transfer)),
             Input::Checked(id, is_reachable) => {
                 self.with_engine(|engine, now, outlet| engine.checked(now, id, is_reachable, outlet));
             }
-            Input::Changes { hosts, routes, reply } => {
+            Input::Changes { since, reply } => {
                 // A failed send means that the peer no longer waits for the reply.
-                drop(reply.send(self.node.changes_since(now, hosts, routes).and_then(|changes| changes.encode())));
+                drop(reply.send(self.node.changes_since(now, since).and_then(|changes| changes.encode())));
             }
             Input::Status(reply) => drop(reply.send(self.status(now))),
             Input::Seeds(seeds) => self.node.set_seeds(seeds),
@@ -290,7 +293,7 @@
             }
             Action::Read(topic) => self.read(topic),
             Action::Watch { topic, revision, until } => self.watch(topic, revision, until),
-            Action::Pull { member, peer, hosts, routes, until } => self.pull(member, peer, (hosts, routes), until),
+            Action::Pull { member, peer, since, until } => self.pull(member, peer, since, until),
             Action::HostsChanged(names) => self.update_hosts(&names),
             Action::RoutesChanged(addresses) => {
                 let now = self.clock.now();
@@ -298,6 +301,7 @@
                     self.engine.set_route(now, address, self.node.routes().get(&address));
                 }
             }
+            Action::ZoneDrainsChanged(zones) => self.update_zone_drains(&zones),
             Action::ZoneAlive(zone) => self.with_engine(|engine, now, outlet| engine.zone_alive(now, &zone, outlet)),
             Action::NeighborsChanged => self.engine.flows_may_move(self.clock.now()),
             Action::HostsSuspected(hosts) => {
@@ -322,6 +326,7 @@
             version: self.node.general().version,
             hosts: self.node.hosts().len() as u64,
             members: self.node.membership().reachable().len() as u64,
+            drained_zones: self.node.zone_drains().len() as u64,
         });
     }
 
@@ -339,6 +344,15 @@
         }
     }
 
+    /// Updates the engine for zones that were drained or returned.
+    fn update_zone_drains(&mut self, zones: &[String]) {
+        for zone in zones {
+            let drained = self.node.zone_drains().get(zone).is_some();
+            self.with_engine(|engine, now, outlet| engine.set_zone_drain(now, zone, drained, outlet));
+        }
+        self.engine.zone_drains_known();
+    }
+
     fn read(&self, topic: Topic) {
         let (store, outcomes, telemetry, clock) =
             (Arc::clone(&self.store), self.outcomes.clone(), self.telemetry.clone(), self.clock);
@@ -361,17 +375,19 @@
         });
     }
 
-    /// Pulls the changes after `revisions`, which are the revisions of hosts and routes, from a peer.
-    fn pull(&self, member: MemberId, peer: SocketAddr, revisions: (u64, u64), until: Time) {
+    /// Pulls the changes after the revisions `since` from a peer.
+    fn pull(&self, member: MemberId, peer: SocketAddr, since: Revisions, until: Time) {
         let (client, outcomes, telemetry, clock) =
             (self.peers.clone(), self.outcomes.clone(), self.telemetry.clone(), self.clock);
         tokio::spawn(async move {
             let started = clock.now();
-            let path = format!("/peer/parcel?hosts={}&routes={}", revisions.0, revisions.1);
+            let Revisions { hosts, routes, zone_drains } = since;
+            let drains = if zone_drains > 0 { format!("&zone_drains={zone_drains}") } else { String::new() };
+            let path = format!("/peer/parcel?hosts={hosts}&routes={routes}{drains}");
             let bytes = client.fetch_up_to(TRANSFER_LIMIT, peer, &path, until).await;
             let transfer = bytes.and_then(|bytes| Transfer::decode(&bytes));
             telemetry.record_call("pull", outcome_label(&transfer), clock.now().since(started));
-            drop(outcomes.send(Input::Pulled(member, transfer)));
+            drop(outcomes.send(Input::Pulled(member, transfer.map(Box::new))));
         });
     }
 
@@ -389,6 +405,13 @@
         });
     }
 
+    /// Returns the names of the drained zones, sorted.
+    fn drained_zones(&self) -> Vec<String> {
+        let mut zones: Vec<String> = self.node.zone_drains().iter().map(|(zone, _)| zone.clone()).collect();
+        zones.sort_unstable();
+        zones
+    }
+
     fn status(&self, now: Time) -> Status {
         let (me, feed) = (self.node.membership().me(), self.node.feed());
         let age = |topic| u64::try_from(now.since(feed.confirmed(topic)).as_millis()).unwrap_or(u64::MAX);
@@ -401,8 +424,9 @@
             routes: self.node.routes().len(),
             members: self.node.membership().reachable().len(),
             flows: self.engine.counters().flows,
-            reads: Topic::ALL.map(|topic| feed.is_reader(now, topic)),
-            age_ms: Topic::ALL.map(age),
+            drained_zones: feed.has_topic(Topic::ZoneDrains).then(|| self.drained_zones()),
+            reads: feed.topics().iter().map(|topic| feed.is_reader(now, *topic)).collect(),
+            age_ms: feed.topics().iter().copied().map(age).collect(),
         }
     }
 }
--- a/crates/poplarpaddle-balancer/src/direct/telemetry.rs
+++ b/crates/poplarpaddle-balancer/src/direct/telemetry.rs
@@ -33,6 +33,7 @@
     pub(super) version: u64,
     pub(super) hosts: u64,
     pub(super) members: u64,
+    pub(super) drained_zones: u64,
 }
 
 /// Telemetry shared by all tasks of the daemon.
@@ -74,13 +75,14 @@
         let read = self.reader();
         let _gauge = meter
             .u64_observable_gauge("poplarpaddle.state")
-            .with_description("Version of the configuration, hosts, members and flows known now")
+            .with_description("Version of the configuration, hosts, members, drained zones and flows known now")
             .with_callback(move |observer| {
                 let latest = read();
                 let values = [
                     ("config", latest.version),
                     ("hosts", latest.hosts),
                     ("members", latest.members),
+                    ("drained_zones", latest.drained_zones),
                     ("flows", latest.engine.flows),
                 ];
                 for (quantity, value) in values {
--- a/crates/poplarpaddle/examples/registry.rs
+++ b/crates/poplarpaddle/examples/registry.rs
@@ -8,7 +8,7 @@
 
 use poplarpaddle::direct::{Engine, Settings};
 use poplarpaddle::feed::Topic;
-use poplarpaddle::fleet::{self, Node, Response};
+use poplarpaddle::fleet::{self, Node, Response, Revisions};
 use poplarpaddle::mark::HostId;
 use poplarpaddle::path::MemberId;
 use poplarpaddle::registry::{General, Host, Route, State};
@@ -52,10 +52,12 @@
     changed[0].1.timeout_ms = 9;
     let content = Some((General { version: 2, idle_ms: 15_000 }, changed));
     node.store_answered(now, Topic::Routes, Ok(Response::Routes { as_of: 4, content }));
-    let one_host = node.changes_since(now, 2, 4).unwrap().encode().unwrap().len();
-    let one_route = node.changes_since(now, 4, 2).unwrap().encode().unwrap().len();
+    let one_host =
+        node.changes_since(now, Revisions { hosts: 2, routes: 4, zone_drains: 0 }).unwrap().encode().unwrap().len();
+    let one_route =
+        node.changes_since(now, Revisions { hosts: 4, routes: 2, zone_drains: 0 }).unwrap().encode().unwrap().len();
     let start = Instant::now();
-    let whole = node.changes_since(now, 0, 0).unwrap().encode().unwrap().len();
+    let whole = node.changes_since(now, Revisions::default()).unwrap().encode().unwrap().len();
     let pull_ms = start.elapsed().as_millis();
     println!("{hosts}, {routes}, {resident:.1}, {read_ms}, {one_host}, {one_route}, {whole}, {pull_ms}");
 }
--- a/crates/poplarpaddle/src/feed.rs
+++ b/crates/poplarpaddle/src/feed.rs
@@ -24,6 +24,10 @@
 //! watch. Confirmations cost one message per member about three times per [`Settings::bound`]. In return, a member that
 //! is cut off from its reader, but not from the store, detects this within the bound.
 
+mod settings;
+
+pub use settings::Settings;
+
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -53,11 +57,17 @@
     /// Configured routes.
     #[display("routes")]
     Routes,
+    /// Drained zones.
+    #[display("zone drains")]
+    ZoneDrains,
 }
 
 impl Topic {
     /// Every topic, in the order of [`Announcement::positions`].
-    pub const ALL: [Self; 2] = [Self::Hosts, Self::Routes];
+    pub const ALL: [Self; 3] = [Self::Hosts, Self::Routes, Self::ZoneDrains];
+
+    /// Topics that every deployment has.
+    pub const REQUIRED: [Self; 2] = [Self::Hosts, Self::Routes];
 }
 
 /// Revisions of one topic that a member has.
@@ -77,52 +87,8 @@
 pub struct Announcement {
     /// Member that received the state from the store; root of the tree along which the announcement is forwarded.
     pub root: MemberId,
-    /// Positions in the order of [`Topic::ALL`].
-    pub positions: [Position; 2],
-}
-
-/// Settings of a [`Feed`].
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Settings {
-    /// Time within which a change in the store has to take effect at every member that can reach the store.
-    pub bound: Duration,
-}
-
-impl Default for Settings {
-    fn default() -> Self {
-        // The requirement is that a change takes effect everywhere within 7 s.
-        Self { bound: Duration::from_secs(7) }
-    }
-}
-
-impl Settings {
-    /// Returns the time for which a watch waits for a change.
-    #[must_use]
-    pub fn watch_timeout(&self) -> Duration {
-        self.bound.mul_f64(0.35)
-    }
-
-    /// Returns the time for a peer to answer a pull of both whole collections. At the size that the system is
-    /// designed for, with a bound of 7 s, such a pull takes 4.2 s.
-    #[must_use]
-    pub fn snapshot_timeout(&self) -> Duration {
-        self.bound.mul_f64(0.7)
-    }
-
-    /// Returns the age of the last confirmation from peers at which a member reads the store itself. `rank` is the
-    /// position of the member in the order of identifiers.
-    ///
-    /// Lower ranks take over first, so that the failure of a reader does not make all members read the store at once.
-    /// The highest value leaves 0.15 of the bound for the calls to the store.
-    #[must_use]
-    pub fn takeover_age(&self, rank: usize) -> Duration {
-        match rank {
-            0 => Duration::ZERO,
-            1 => self.bound.mul_f64(0.55),
-            2 => self.bound.mul_f64(0.70),
-            _ => self.bound.mul_f64(0.85),
-        }
-    }
+    /// Positions in the order of [`Topic::ALL`]; the default for topics that the sender does not replicate.
+    pub positions: [Position; 3],
 }
 
 /// Action that a [`Feed`] requests from its caller.
@@ -195,7 +161,8 @@
 pub struct Feed {
     settings: Settings,
     me: MemberId,
-    collections: [Collection; 2],
+    /// Collections in the order of [`Topic::ALL`].
+    collections: [Collection; 3],
     /// Reachable members including this one, in the order of identifiers.
     members: Vec<MemberId>,
     pull: Option<(MemberId, Time)>,
@@ -220,7 +187,7 @@
         Self {
             settings,
             me,
-            collections: [collection; 2],
+            collections: [collection; 3],
             members: Vec::new(),
             pull: None,
             pending_root: None,
@@ -236,12 +203,28 @@
     /// Returns the announcement of this member's state. `root` is the member that received it from the store.
     #[must_use]
     pub fn announcement(&self, now: Time, root: MemberId) -> Announcement {
-        let position = |collection: &Collection| Position {
-            revision: collection.revision,
-            as_of: collection.as_of,
-            age_ms: age_ms(now, collection.confirmed),
-        };
-        Announcement { root, positions: self.collections.each_ref().map(position) }
+        let mut positions = [Position::default(); 3];
+        for topic in self.settings.topics {
+            let collection = &self.collections[*topic as usize];
+            positions[*topic as usize] = Position {
+                revision: collection.revision,
+                as_of: collection.as_of,
+                age_ms: age_ms(now, collection.confirmed),
+            };
+        }
+        Announcement { root, positions }
+    }
+
+    /// Returns the topics that this member replicates.
+    #[must_use]
+    pub const fn topics(&self) -> &'static [Topic] {
+        self.settings.topics
+    }
+
+    /// Returns true when this member replicates `topic`.
+    #[must_use]
+    pub fn has_topic(&self, topic: Topic) -> bool {
+        self.settings.topics.contains(&topic)
     }
 
     /// Returns the time at which the store last confirmed the state of `topic`.
@@ -270,8 +253,8 @@
             self.members = members.to_vec();
         }
         self.pull = self.pull.filter(|(_, until)| !now.reached(*until));
-        for topic in Topic::ALL {
-            self.start_call(now, topic);
+        for topic in self.settings.topics {
+            self.start_call(now, *topic);
         }
     }
 
@@ -279,7 +262,7 @@
     #[must_use]
     pub fn deadline(&self) -> Time {
         let takeover_age = self.settings.takeover_age(self.rank());
-        let due = self.collections.iter().map(|collection| match collection.call {
+        let due = self.replicated().map(|collection| match collection.call {
             Call::InFlight => Time::NEVER,
             Call::Backoff(until) => until.max(collection.peer_confirmed + takeover_age),
             Call::Idle => collection.peer_confirmed + takeover_age,
@@ -320,7 +303,9 @@
     pub fn receive(&mut self, now: Time, from: MemberId, announcement: &Announcement, forward: bool) {
         let mut behind = false;
         let mut fresher = false;
-        for (collection, position) in self.collections.iter_mut().zip(&announcement.positions) {
+        for topic in self.settings.topics {
+            let position = &announcement.positions[*topic as usize];
+            let collection = &mut self.collections[*topic as usize];
             let confirmed = Time::from_nanos(now.as_nanos().saturating_sub(u64::from(position.age_ms) * 1_000_000));
             if position.as_of == 0 || position.age_ms == u32::MAX {
                 continue;
@@ -352,7 +337,9 @@
             self.pull = None;
         }
         let Some(announcement) = announcement else { return };
-        for (collection, position) in self.collections.iter_mut().zip(&announcement.positions) {
+        for topic in self.settings.topics {
+            let position = &announcement.positions[*topic as usize];
+            let collection = &mut self.collections[*topic as usize];
             collection.revision = collection.revision.max(position.revision);
             collection.as_of = collection.as_of.max(position.as_of);
         }
@@ -362,6 +349,11 @@
         }
     }
 
+    /// Returns the collections that this member replicates.
+    fn replicated(&self) -> impl Iterator<Item = &Collection> {
+        self.settings.topics.iter().map(|topic| &self.collections[*topic as usize])
+    }
+
     /// Returns the position of this member in the order of identifiers.
     fn rank(&self) -> usize {
         self.members.iter().position(|id| *id == self.me).unwrap_or(0)
@@ -370,7 +362,7 @@
     /// Pulls from a member, unless a pull is in progress.
     fn pull(&mut self, now: Time, from: MemberId) {
         if self.pull.is_none() {
-            let has_no_state = self.collections.iter().any(|collection| collection.as_of == 0);
+            let has_no_state = self.replicated().any(|collection| collection.as_of == 0);
             let until = now + if has_no_state { self.settings.snapshot_timeout() } else { PULL_TIMEOUT };
             self.pull = Some((from, until));
             self.actions.push(Action::Pull { member: from, until });
--- a/crates/poplarpaddle/src/fleet.rs
+++ b/crates/poplarpaddle/src/fleet.rs
@@ -1,4 +1,4 @@
-//! One balancer of a fleet, with its view of the hosts and routes in a store.
+//! One balancer of a fleet, with its view of the hosts, routes and zone drains in a store.
 //!
 //! [`Node`] connects [`membership`], [`feed`] and the [`registry`](crate::registry). Its inputs are the datagrams of
 //! peers, the responses of the store and the changes pulled from peers. Its outputs are datagrams, calls to the store
@@ -27,9 +27,9 @@
 mod apply;
 mod messages;
 mod outlier;
+mod store;
 
 use std::net::SocketAddr;
-use std::pin::Pin;
 use std::time::Duration;
 
 use crate::error::{Error, Kind, Result};
@@ -39,13 +39,14 @@
 use crate::mark::HostId;
 use crate::membership::{self, Membership};
 use crate::path::MemberId;
-use crate::registry::{Address, General, HostDelta, Hosts, Route, Routes};
+use crate::registry::{Address, General, Hosts, Routes, ZoneDrains};
 use crate::time::Time;
-use crate::wire::{Record, State, Transfer, VERSION};
+use crate::wire::{Record, State, TRANSFER_VERSION, Transfer};
 
 use messages::Requests;
 pub use outlier::MAX_OUTLIERS;
 use outlier::Outliers;
+pub use store::{Fault, Pending, Response, Store};
 
 /// Time budget per host or route in a snapshot. An entry has about 66 bytes, so this limits snapshots to 10 Mbit/s.
 const ENTRY_TRANSFER_TIME: Duration = Duration::from_micros(50);
@@ -63,6 +64,17 @@
     pub feed: feed::Settings,
 }
 
+/// Revisions of the collections that a node has; 0 for those that it lacks.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Revisions {
+    /// Revision of the hosts.
+    pub hosts: u64,
+    /// Revision of the routes.
+    pub routes: u64,
+    /// Revision of the zone drains.
+    pub zone_drains: u64,
+}
+
 /// Action that a [`Node`] requests from its caller.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Action {
@@ -85,10 +97,8 @@
         member: MemberId,
         /// Address of the member.
         peer: SocketAddr,
-        /// Revision of the hosts that this node has.
-        hosts: u64,
-        /// Revision of the routes that this node has.
-        routes: u64,
+        /// Revisions that this node has.
+        since: Revisions,
         /// When the pull times out.
         until: Time,
     },
@@ -96,6 +106,9 @@
     HostsChanged(Vec<String>),
     /// The routes with these addresses were added, changed or removed in [`Node::routes`].
     RoutesChanged(Vec<Address>),
+    /// These zones were added to or removed from [`Node::zone_drains`]. The list is empty when the zone drains became known
+    /// and there is none.
+    ZoneDrainsChanged(Vec<String>),
     /// A message from a member of this zone arrived, so the zone is reachable.
     ZoneAlive(String),
     /// The members in the own zone changed, so the routers may move flows between them.
@@ -106,63 +119,6 @@
     Event(Event),
 }
 
-/// Response of the store to a read or watch of a topic.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Response {
-    /// Snapshot of the registered hosts, or their changes.
-    Hosts {
-        /// The changes.
-        delta: HostDelta,
-        /// Invalid registrations, which `delta` leaves out.
-        faults: Vec<Fault>,
-    },
-    /// The configuration, or none when the operator has not written one yet.
-    Routes {
-        /// Revision of the store.
-        as_of: u64,
-        /// General settings and routes of the configuration.
-        content: Option<(General, Vec<(Address, Route)>)>,
-    },
-    /// The configuration is invalid.
-    Unreadable {
-        /// Revision of the store.
-        as_of: u64,
-        /// Error message with the field, its value, and the allowed values.
-        text: String,
-    },
-    /// The collection has not changed up to a revision of the store.
-    Unchanged {
-        /// Revision of the store.
-        as_of: u64,
-    },
-    /// The store no longer has the changes after the revision of the watch.
-    HistoryGone,
-}
-
-/// Error in a registration, which makes it unusable.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Fault {
-    /// Name of the registration.
-    pub name: String,
-    /// Revision of the registration.
-    pub revision: u64,
-    /// Error message with the field, its value, and the allowed values.
-    pub text: String,
-}
-
-/// Future of a response of the store.
-pub type Pending<'a> = Pin<Box<dyn Future<Output = Result<Response>> + Send + 'a>>;
-
-/// Reads hosts and routes from a store.
-pub trait Store: Send + Sync {
-    /// Reads a snapshot of a collection. The caller ignores responses after `deadline`.
-    fn read(&self, topic: Topic, deadline: Time) -> Pending<'_>;
-
-    /// Watches a collection for changes after `revision`. The store responds at the time `until` if there is no change.
-    /// The caller ignores responses after `deadline`.
-    fn watch(&self, topic: Topic, revision: u64, until: Time, deadline: Time) -> Pending<'_>;
-}
-
 /// One balancer.
 #[derive(Debug)]
 pub struct Node {
@@ -170,12 +126,13 @@
     feed: Feed,
     hosts: Hosts,
     routes: Routes,
+    zone_drains: ZoneDrains,
     general: General,
     requests: Requests,
     outliers: Outliers,
     /// True for each topic whose last call to the store failed.
-    store_lost: [bool; 2],
-    /// Revisions of the invalid registrations that were reported, by name.
+    store_lost: [bool; 3],
+    /// Revisions of the invalid entries that were reported, by name.
     reported: Map<String, u64>,
     /// Reachable members including this one, in the order of identifiers.
     members: Vec<MemberId>,
@@ -200,10 +157,11 @@
             feed,
             hosts: Hosts::default(),
             routes: Routes::default(),
+            zone_drains: ZoneDrains::default(),
             general: General::default(),
             requests: Requests::default(),
             outliers: Outliers::default(),
-            store_lost: [false; 2],
+            store_lost: [false; 3],
             reported: map::seeded(0),
             membership_revision: 0,
             transferring_until: Time::default(),
@@ -223,6 +181,12 @@
         &self.routes
     }
 
+    /// Returns the drained zones.
+    #[must_use]
+    pub const fn zone_drains(&self) -> &ZoneDrains {
+        &self.zone_drains
+    }
+
     /// Returns the general settings of the configuration in force.
     #[must_use]
     pub const fn general(&self) -> General {
@@ -241,10 +205,11 @@
         &self.feed
     }
 
-    /// Returns true once hosts and routes are known.
+    /// Returns true once all collections that this node replicates are known.
     #[must_use]
-    pub const fn is_ready(&self) -> bool {
-        self.hosts.as_of() > 0 && self.general.version > 0
+    pub fn is_ready(&self) -> bool {
+        let knows_zone_drains = self.zone_drains.as_of() > 0 || !self.feed.has_topic(Topic::ZoneDrains);
+        self.hosts.as_of() > 0 && self.general.version > 0 && knows_zone_drains
     }
 
     /// Returns the actions requested since the last call.
@@ -299,33 +264,35 @@
         self.dispatch(now);
     }
 
-    /// Returns the changes after the revisions of hosts and routes that a peer has.
+    /// Returns the changes after the revisions that a peer has.
     ///
     /// # Errors
     ///
     /// [`Kind::Limit`] when the peer needs a snapshot and too many were sent a moment ago.
-    pub fn changes_since(&mut self, now: Time, hosts: u64, routes: u64) -> Result<Transfer> {
-        self.limit_snapshots(now, hosts, routes)?;
-        let mut delta = self.hosts.delta(hosts);
+    pub fn changes_since(&mut self, now: Time, since: Revisions) -> Result<Transfer> {
+        self.limit_snapshots(now, since)?;
+        let mut delta = self.hosts.delta(since.hosts);
         // Members do not share a clock, so the time is sent relative to `now`.
         for item in &mut delta.put {
             item.value.cold_until = Time::default() + item.value.cold_until.since(now);
         }
         Ok(Transfer {
-            version: VERSION,
+            version: TRANSFER_VERSION,
             news: self.positions(now),
             hosts: delta,
-            routes: self.routes.delta(routes),
+            routes: self.routes.delta(since.routes),
             general: self.general,
+            zone_drains: self.zone_drains.delta(since.zone_drains),
         })
     }
 
     /// Bounds the rate of snapshots. When all members start at once, they all pull from the few that are ready. Without
     /// the bound, the links and processors of those would be busy with responses that arrive too late.
-    fn limit_snapshots(&mut self, now: Time, hosts: u64, routes: u64) -> Result<()> {
-        let host_entries = if self.hosts.needs_snapshot(hosts) { self.hosts.len() } else { 0 };
-        let route_entries = if self.routes.needs_snapshot(routes) { self.routes.len() } else { 0 };
-        let entries = u32::try_from(host_entries + route_entries).unwrap_or(u32::MAX);
+    fn limit_snapshots(&mut self, now: Time, since: Revisions) -> Result<()> {
+        let host_entries = if self.hosts.needs_snapshot(since.hosts) { self.hosts.len() } else { 0 };
+        let route_entries = if self.routes.needs_snapshot(since.routes) { self.routes.len() } else { 0 };
+        let drain_entries = if self.zone_drains.needs_snapshot(since.zone_drains) { self.zone_drains.len() } else { 0 };
+        let entries = u32::try_from(host_entries + route_entries + drain_entries).unwrap_or(u32::MAX);
         if entries == 0 {
             return Ok(());
         }
@@ -383,6 +350,7 @@
         self.refresh_members();
         self.hosts.advance(self.feed.as_of(Topic::Hosts));
         self.routes.advance(self.feed.as_of(Topic::Routes));
+        self.zone_drains.advance(self.feed.as_of(Topic::ZoneDrains));
         self.feed.tick(now, &self.members);
         self.send_gossip(now);
         self.spread_outliers(now);
@@ -402,8 +370,12 @@
             }
             feed::Action::Pull { member, until } => {
                 let Some(peer) = self.membership.record(member).map(|record| record.peer) else { return };
-                let (hosts, routes) = (self.hosts.as_of(), self.routes.as_of());
-                self.actions.push(Action::Pull { member, peer, hosts, routes, until });
+                let since = Revisions {
+                    hosts: self.hosts.as_of(),
+                    routes: self.routes.as_of(),
+                    zone_drains: self.zone_drains.as_of(),
+                };
+                self.actions.push(Action::Pull { member, peer, since, until });
             }
             feed::Action::Announce(member, announcement) => self.announce(member, announcement),
         }
--- a/crates/poplarpaddle/src/fleet/apply.rs
+++ b/crates/poplarpaddle/src/fleet/apply.rs
@@ -3,11 +3,11 @@
 use super::{Action, Fault, Node, Response, stale};
 use crate::error::Result;
 use crate::feed::{Announcement, Outcome, Topic};
-use crate::registry::{General, HostDelta, RouteDelta};
+use crate::registry::{General, HostDelta, RouteDelta, ZoneDrainDelta};
 use crate::time::Time;
 use crate::wire::Transfer;
 
-/// Maximum number of invalid registrations that are remembered as reported.
+/// Maximum number of invalid entries that are remembered as reported.
 const MAX_REPORTED: usize = 1024;
 
 impl Node {
@@ -15,9 +15,13 @@
     pub(super) fn apply(&mut self, now: Time, topic: Topic, response: Response) -> Result<Outcome> {
         match response {
             Response::Hosts { delta, faults } => {
-                self.report_faults(now, faults);
+                self.report_faults(now, "registration.unreadable", faults);
                 self.merge_hosts(now, delta)?;
             }
+            Response::ZoneDrains { delta, faults } => {
+                self.report_faults(now, "zone_drain.unreadable", faults);
+                self.merge_zone_drains(now, delta)?;
+            }
             Response::Routes { as_of, content: Some((general, routes)) } => {
                 let delta = self.routes.snapshot_of(as_of, routes);
                 self.merge_routes(now, general, delta)?;
@@ -30,6 +34,7 @@
             Response::Unchanged { as_of } => match topic {
                 Topic::Hosts => self.hosts.advance(as_of),
                 Topic::Routes => self.routes.advance(as_of),
+                Topic::ZoneDrains => self.zone_drains.advance(as_of),
             },
             Response::HistoryGone => {
                 self.record_event(
@@ -44,6 +49,7 @@
         let (revision, as_of) = match topic {
             Topic::Hosts => (self.hosts.revision(), self.hosts.as_of()),
             Topic::Routes => (self.routes.revision(), self.routes.as_of()),
+            Topic::ZoneDrains => (self.zone_drains.revision(), self.zone_drains.as_of()),
         };
         Ok(Outcome::Confirmed { revision, as_of })
     }
@@ -54,13 +60,17 @@
         for item in &mut changes.hosts.put {
             item.value.cold_until = now + item.value.cold_until.since(Time::default());
         }
+        // First, so that a fault in the other collections does not delay an order.
+        if self.feed.has_topic(Topic::ZoneDrains) {
+            self.merge_zone_drains(now, changes.zone_drains)?;
+        }
         self.merge_hosts(now, changes.hosts)?;
         self.merge_routes(now, changes.general, changes.routes)?;
         Ok(changes.news)
     }
 
-    /// Records an event for each invalid registration, once per revision.
-    fn report_faults(&mut self, now: Time, faults: Vec<Fault>) {
+    /// Records the event `name` for each invalid entry, once per revision.
+    fn report_faults(&mut self, now: Time, name: &str, faults: Vec<Fault>) {
         for fault in faults {
             if self.reported.get(&fault.name) == Some(&fault.revision) {
                 continue;
@@ -68,12 +78,7 @@
             if self.reported.len() >= MAX_REPORTED {
                 self.reported.clear();
             }
-            self.record_event(
-                now,
-                "registration.unreadable",
-                &fault.name,
-                format!("revision {}: {}", fault.revision, fault.text),
-            );
+            self.record_event(now, name, &fault.name, format!("revision {}: {}", fault.revision, fault.text));
             self.reported.insert(fault.name, fault.revision);
         }
     }
@@ -88,6 +93,20 @@
         Ok(())
     }
 
+    fn merge_zone_drains(&mut self, now: Time, delta: ZoneDrainDelta) -> Result<()> {
+        let was_unknown = self.zone_drains.as_of() == 0;
+        let changed = self.zone_drains.merge(delta)?;
+        let detail = format!("revision {}", self.zone_drains.revision());
+        for zone in &changed {
+            let name = if self.zone_drains.get(zone).is_some() { "zone.drained" } else { "zone.returned" };
+            self.record_event(now, name, zone, detail.clone());
+        }
+        if !changed.is_empty() || (was_unknown && self.zone_drains.as_of() > 0) {
+            self.actions.push(Action::ZoneDrainsChanged(changed));
+        }
+        Ok(())
+    }
+
     /// Applies a change of the routes. Within the lifetime of the process, the version of the configuration never
     /// decreases.
     fn merge_routes(&mut self, now: Time, general: General, delta: RouteDelta) -> Result<()> {
--- /dev/null
+++ b/crates/poplarpaddle/src/fleet/store.rs
@@ -0,0 +1,72 @@
+//! Interface to the store of hosts, routes and zone drains.
+
+use std::pin::Pin;
+
+use crate::error::Result;
+use crate::feed::Topic;
+use crate::registry::{Address, General, HostDelta, Route, ZoneDrainDelta};
+use crate::time::Time;
+
+/// Response of the store to a read or watch of a topic.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Response {
+    /// Snapshot of the registered hosts, or their changes.
+    Hosts {
+        /// The changes.
+        delta: HostDelta,
+        /// Invalid registrations, which `delta` leaves out.
+        faults: Vec<Fault>,
+    },
+    /// The configuration, or none when the operator has not written one yet.
+    Routes {
+        /// Revision of the store.
+        as_of: u64,
+        /// General settings and routes of the configuration.
+        content: Option<(General, Vec<(Address, Route)>)>,
+    },
+    /// The configuration is invalid.
+    Unreadable {
+        /// Revision of the store.
+        as_of: u64,
+        /// Error message with the field, its value, and the allowed values.
+        text: String,
+    },
+    /// Snapshot of the drained zones, or their changes.
+    ZoneDrains {
+        /// The changes.
+        delta: ZoneDrainDelta,
+        /// Invalid entries. One whose name is readable is in `delta` too.
+        faults: Vec<Fault>,
+    },
+    /// The collection has not changed up to a revision of the store.
+    Unchanged {
+        /// Revision of the store.
+        as_of: u64,
+    },
+    /// The store no longer has the changes after the revision of the watch.
+    HistoryGone,
+}
+
+/// Error in an entry of a collection. It concerns no other entry.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Fault {
+    /// Name of the entry.
+    pub name: String,
+    /// Revision of the entry.
+    pub revision: u64,
+    /// Error message with the field, its value, and the allowed values.
+    pub text: String,
+}
+
+/// Future of a response of the store.
+pub type Pending<'a> = Pin<Box<dyn Future<Output = Result<Response>> + Send + 'a>>;
+
+/// Reads the collections of a store.
+pub trait Store: Send + Sync {
+    /// Reads a snapshot of a collection. The caller ignores responses after `deadline`.
+    fn read(&self, topic: Topic, deadline: Time) -> Pending<'_>;
+
+    /// Watches a collection for changes after `revision`. The store responds at the time `until` if there is no change.
+    /// The caller ignores responses after `deadline`.
+    fn watch(&self, topic: Topic, revision: u64, until: Time, deadline: Time) -> Pending<'_>;
+}
--- a/crates/poplarpaddle/src/registry.rs
+++ b/crates/poplarpaddle/src/registry.rs
@@ -1,4 +1,4 @@
-//! Registered hosts and configured routes.
+//! Registered hosts, configured routes, and drained zones.
 //!
 //! Hosts register themselves in a store, and the configuration refers only to services, not to hosts. A balancer knows
 //! a [`Host`] for each registration and a [`Route`] for each address that callers connect to.
@@ -105,6 +105,10 @@
 /// Address and port of a route, as callers connect to it.
 pub type Address = SocketAddrV4;
 
+/// Order of an operator that hosts of a zone get no new flows. It holds while the store has it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct ZoneDrain;
+
 /// Registered hosts, keyed by the name of the registration.
 pub type Hosts = Replica<String, Host>;
 
@@ -117,6 +121,12 @@
 /// Changes of [`Routes`].
 pub type RouteDelta = Delta<Address, Route>;
 
+/// Drained zones, keyed by the name of the zone.
+pub type ZoneDrains = Replica<String, ZoneDrain>;
+
+/// Changes of [`ZoneDrains`].
+pub type ZoneDrainDelta = Delta<String, ZoneDrain>;
+
 /// Returns true when `address` is valid for a host or route: its port is not 0, and its IP address is a unicast
 /// address.
 #[must_use]
--- a/crates/poplarpaddle/src/wire.rs
+++ b/crates/poplarpaddle/src/wire.rs
@@ -12,7 +12,7 @@
 use crate::feed::Announcement;
 use crate::mark::HostId;
 use crate::path::{Hop, MemberId};
-use crate::registry::{General, HostDelta, RouteDelta};
+use crate::registry::{General, HostDelta, RouteDelta, ZoneDrainDelta};
 
 /// Maximum length of an encoded gossip message, in bytes. A full message takes about 2 kB.
 pub const MAX_GOSSIP: usize = 16 * 1024;
@@ -21,7 +21,10 @@
 pub const VERSION: u8 = 1;
 
 /// Version of [`Datagram`]. Datagrams of another version are rejected.
-pub const DATAGRAM_VERSION: u8 = 2;
+pub const DATAGRAM_VERSION: u8 = 3;
+
+/// Version of [`Transfer`]. Transfers of another version are rejected.
+pub const TRANSFER_VERSION: u8 = 2;
 
 /// Length of the checksum of a datagram, in bytes.
 const CHECKSUM_LENGTH: usize = 4;
@@ -227,10 +230,10 @@
     sum
 }
 
-/// State transfer: the hosts and routes that changed at a member, or all of them, as the answer to a pull.
+/// State transfer: the hosts, routes and zone drains that changed at a member, or all of them, as the answer to a pull.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Transfer {
-    /// [`VERSION`] of the sender.
+    /// [`TRANSFER_VERSION`] of the sender.
     pub version: u8,
     /// Positions of the state of the sender.
     pub news: Announcement,
@@ -241,6 +244,8 @@
     pub routes: RouteDelta,
     /// Configuration that applies to all routes.
     pub general: General,
+    /// Changes of the zone drains; empty at revision 0 if the sender does not replicate them.
+    pub zone_drains: ZoneDrainDelta,
 }
 
 impl Transfer {
@@ -261,10 +266,10 @@
     pub fn decode(bytes: &[u8]) -> Result<Self> {
         let transfer: Self = rmp_serde::from_slice(bytes)
             .map_err(|e| Error::new(Kind::Message, format!("cannot decode a state transfer: {e}")))?;
-        if transfer.version != VERSION {
+        if transfer.version != TRANSFER_VERSION {
             return Err(Error::new(
                 Kind::Message,
-                format!("state transfer version {} is not supported, expected {VERSION}", transfer.version),
+                format!("state transfer version {} is not supported, expected {TRANSFER_VERSION}", transfer.version),
             ));
         }
         Ok(transfer)
--- a/crates/poplarpaddle/tests/fleet/main.rs
+++ b/crates/poplarpaddle/tests/fleet/main.rs
@@ -1,6 +1,7 @@
 //! Tests of nodes that read hosts and routes from a store and replicate them among each other.
 #![allow(missing_docs, clippy::pedantic, reason = "tests name their failures in their names and comments")]
 
+mod drains;
 mod ledger;
 mod load;
 mod malformed;
--- a/crates/poplarpaddle/tests/fleet/malformed.rs
+++ b/crates/poplarpaddle/tests/fleet/malformed.rs
@@ -1,5 +1,6 @@
 //! Guards against messages of peers that end a process, and against incomplete ones that take effect.
 
+use poplarpaddle::fleet::Revisions;
 use poplarpaddle::mark::HostId;
 use poplarpaddle::path::MemberId;
 use poplarpaddle::wire::{Body, DATAGRAM_VERSION, Datagram, Report, Transfer};
@@ -88,7 +89,7 @@
 fn a_state_transfer_that_breaks_off_is_rejected() {
     let mut simulation = Simulation::running(&[2]);
     let mut encoded = Vec::new();
-    simulation.with(0, |node, now| encoded = node.changes_since(now, 0, 0).unwrap().encode().unwrap());
+    simulation.with(0, |node, now| encoded = node.changes_since(now, Revisions::default()).unwrap().encode().unwrap());
     let transfer = Transfer::decode(&encoded).unwrap();
     assert_eq!((transfer.hosts.put.len(), transfer.routes.put.len()), (5, 1));
     for length in 0..encoded.len() {
--- a/crates/poplarpaddle/tests/fleet/spread.rs
+++ b/crates/poplarpaddle/tests/fleet/spread.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use poplarpaddle::feed::{self, Action, Announcement, Feed, Position};
+use poplarpaddle::fleet::Revisions;
 use poplarpaddle::path::MemberId;
 use poplarpaddle::registry::State;
 use poplarpaddle::time::Time;
@@ -232,10 +233,10 @@
 #[test]
 fn a_snapshot_pull_times_out_within_the_bound() {
     let (bound, start) = (Duration::from_millis(BOUND_MS), Time::from_millis(10_000));
-    let mut feed = Feed::new(feed::Settings { bound }, MemberId(9));
+    let mut feed = Feed::new(feed::Settings { bound, ..Default::default() }, MemberId(9));
     feed.tick(start, &[MemberId(1), MemberId(2), MemberId(9)]);
     let announcement =
-        Announcement { root: MemberId(1), positions: [Position { revision: 5, as_of: 5, age_ms: 10 }; 2] };
+        Announcement { root: MemberId(1), positions: [Position { revision: 5, as_of: 5, age_ms: 10 }; 3] };
     let next_pull = |feed: &mut Feed| {
         let mut actions = feed.actions().into_iter();
         actions
@@ -259,7 +260,7 @@
     let now = simulation.now;
     let node = simulation.instances[0].node.as_mut().unwrap();
     for _ in 0..9 {
-        node.changes_since(now, 0, 0).unwrap();
+        node.changes_since(now, Revisions::default()).unwrap();
     }
 }
 
--- a/crates/poplarpaddle/tests/fleet/world.rs
+++ b/crates/poplarpaddle/tests/fleet/world.rs
@@ -11,7 +11,7 @@
 use poplarpaddle::mark::HostId;
 use poplarpaddle::membership;
 use poplarpaddle::path::MemberId;
-use poplarpaddle::registry::{Address, General, Host, Route, State as HostState};
+use poplarpaddle::registry::{Address, General, Host, Route, State as HostState, ZoneDrain, ZoneDrainDelta};
 use poplarpaddle::replica::{Delta, Item, Removed};
 use poplarpaddle::time::Time;
 use poplarpaddle::wire::{Record, State, Transfer};
@@ -70,7 +70,7 @@
         node: usize,
         run_id: u64,
         member: MemberId,
-        changes: Result<Transfer>,
+        changes: Result<Box<Transfer>>,
     },
 }
 
@@ -92,6 +92,8 @@
     pub revision: u64,
     hosts: BTreeMap<String, (Host, u64)>,
     removed: BTreeMap<String, u64>,
+    drains: BTreeMap<String, u64>,
+    ended_drains: BTreeMap<String, u64>,
     config: Option<(General, Routes, u64)>,
     /// Changes before this revision are no longer known.
     floor: u64,
@@ -110,6 +112,12 @@
     version: u64,
     /// Hosts as passed to the data path.
     pub hosts: BTreeMap<String, Host>,
+    /// Drained zones as passed to the data path.
+    pub drained: BTreeSet<String>,
+    /// Events about zone drains.
+    pub drain_events: Vec<String>,
+    /// Topics that the node has called the store for.
+    pub topics_called: BTreeSet<String>,
     pub zone_alive_at: BTreeMap<String, Time>,
     /// When the data path was told last that the members in the node's zone changed.
     pub neighbors_changed_at: Time,
@@ -127,6 +135,7 @@
     pub instances: Vec<Instance>,
     pub store: Store,
     pub bound: Duration,
+    pub topics: &'static [Topic],
     /// Pairs of nodes that cannot reach each other.
     cuts: BTreeSet<(usize, usize)>,
     events: BinaryHeap<Reverse<(Time, u64)>>,
@@ -166,6 +175,9 @@
                     store_calls: 0,
                     version: 0,
                     hosts: BTreeMap::new(),
+                    drained: BTreeSet::new(),
+                    drain_events: Vec::new(),
+                    topics_called: BTreeSet::new(),
                     zone_alive_at: BTreeMap::new(),
                     neighbors_changed_at: Time::default(),
                     snapshots: 0,
@@ -179,6 +191,7 @@
             instances,
             store: Store::default(),
             bound: Duration::from_secs(3),
+            topics: &Topic::REQUIRED,
             cuts: BTreeSet::new(),
             events: BinaryHeap::new(),
             payloads: BTreeMap::new(),
@@ -189,7 +202,12 @@
 
     /// Returns a simulation with a configuration and hosts whose nodes have run for five seconds.
     pub fn running(counts: &[usize]) -> Self {
-        let mut simulation = Self::new(counts);
+        Self::running_with(counts, &Topic::REQUIRED)
+    }
+
+    /// Like [`Self::running`], with nodes that replicate `topics`.
+    pub fn running_with(counts: &[usize], topics: &'static [Topic]) -> Self {
+        let mut simulation = Self { topics, ..Self::new(counts) };
         simulation.publish(7, &[443]);
         for number in 1..=5 {
             simulation.put_host(number, HostState::Ready);
@@ -210,6 +228,8 @@
         instance.run_id += 1;
         instance.version = 0;
         instance.hosts.clear();
+        instance.drained.clear();
+        instance.drain_events.clear();
         let id = MemberId(poplarpaddle::map::hash(instance.run_id, &instance.address));
         let me = Record {
             id,
@@ -222,7 +242,7 @@
             state: State::Alive,
         };
         let membership = membership::Settings { seeds, alone_ms: 50, ..Default::default() };
-        let feed = feed::Settings { bound: self.bound };
+        let feed = feed::Settings { bound: self.bound, topics: self.topics };
         instance.node = Some(Node::new(now, Settings { membership, feed }, me));
         self.tick(index);
     }
@@ -298,6 +318,20 @@
         self.notify_watches(Topic::Hosts);
     }
 
+    pub fn drain_zone(&mut self, zone: &str) {
+        self.store.revision += 1;
+        self.store.ended_drains.remove(zone);
+        self.store.drains.insert(zone.to_owned(), self.store.revision);
+        self.notify_watches(Topic::ZoneDrains);
+    }
+
+    pub fn return_zone(&mut self, zone: &str) {
+        self.store.revision += 1;
+        self.store.drains.remove(zone);
+        self.store.ended_drains.insert(zone.to_owned(), self.store.revision);
+        self.notify_watches(Topic::ZoneDrains);
+    }
+
     /// Drops the history of the store and interrupts all watches.
     pub fn compact(&mut self) {
         self.store.floor = self.store.revision + 1;
@@ -374,7 +408,7 @@
                 }
             }
             Event::Pulled { node, run_id, member, changes } => {
-                self.with_node(node, run_id, |node| node.pulled(now, member, changes));
+                self.with_node(node, run_id, |node| node.pulled(now, member, changes.map(|changes| *changes)));
             }
         }
     }
@@ -410,13 +444,16 @@
             }
             Action::Read(topic) => self.read(index, run_id, topic),
             Action::Watch { topic, revision, until } => self.watch(index, run_id, topic, revision, until),
-            Action::Pull { member, peer, hosts, routes, .. } => {
+            Action::Pull { member, peer, since, .. } => {
                 let reachable = self.index(peer).filter(|other| self.reaches(index, *other));
                 let (wait, changes) = match reachable.map(|other| &mut self.instances[other]) {
                     Some(Instance { node: Some(node), snapshots, .. }) => {
-                        let changes = node.changes_since(now, hosts, routes);
+                        let changes = node.changes_since(now, since);
                         *snapshots += u64::from(changes.as_ref().is_ok_and(|changes| changes.hosts.base == 0));
-                        (2 * HOP_MS, changes.map(|changes| Transfer::decode(&changes.encode().unwrap()).unwrap()))
+                        (
+                            2 * HOP_MS,
+                            changes.map(|changes| Box::new(Transfer::decode(&changes.encode().unwrap()).unwrap())),
+                        )
                     }
                     _ => (300, Err(Error::new(Kind::Unavailable, "no response to a pull"))),
                 };
@@ -435,12 +472,26 @@
             Action::ZoneAlive(zone) => drop(self.instances[index].zone_alive_at.insert(zone, now)),
             Action::NeighborsChanged => self.instances[index].neighbors_changed_at = now,
             Action::HostsSuspected(hosts) => self.instances[index].suspected.extend(hosts),
+            Action::ZoneDrainsChanged(zones) => {
+                let instance = &mut self.instances[index];
+                let Some(node) = &instance.node else { return };
+                for zone in zones {
+                    match node.zone_drains().get(&zone) {
+                        Some(ZoneDrain) => drop(instance.drained.insert(zone)),
+                        None => drop(instance.drained.remove(&zone)),
+                    }
+                }
+            }
+            Action::Event(event) if event.name.contains("drain") || event.name == "zone.returned" => {
+                self.instances[index].drain_events.push(format!("{} {}", event.name, event.subject));
+            }
             Action::RoutesChanged(_) | Action::Event(_) => {}
         }
     }
 
     fn read(&mut self, node: usize, run_id: u64, topic: Topic) {
         self.instances[node].store_calls += 1;
+        self.instances[node].topics_called.insert(topic.to_string());
         let (wait, response) = match self.instances[node].store_access {
             Access::Reachable => (STORE_MS, Ok(self.store.snapshot(topic))),
             Access::Refused => (HOP_MS, Err(Error::new(Kind::Unavailable, "status 503"))),
@@ -451,6 +502,7 @@
 
     fn watch(&mut self, node: usize, run_id: u64, topic: Topic, revision: u64, until: Time) {
         self.instances[node].store_calls += 1;
+        self.instances[node].topics_called.insert(topic.to_string());
         if self.instances[node].store_access == Access::Refused {
             let response = Err(Error::new(Kind::Unavailable, "status 503"));
             return self.schedule(HOP_MS, Event::Store { node, run_id, topic, response });
@@ -519,15 +571,30 @@
                 let content = self.config.clone().map(|(general, routes, _)| (general, routes));
                 Response::Routes { as_of: self.revision, content }
             }
+            Topic::ZoneDrains => Response::ZoneDrains { delta: self.drains_since(0), faults: Vec::new() },
         }
     }
 
+    /// Returns the changes of the zone drains after the revision `base`.
+    fn drains_since(&self, base: u64) -> ZoneDrainDelta {
+        let put = self.drains.iter().filter(|(_, changed)| **changed > base);
+        let put = put.map(|(zone, changed)| Item { key: zone.clone(), value: ZoneDrain, changed: *changed }).collect();
+        let removed = self.ended_drains.iter().filter(|(_, at)| base > 0 && **at > base);
+        let removed = removed.map(|(zone, at)| Removed { key: zone.clone(), at: *at }).collect();
+        Delta { base, to: self.revision, put, removed }
+    }
+
     /// Returns the changes after a revision, or none when there are none.
     fn changes(&self, topic: Topic, since: u64) -> Option<Response> {
         if since + 1 < self.floor {
             return Some(Response::HistoryGone);
         }
         match topic {
+            Topic::ZoneDrains => {
+                let delta = self.drains_since(since);
+                let has_changes = !delta.put.is_empty() || !delta.removed.is_empty();
+                has_changes.then_some(Response::ZoneDrains { delta, faults: Vec::new() })
+            }
             Topic::Routes => {
                 let is_new = self.config.as_ref().is_some_and(|(_, _, revision)| *revision > since);
                 is_new.then(|| self.snapshot(topic))
