Keep a flow at the host that answered its opening first

Cause: a host answered an opening late, the caller's copy or a zone that counted as lost had moved the opening to a second host, and both answered. The caller's connection is with the first that answered, but its packets carry the mark of the last one, and balancers went by the mark alone.

A caller acknowledges the first answer at once, so the first packet of the established flow carries the right mark. A balancer that has sent an opening to several hosts, or has first seen it as a copy, now takes the host from this packet for the rest of the flow and writes its mark into the packets. The entry of such a flow is kept for the life of a flow after its last packet, because the other host repeats its answer for seconds. Other flows go by their marks as before.

--- a/crates/poplarpaddle/src/direct/engine.rs
+++ b/crates/poplarpaddle/src/direct/engine.rs
@@ -19,10 +19,21 @@
 use crate::retry::Budget;
 use crate::time::Time;
 
+/// What determines the host of an established flow.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Affinity {
+    /// The mark of each packet.
+    Mark,
+    /// [`Entry::host`], because the opening may have reached other hosts as well. The marks of the caller's packets then
+    /// tell which host answered last, not which one has the connection.
+    Pinned,
+}
+
 /// State of a flow that the engine has seen.
 #[derive(Debug)]
 pub(super) struct Entry {
     pub(super) host: host::Index,
+    pub(super) affinity: Affinity,
     /// Sequence number of the opening, which distinguishes a new connection from a retransmission.
     pub(super) sequence: u32,
     /// When the last packet of the flow arrived or its opening was last sent.
@@ -42,6 +53,12 @@
     pub(super) pending: Option<Box<Pending>>,
 }
 
+impl Entry {
+    pub(super) fn is_pinned(&self) -> bool {
+        self.affinity == Affinity::Pinned
+    }
+}
+
 /// A caller's packet with payload, which is a request or the end of one.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Request {
@@ -330,46 +347,68 @@
         }
         self.track_packet(now, index, packet, outlet);
         let Some(host) = self.hosts.get(index) else { return };
-        let hop = Hop { host: host.record.id, address: host.record.address, mark: None };
+        // The host repeats the mark, so the caller learns the right one.
+        let is_pinned = self.flows.get(&packet.flow).is_some_and(Entry::is_pinned);
+        let mark = is_pinned.then_some(host.mark);
+        let hop = Hop { host: host.record.id, address: host.record.address, mark };
         self.send(&hop, packet.bytes, outlet);
     }
 
     /// Returns the host of an established flow.
     fn find_host(&self, now: Time, mark: Mark, packet: &View<'_>) -> Result<host::Index, Reason> {
+        let recorded = self.flows.get(&packet.flow);
+        let pinned = recorded.filter(|entry| entry.is_pinned() && self.hosts.get(entry.host).is_some());
+        if let Some(entry) = pinned {
+            return self.allows(now, packet, entry.host).then_some(entry.host).ok_or(Reason::ForeignHost);
+        }
         let candidates = self.hosts.with_mark(mark);
         if candidates.is_empty() || mark == Mark::NONE {
             return Err(Reason::UnknownMark);
         }
-        let recorded = self.flows.get(&packet.flow).map(|entry| entry.host);
-        let allowed = |index: &&host::Index| {
-            let host = self.hosts.get(**index);
-            host.is_some_and(|host| self.routes.allows_established(now, packet.flow.service, &host.record.service))
-        };
-        let mut allowed = candidates.iter().filter(allowed).copied();
+        let recorded = recorded.map(|entry| entry.host);
+        let mut allowed = candidates.iter().filter(|index| self.allows(now, packet, **index)).copied();
         let first = allowed.next().ok_or(Reason::ForeignHost)?;
         // If several hosts share the mark, prefer the one that this balancer selected for the flow.
         let preferred = recorded.filter(|recorded| *recorded == first || allowed.any(|index| index == *recorded));
         Ok(preferred.unwrap_or(first))
     }
 
+    /// Returns true when the route of an established flow allows the service of the host `index`.
+    fn allows(&self, now: Time, packet: &View<'_>, index: host::Index) -> bool {
+        let host = self.hosts.get(index);
+        host.is_some_and(|host| self.routes.allows_established(now, packet.flow.service, &host.record.service))
+    }
+
     /// Updates the entry of an established flow, the request count of its host, and the state of a pending opening.
     fn track_packet(&mut self, now: Time, index: host::Index, packet: &View<'_>, outlet: &mut dyn Outlet) {
-        if matches!(packet.kind, Kind::Closing | Kind::Reset) {
-            if let Some(entry) = self.remove_flow(&packet.flow) {
-                self.opening_answered(now, &entry, index, outlet);
+        let is_end = matches!(packet.kind, Kind::Closing | Kind::Reset);
+        let Some(mut entry) = self.flows.remove(&packet.flow) else {
+            if !is_end {
+                self.track_unknown_flow(now, index, packet, outlet);
             }
             return;
-        }
-        let Some(mut entry) = self.flows.remove(&packet.flow) else {
-            return self.track_unknown_flow(now, index, packet, outlet);
         };
         self.opening_answered(now, &entry, index, outlet);
-        entry.pending = None;
+        // The caller acknowledges the first answer at once, so its first packet carries the mark of the host that has the
+        // connection. A later answer of another host changes the mark, but not the connection.
+        if entry.pending.take().is_some_and(|pending| pending.has_other_hosts()) {
+            entry.affinity = Affinity::Pinned;
+        }
         if entry.host != index {
             self.end_request(&mut entry);
             entry.host = index;
         }
-        self.track_request(now, &mut entry, packet, outlet);
+        if is_end {
+            self.end_request(&mut entry);
+            // A closed flow still has packets to acknowledge and to repeat.
+            if packet.kind == Kind::Reset || !entry.is_pinned() {
+                return;
+            }
+            entry.last_packet = now;
+            entry.request = None;
+        } else {
+            self.track_request(now, &mut entry, packet, outlet);
+        }
         self.flows.insert(packet.flow, entry);
     }
 
@@ -381,6 +420,7 @@
         let (sequence, last_packet) = (0, now);
         let mut entry = Entry {
             host: index,
+            affinity: Affinity::Mark,
             sequence,
             last_packet,
             busy: false,
--- a/crates/poplarpaddle/src/direct/opening.rs
+++ b/crates/poplarpaddle/src/direct/opening.rs
@@ -5,7 +5,7 @@
 
 use smallvec::SmallVec;
 
-use super::engine::Entry;
+use super::engine::{Affinity, Entry};
 use super::host::{Host, Index};
 use super::queue::Opening;
 use super::{Decision, Engine, Hop, Outlet, Reason, Verdict};
@@ -28,12 +28,21 @@
     copies: u8,
     /// True if there was evidence already that the current host is gone when the opening was first sent to it.
     is_trial: bool,
+    /// True if the first packet here was a copy already, so that another balancer may have sent the opening to a host.
+    is_copy: bool,
     /// Hosts that it was moved away from because they did not answer.
     tried: SmallVec<[Index; TRIED_INLINE]>,
     /// Bytes of the packet.
     bytes: SmallVec<[u8; 64]>,
 }
 
+impl Pending {
+    /// Returns true when hosts other than the current one may have answered the opening too.
+    pub(super) fn has_other_hosts(&self) -> bool {
+        self.is_copy || !self.tried.is_empty()
+    }
+}
+
 /// Event that makes the engine send an opening again.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Cause {
@@ -80,12 +89,21 @@
 
     /// Sends an opening to a host for the first time.
     fn send_first(&mut self, now: Time, opening: Opening, index: Index, outlet: &mut dyn Outlet) {
-        let Opening { flow, sequence, bytes, .. } = opening;
-        let is_trial = self.may_be_gone(now, index);
-        let pending = Pending { sent: now, due: now, attempts: 0, copies: 0, is_trial, tried: SmallVec::new(), bytes };
+        let Opening { flow, sequence, acknowledgement, bytes, .. } = opening;
+        let pending = Pending {
+            sent: now,
+            due: now,
+            attempts: 0,
+            copies: 0,
+            is_trial: self.may_be_gone(now, index),
+            is_copy: acknowledgement != 0,
+            tried: SmallVec::new(),
+            bytes,
+        };
         let pending = Some(Box::new(pending));
         let entry = Entry {
             host: index,
+            affinity: Affinity::Mark,
             sequence,
             last_packet: now,
             busy: false,
--- a/crates/poplarpaddle/src/direct/sweep.rs
+++ b/crates/poplarpaddle/src/direct/sweep.rs
@@ -92,12 +92,21 @@
         let idle = |(flow, entry): (&Flow, &Entry)| now.reached(entry.last_packet + timeout).then_some(*flow);
         let idle_flows: Vec<Flow> = self.flows.iter().filter_map(idle).collect();
         for flow in idle_flows {
-            self.remove_flow(&flow);
+            self.remove_idle(now, flow);
         }
         self.hosts.measure_rates(now);
         self.hosts.remove_expired(now);
     }
 
+    /// Ends the request of an idle flow and removes its entry. A pinned flow keeps it, since the other hosts that got its
+    /// opening repeat their answers for seconds, and its caller repeats their marks.
+    fn remove_idle(&mut self, now: Time, flow: Flow) {
+        let Some(entry) = self.remove_flow(&flow) else { return };
+        if entry.is_pinned() && !now.reached(entry.last_packet + self.settings.linger) {
+            self.flows.insert(flow, entry);
+        }
+    }
+
     /// Records that the host `index` answered a request that was sent at `sent`.
     pub(super) fn request_answered(&mut self, now: Time, index: Index, sent: Time, outlet: &mut dyn Outlet) {
         let bound = self.hosts.response_bound(index).unwrap_or_default().max(self.settings.min_overdue_time);
--- a/crates/poplarpaddle/src/packet.rs
+++ b/crates/poplarpaddle/src/packet.rs
@@ -81,7 +81,8 @@
     pub payload: u32,
     /// Sequence number. In an opening, it distinguishes a new connection from a retransmission.
     pub sequence: u32,
-    /// Acknowledgement number, 0 when the packet has none.
+    /// Acknowledgement number, 0 when the packet has none. In an opening, the number of copies that the caller has sent
+    /// before, if the transport counts them there.
     pub acknowledgement: u32,
     /// True when the packet ends an answer or a request (TCP PSH or FIN, or the transport's own marker).
     pub end: bool,
--- a/crates/poplarpaddle/tests/direct/main.rs
+++ b/crates/poplarpaddle/tests/direct/main.rs
@@ -3,6 +3,7 @@
 
 mod openings;
 mod outliers;
+mod pinned;
 mod random;
 mod routing;
 mod start;
