Count a failed check only if others answered in its time

An answer now confirms a failed check only if it arrives within the time that the check had, so the link worked in that time.

--- a/crates/poplarpaddle/src/direct/engine.rs
+++ b/crates/poplarpaddle/src/direct/engine.rs
@@ -98,8 +98,8 @@
     pub(super) capacity_freed: bool,
     /// Number of checks of hosts in progress.
     pub(super) checks: usize,
-    /// Hosts whose latest check failed and is not confirmed.
-    pub(super) failed_checks: Vec<host::Index>,
+    /// Hosts whose latest check is in progress, or failed and may still be confirmed.
+    pub(super) open_checks: Vec<host::Index>,
     /// When the latest opening or request was sent that a host answered promptly.
     pub(super) last_prompt_answer: Time,
     /// When the latest request was sent that a host has answered.
@@ -129,7 +129,7 @@
             queue: Queue::new(settings.seed),
             capacity_freed: false,
             checks: 0,
-            failed_checks: Vec::new(),
+            open_checks: Vec::new(),
             last_prompt_answer: Time::default(),
             last_answered_request: Time::default(),
             routers_settled: Time::default(),
--- a/crates/poplarpaddle/src/direct/reach.rs
+++ b/crates/poplarpaddle/src/direct/reach.rs
@@ -8,9 +8,9 @@
 //! # Trade-offs
 //!
 //! A reset of a flow whose host is well does more harm than a late one of a flow whose host is gone. A failed check
-//! therefore counts only once another host has answered an opening or request that was sent after the check had begun.
-//! Otherwise the balancer's own link may be the cause. A failed check says nothing about later times: it has to be
-//! confirmed within a second, and a host is unreachable for three seconds at most, unless it fails a further check.
+//! therefore counts only if another host has answered an opening or request that was sent after the check had begun,
+//! and within the time that the check had. Otherwise the balancer's own link may be the cause: answers after that time
+//! show only that the link works again. A host is unreachable for three seconds at most, unless it fails a further check.
 
 use std::time::Duration;
 
@@ -29,9 +29,9 @@
 /// Maximum number of checks in progress. The loss of a zone casts doubt on many hosts at once.
 const MAX_CHECKS: usize = 16;
 
-/// Time from the begin of a check within which its failure has to be confirmed. A host that was only interrupted answers
+/// Time from the begin of a check for which its failure casts doubt on the host. A host that was only interrupted answers
 /// again soon.
-const CONFIRM_TIME: Duration = Duration::from_secs(1);
+const DOUBT_TIME: Duration = Duration::from_secs(1);
 
 /// Time from the begin of a failed check for which the host counts as unreachable. It covers the longest pause between two
 /// checks.
@@ -44,7 +44,7 @@
     Idle,
     /// A check is in progress.
     Checking,
-    /// The check failed. That counts if another host answers before this time.
+    /// The check failed, and the host is in doubt until this time.
     Failed(Time),
 }
 
@@ -54,6 +54,8 @@
     state: State,
     /// When the latest check began.
     checked: Time,
+    /// When an opening or request was sent that another host answered while the latest check ran; none if there is none.
+    vouched: Option<Time>,
     /// Time until which the host counts as unreachable, [`Time::default()`] while it does not.
     unreachable_until: Time,
     next_check: Time,
@@ -65,6 +67,7 @@
         Self {
             state: State::Idle,
             checked: Time::default(),
+            vouched: None,
             unreachable_until: Time::default(),
             next_check: Time::default(),
             pause: INITIAL_PAUSE,
@@ -104,7 +107,26 @@
         (self.state == State::Checking || self.has_failed(now)) && last_answer >= self.checked
     }
 
-    /// Returns true when the latest check failed and may still be confirmed.
+    /// Records that another host answered what was sent at `sent`. That shows that the balancer's own link worked during the
+    /// check only within `timeout`, the time that the check has.
+    fn vouch(&mut self, now: Time, sent: Time, timeout: Duration) {
+        if sent >= self.checked && !now.reached(self.checked + timeout) {
+            self.vouched = Some(sent);
+        }
+    }
+
+    /// Returns true while the check in progress, or the latest one if it failed, may still be confirmed.
+    fn is_open(&self, now: Time, timeout: Duration) -> bool {
+        let may_be_vouched = self.vouched.is_some() || !now.reached(self.checked + timeout);
+        self.state == State::Checking || (self.has_failed(now) && may_be_vouched)
+    }
+
+    /// Returns when the answer was sent for that confirms the failure of the latest check; none if it is not confirmed.
+    fn confirmation(&self, now: Time) -> Option<Time> {
+        self.vouched.filter(|_| self.has_failed(now))
+    }
+
+    /// Returns true when the latest check failed a short time ago.
     pub(super) fn has_failed(&self, now: Time) -> bool {
         matches!(self.state, State::Failed(until) if !now.reached(until))
     }
@@ -119,6 +141,7 @@
         self.next_check = now + self.pause;
         self.pause = (self.pause * 2).min(MAX_PAUSE);
         self.checked = now;
+        self.vouched = None;
         self.state = State::Checking;
     }
 }
@@ -137,7 +160,7 @@
         if host.reach.state != State::Checking {
             return;
         }
-        let until = host.reach.checked + CONFIRM_TIME;
+        let until = host.reach.checked + DOUBT_TIME;
         // An answer that arrived meanwhile has more weight than the check.
         if host.last_answer >= host.reach.checked || now.reached(until) {
             host.reach.state = State::Idle;
@@ -146,7 +169,6 @@
         host.reach.state = State::Failed(until);
         let detail = format!("the check began {} ms ago", now.since(host.reach.checked).as_millis());
         outlet.record_event(now, "host.check_failed", &host.name, &detail);
-        self.failed_checks.push(id.0);
         self.confirm_failed_checks(now, outlet);
     }
 
@@ -158,6 +180,9 @@
         }
         host.reach.begin(now);
         self.checks += 1;
+        if !self.open_checks.contains(&index) {
+            self.open_checks.push(index);
+        }
         outlet.check(CheckId(index), host.record.address);
     }
 
@@ -198,17 +223,21 @@
             return;
         }
         self.last_prompt_answer = self.last_prompt_answer.max(sent);
+        for index in &self.open_checks {
+            if let Some(host) = self.hosts.get_mut(*index) {
+                host.reach.vouch(now, sent, self.settings.check_timeout);
+            }
+        }
         self.confirm_failed_checks(now, outlet);
     }
 
     /// Makes the hosts unreachable whose checks failed while the own link works, and resets their flows.
     fn confirm_failed_checks(&mut self, now: Time, outlet: &mut dyn Outlet) {
-        let own_link_worked = self.last_prompt_answer;
-        let hosts = &self.hosts;
-        self.failed_checks.retain(|index| hosts.get(*index).is_some_and(|host| host.reach.has_failed(now)));
-        let is_confirmed = |index: &Index| hosts.get(*index).is_some_and(|host| own_link_worked >= host.reach.checked);
-        let confirmed: Vec<Index> = self.failed_checks.extract_if(.., |index| is_confirmed(index)).collect();
-        for index in confirmed {
+        let (hosts, timeout) = (&self.hosts, self.settings.check_timeout);
+        self.open_checks.retain(|index| hosts.get(*index).is_some_and(|host| host.reach.is_open(now, timeout)));
+        let confirmation = |index: &Index| Some((*index, hosts.get(*index)?.reach.confirmation(now)?));
+        let confirmed: Vec<(Index, Time)> = self.open_checks.iter().filter_map(confirmation).collect();
+        for (index, vouched) in confirmed {
             let Some(host) = self.hosts.get_mut(index) else { continue };
             let since = host.reach.checked;
             let was_unreachable = host.reach.is_unreachable(now);
@@ -217,7 +246,7 @@
             if was_unreachable {
                 continue;
             }
-            let (age, lag) = (now.since(since).as_millis(), own_link_worked.since(since).as_millis());
+            let (age, lag) = (now.since(since).as_millis(), vouched.since(since).as_millis());
             let detail =
                 format!("the check that began {age} ms ago failed; another host answered what was sent {lag} ms after");
             outlet.record_event(now, "host.unreachable", &host.name, &detail);
--- a/crates/poplarpaddle/tests/direct/unreachable.rs
+++ b/crates/poplarpaddle/tests/direct/unreachable.rs
@@ -197,6 +197,31 @@
     assert!(harness.record.resets.is_empty(), "{:?}", harness.record.resets);
 }
 
+/// While this balancer's own link was congested for some tenths of a second, by state that it sent to other members, a check
+/// failed. The first answer after that once confirmed it, and flows were reset whose host was well.
+#[test]
+fn an_answer_after_the_time_of_a_check_does_not_confirm_it() {
+    for (ends_after, answered_after, is_confirmed) in
+        [(200, 300, false), (2, 250, false), (200, 150, true), (2, 150, true)]
+    {
+        let mut harness = harness();
+        let (waiting, _, doubted) = two_flows(&mut harness, IDEMPOTENT, 1);
+        harness.advance(200);
+        harness.send(waiting, Mark::of(doubted), Kind::Data, 100, 50);
+        // The helper takes 8 ms for an answer.
+        for time in 1..=300 {
+            harness.advance(1);
+            if time == ends_after {
+                assert_eq!(harness.finish_checks(Some(doubted)), 1);
+            }
+            if time == answered_after - 8 {
+                answer_elsewhere(&mut harness, doubted, 500);
+            }
+        }
+        assert_eq!(is_reset(&harness, waiting), is_confirmed, "{ends_after} {answered_after}");
+    }
+}
+
 /// The answer to a request that was sent after the check had begun shows that the host is well.
 #[test]
 fn a_host_that_answers_requests_after_a_failed_check_is_trusted() {
