--- a/crates/poplarpaddle/tests/direct/main.rs
+++ b/crates/poplarpaddle/tests/direct/main.rs
@@ -4,6 +4,7 @@
 mod drains;
 mod openings;
 mod outliers;
+mod pinned;
 mod random;
 mod routing;
 mod start;
