Let operators mark a port's requests as idempotent

Cause: nothing in the configuration says which requests may be repeated, and the data path must not guess. Change: the field `idempotent` of a service's port, default false. It is written only when it is true, so that parts of sets without it keep their digests. Result: the new test of the object checks fails without the field (unknown field).

--- a/crates/poplarpaddle-bench/src/net/views.rs
+++ b/crates/poplarpaddle-bench/src/net/views.rs
@@ -78,7 +78,7 @@
 }
 
 fn port(service: usize, priority: usize) -> view::Port {
-    view::Port { port: self::service_address(service, priority).port(), priority }
+    view::Port { port: self::service_address(service, priority).port(), priority, idempotent: false }
 }
 
 fn target(deployment: &Deployment, index: HostIndex) -> view::Target {
--- a/crates/poplarpaddle-bench/src/slope/flow.rs
+++ b/crates/poplarpaddle-bench/src/slope/flow.rs
@@ -118,7 +118,7 @@
     for target in &targets {
         config.endpoints.insert(SocketAddrV4::new(target.address, 80), ServiceIndex(0));
     }
-    let ports = vec![Port { port: 80, priority: 0 }];
+    let ports = vec![Port { port: 80, priority: 0, idempotent: false }];
     let service = Service { name: "bookings".into(), address: *SERVICE.ip(), ports, shards: 1, targets };
     config.services.push(Arc::new(service));
     config
--- a/crates/poplarpaddle-bench/src/slope/input.rs
+++ b/crates/poplarpaddle-bench/src/slope/input.rs
@@ -38,7 +38,7 @@
     }
     for index in 0..services {
         let name = format!("service-{index}");
-        let ports = vec![Port { port: 80, priority: "urgent".to_owned() }];
+        let ports = vec![Port { port: 80, priority: "urgent".to_owned(), idempotent: false }];
         let address = Ipv4Addr::from(0x0a00_0001 + index);
         set.services.insert(name.clone(), Service { name, address, ports, shards: None });
     }
--- a/crates/poplarpaddle/src/config/compile.rs
+++ b/crates/poplarpaddle/src/config/compile.rs
@@ -108,7 +108,8 @@
         }
         let known = manifest.priorities.iter().any(|priority| priority.name == port.priority);
         let fallback = least_urgent.filter(|_priority| !known).map(|priority| priority.name.clone());
-        entry.ports.push(Port { port: port.port, priority: fallback.unwrap_or_else(|| port.priority.clone()) });
+        let priority = fallback.unwrap_or_else(|| port.priority.clone());
+        entry.ports.push(Port { port: port.port, priority, idempotent: port.idempotent });
     }
 }
 
@@ -213,7 +214,7 @@
     let Some(priority) = found else {
         return Err(fault("service", service, "priority", &port.priority, &"a priority of the manifest"));
     };
-    Ok(view::Port { port: port.port, priority })
+    Ok(view::Port { port: port.port, priority, idempotent: port.idempotent })
 }
 
 fn insert_unique(
--- a/crates/poplarpaddle/src/object.rs
+++ b/crates/poplarpaddle/src/object.rs
@@ -64,6 +64,14 @@
     pub port: u16,
     /// Name of the priority.
     pub priority: String,
+    /// True when all requests of the port are idempotent, so that they may be hedged.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub idempotent: bool,
+}
+
+#[expect(clippy::trivially_copy_pass_by_ref, reason = "the signature that serde calls")]
+const fn is_false(value: &bool) -> bool {
+    !*value
 }
 
 /// A service: one address with ports, served by targets.
--- a/crates/poplarpaddle/src/object/item.rs
+++ b/crates/poplarpaddle/src/object/item.rs
@@ -179,7 +179,8 @@
 
 fn port(reader: &mut Reader<'_, '_>) -> Option<Port> {
     let (port, priority) = (reader.number("port", u16::MAX), reader.string("priority"));
-    Some(Port { port: port?, priority: priority? })
+    let idempotent = reader.flag("idempotent");
+    Some(Port { port: port?, priority: priority?, idempotent: idempotent? })
 }
 
 fn target(reader: &mut Reader<'_, '_>) -> Option<Target> {
--- a/crates/poplarpaddle/src/view.rs
+++ b/crates/poplarpaddle/src/view.rs
@@ -20,6 +20,8 @@
     pub port: u16,
     /// Index in [`Config::priorities`].
     pub priority: usize,
+    /// True when all requests of the port are idempotent.
+    pub idempotent: bool,
 }
 
 /// A target of a service.
--- a/crates/poplarpaddle/tests/ip.rs
+++ b/crates/poplarpaddle/tests/ip.rs
@@ -17,7 +17,7 @@
 const TARGET: Ipv4Addr = Ipv4Addr::new(10, 1, 0, 1);
 
 fn config() -> Config {
-    let ports = vec![Port { port: 80, priority: 0 }];
+    let ports = vec![Port { port: 80, priority: 0, idempotent: false }];
     let service = Service { name: "bookings".into(), address: SERVICE, ports, shards: 1, targets: Vec::new() };
     let mut config = Config {
         generation: 1,
--- a/crates/poplarpaddle/tests/objects/config.rs
+++ b/crates/poplarpaddle/tests/objects/config.rs
@@ -5,7 +5,7 @@
 
 use poplarpaddle::config::{Digest, Manifest, Offer, Released, Row, State, bucket_count, bucket_of};
 use poplarpaddle::error::Kind;
-use poplarpaddle::object::Set;
+use poplarpaddle::object::{Item, Kind as ItemKind, Set};
 
 use crate::support::{add_target, generation, set};
 
@@ -203,3 +203,27 @@
     let found = ["bookings", "crewdocs", "pour-slot", "catalogue"].map(|name| bucket_of(name, 16));
     assert_eq!(found, [14, 12, 4, 10]);
 }
+
+/// Guards against requests that count as idempotent without the attribute, and against a digest that changes for services
+/// without it, which would republish all parts.
+#[test]
+fn ports_are_idempotent_only_by_their_attribute() {
+    let text = |port: &str| format!(r#"{{"name": "a", "address": "10.0.0.1", "ports": [{port}]}}"#);
+    let read = |port: &str| Item::from_json("a.json", ItemKind::Service, text(port).as_bytes());
+    for (port, expected) in [
+        (r#"{"port":80,"priority":"urgent"}"#, false),
+        (r#"{"port":80,"priority":"urgent","idempotent":false}"#, false),
+        (r#"{"port":80,"priority":"urgent","idempotent":true}"#, true),
+    ] {
+        let Ok(Item::Service(service)) = read(port) else { panic!("{port}") };
+        let is_written = serde_json::to_string(&service).unwrap().contains("idempotent");
+        assert_eq!((service.ports[0].idempotent, is_written), (expected, expected), "{port}");
+        let mut fleet = set(1, 3);
+        fleet.services.get_mut("service-0").unwrap().ports = service.ports;
+        let mut state = State::new("kauri");
+        apply(&mut state, &fleet, 1);
+        assert_eq!(state.current().unwrap().services[0].ports[0].idempotent, expected, "{port}");
+    }
+    let faults = read(r#"{"port":80,"priority":"urgent","idempotent":"yes"}"#).unwrap_err();
+    assert_eq!(faults[0].to_string(), r#"a.json: ports[0].idempotent is "yes", allowed: true or false"#);
+}
--- a/crates/poplarpaddle/tests/objects/support.rs
+++ b/crates/poplarpaddle/tests/objects/support.rs
@@ -32,7 +32,7 @@
 pub fn add_service(set: &mut Set, index: u32) {
     let name = format!("service-{index}");
     let address = Ipv4Addr::from(0x0a00_0001 + index);
-    let ports = vec![Port { port: 80, priority: "urgent".to_owned() }];
+    let ports = vec![Port { port: 80, priority: "urgent".to_owned(), idempotent: false }];
     set.services.insert(name.clone(), Service { name, address, ports, shards: None });
 }
 
--- a/crates/poplarpaddle/tests/path/fleet.rs
+++ b/crates/poplarpaddle/tests/path/fleet.rs
@@ -49,7 +49,7 @@
         config.services.push(Arc::new(Service {
             name: format!("service-{number}"),
             address: *service(number).ip(),
-            ports: vec![Port { port: PORT, priority: 0 }],
+            ports: vec![Port { port: PORT, priority: 0, idempotent: false }],
             shards,
             targets: (0..*size).map(|target| target_object(number, target)).collect(),
         }));
