Hedge slow openings at the owner of a shard

Cause: an opening that its target drops or is slow to accept waits for the retry after 500 ms, and its caller with it. Change: `hedge` decides when an opening is slow (from the percentiles of the shard's own times), whether the budget and the free slots allow a copy; `path::hedging` sends it to a second host, binds the flow to the first that accepts, and resets the other one after the caller has acknowledged the first. Off unless `hedge::Settings::percent` is set, and only on ports that are marked as idempotent. A host that loses without an answer counts as unanswered at its gate. Result: tests of the decisions, of the data path at one owner and over the leave of an owner, and the state machine test of the data path with hedging on pass.

--- a/crates/poplarpaddle/src/admission.rs
+++ b/crates/poplarpaddle/src/admission.rs
@@ -13,6 +13,7 @@
 
 pub use self::queue::Queue;
 pub use self::settings::{Order, Settings};
+use crate::hedge;
 use crate::packet::Flow;
 use crate::path::Reason;
 use crate::time::Time;
@@ -126,6 +127,16 @@
 
     /// Returns the number of waiting tickets.
     fn waiting(&self) -> usize;
+
+    /// Returns the load of the hosts that accept new work. A gate without this figure allows no hedging.
+    fn room(&self) -> hedge::Room {
+        hedge::Room::default()
+    }
+
+    /// Returns the least loaded candidate that would run one more opening at once. Call [`Gate::adopt`] when it gets one.
+    fn spare_host(&self, _now: Time, _candidates: &[Ipv4Addr]) -> Option<Ipv4Addr> {
+        None
+    }
 }
 
 /// Returns the gate that the balancer uses in production, a [`Queue`].
--- a/crates/poplarpaddle/src/admission/host.rs
+++ b/crates/poplarpaddle/src/admission/host.rs
@@ -5,6 +5,7 @@
 use std::net::Ipv4Addr;
 
 use super::{Host, Settings};
+use crate::hedge::Room;
 use crate::limit::Limit;
 use crate::time::Time;
 use crate::view::HostState;
@@ -52,6 +53,11 @@
             && now.reached(self.limit.paused_until())
     }
 
+    /// Returns true if an opening would not wait at this host.
+    fn has_free_slot(&self, now: Time) -> bool {
+        self.accepts_opening(now) && self.in_flight < self.limit.slots()
+    }
+
     /// Returns true if payload of an established flow may start. A misplaced host gets no packets at all.
     pub(super) fn accepts_payload(&self) -> bool {
         self.has_capacity() && self.state != HostState::Misplaced
@@ -155,6 +161,24 @@
         least_loaded(now, usable.clone().take(preferred)).or_else(|| least_loaded(now, usable.skip(preferred)))
     }
 
+    /// Returns the least loaded host with a free slot, with the same preference as [`Self::choose`].
+    pub(super) fn choose_spare(&self, now: Time, candidates: &[Ipv4Addr], preferred: usize) -> Option<Ipv4Addr> {
+        let accounts = candidates.iter().filter_map(|host| Some((*host, self.accounts.get(host)?)));
+        let spare = accounts.filter(|(_, account)| account.has_free_slot(now));
+        least_loaded(now, spare.clone().take(preferred)).or_else(|| least_loaded(now, spare.skip(preferred)))
+    }
+
+    /// Returns the slots of the usable hosts.
+    pub(super) fn room(&self) -> Room {
+        let mut room = Room::default();
+        for account in self.accounts.values().filter(|account| account.usable()) {
+            let slots = account.limit.slots();
+            room.slots += u64::from(slots);
+            room.free += u64::from(slots.saturating_sub(account.in_flight));
+        }
+        room
+    }
+
     /// Returns true if at least one host accepts an opening now.
     pub(super) fn any_accepts_opening(&self, now: Time) -> bool {
         self.accounts.values().any(|account| account.accepts_opening(now))
--- a/crates/poplarpaddle/src/admission/queue.rs
+++ b/crates/poplarpaddle/src/admission/queue.rs
@@ -7,6 +7,7 @@
 use super::class::{CREDIT_START, Class, Entry, Key, PORTION_ONE, Winner};
 use super::host::{Account, Accounts};
 use super::{Decision, Departure, End, Gate, Host, Order, Settings, Ticket, TicketId};
+use crate::hedge::Room;
 use crate::path::Reason;
 use crate::retry::Budget;
 use crate::time::Time;
@@ -395,4 +396,12 @@
     fn waiting(&self) -> usize {
         self.entries.len()
     }
+
+    fn room(&self) -> Room {
+        Room { waiting: self.entries.len(), ..self.hosts.room() }
+    }
+
+    fn spare_host(&self, now: Time, candidates: &[Ipv4Addr]) -> Option<Ipv4Addr> {
+        self.hosts.choose_spare(now, candidates, self.settings.preferred)
+    }
 }
--- a/crates/poplarpaddle/src/lib.rs
+++ b/crates/poplarpaddle/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod fleet;
 pub mod flow;
 pub mod health;
+pub mod hedge;
 pub mod ip;
 pub mod lease;
 pub mod limit;
--- a/crates/poplarpaddle/src/limit.rs
+++ b/crates/poplarpaddle/src/limit.rs
@@ -99,6 +99,12 @@
         self.thousandths / UNIT
     }
 
+    /// Returns the number of requests that the host runs at the same time.
+    #[must_use]
+    pub fn slots(&self) -> u32 {
+        u32::from(self.slots)
+    }
+
     /// Returns the time until which no openings may start on the host.
     #[must_use]
     pub const fn paused_until(&self) -> Time {
--- a/crates/poplarpaddle/src/path.rs
+++ b/crates/poplarpaddle/src/path.rs
@@ -31,6 +31,7 @@
 mod assign;
 mod caller;
 mod engine;
+mod hedging;
 mod hold;
 mod opening;
 mod probing;
--- a/crates/poplarpaddle/src/path/account.rs
+++ b/crates/poplarpaddle/src/path/account.rs
@@ -41,6 +41,12 @@
         }
     }
 
+    /// Ends the work of a second attempt, which has no entry of its own.
+    pub(super) fn finish_attempt(&mut self, now: Time, target: Ipv4Addr, priority: usize, end: End) {
+        self.gate.finish(now, target, priority, end);
+        self.capacity_freed = true;
+    }
+
     pub(super) fn connect(&mut self, entry: &mut Entry) {
         if !entry.has(Flag::Connected) {
             entry.set(Flag::Connected);
@@ -163,6 +169,9 @@
 
     /// Ends the work and the connection of a flow in its gate and drops its held packets.
     pub(super) fn release(&mut self, now: Time, key: u64, slot: Slot) {
+        if let Some(flow) = self.table.get(slot).map(|entry| entry.flow) {
+            self.cancel_hedge(now, &flow);
+        }
         self.finish(now, key, slot, End::Closed);
         self.drop_held(key, slot);
         if let (Some(shard), Some(entry)) = (self.shards.get_mut(key), self.table.get_mut(slot)) {
--- a/crates/poplarpaddle/src/path/assign.rs
+++ b/crates/poplarpaddle/src/path/assign.rs
@@ -36,6 +36,7 @@
 impl Engine {
     /// Reassigns shards and flows after a change of members, configuration or hosts.
     pub(super) fn reassign(&mut self, now: Time, config: Option<&Arc<Config>>, outlet: &mut dyn Outlet) {
+        self.end_all_attempts(now);
         let mut before = Snapshot {
             config: self.config.clone(),
             ownership: self.ownership.clone(),
@@ -87,6 +88,8 @@
             }
         }
         self.shards = Shards(shards);
+        let shards = &self.shards.0;
+        self.hedges.retain_policies(|key| shards.contains_key(&key));
     }
 
     fn reuse_or_make(&self, now: Time, reused: Option<Shard>, service: ServiceIndex, index: u16) -> Option<Shard> {
--- a/crates/poplarpaddle/src/path/caller.rs
+++ b/crates/poplarpaddle/src/path/caller.rs
@@ -87,7 +87,7 @@
         self.discard(packet, Reason::UnknownFlow, outlet);
     }
 
-    /// Removes an opening that its caller reset, and forwards the reset to the target that got the opening.
+    /// Removes an opening that its caller reset, and forwards the reset to the targets that got the opening.
     fn abort_opening(
         &mut self,
         now: Time,
@@ -97,9 +97,13 @@
         packet: &View<'_>,
         outlet: &mut dyn Outlet,
     ) {
+        let second = self.hedges.second_host(&entry.flow);
         self.remove(now, location.key, slot);
-        if entry.stage == Stage::Pending && self.is_allowed(location, entry.target, &packet.flow) {
-            self.send_target(entry.target, packet, outlet);
+        let first = (entry.stage == Stage::Pending).then_some(entry.target);
+        for target in first.into_iter().chain(second) {
+            if self.is_allowed(location, target, &packet.flow) {
+                self.send_target(target, packet, outlet);
+            }
         }
     }
 
@@ -342,6 +346,7 @@
         let answer_timeout = self.timings.answer_timeout;
         let Some(entry) = self.table.get_mut(slot) else { return };
         let target = entry.target;
+        let was_accepted = entry.stage == Stage::Accepted;
         track_caller_packet(now, answer_timeout, entry, packet);
         if packet.has_payload() {
             let is_responsive = self
@@ -352,6 +357,9 @@
         }
         let is_over = entry.is_finished();
         self.send_target(target, packet, outlet);
+        if was_accepted && packet.kind != Kind::Reset && packet.acknowledgement != 0 {
+            self.reset_loser(location, &packet.flow, outlet);
+        }
         if is_over {
             self.release(now, location.key, slot);
         }
--- a/crates/poplarpaddle/src/path/engine.rs
+++ b/crates/poplarpaddle/src/path/engine.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use super::account::Shards;
+use super::hedging::Hedges;
 use super::hold::Buffer;
 use super::reserve::Reservations;
 use super::settings::{Counters, Factory, Settings, Timings};
@@ -45,6 +46,7 @@
     pub(super) answering_since: Map<Ipv4Addr, Time>,
     pub(super) sweep: Sweep,
     pub(super) reservations: Reservations,
+    pub(super) hedges: Hedges,
     /// Time of the last change of the set of members. Answers to work that started before may have gone to another owner.
     pub(super) members_changed_at: Time,
     pub(super) counters: Counters,
@@ -54,7 +56,7 @@
     /// Returns an engine without configuration and flows.
     #[must_use]
     pub fn new(settings: Settings) -> Self {
-        let Settings { me, seed, bounds, mut timings, gates } = settings;
+        let Settings { me, seed, bounds, mut timings, gates, hedge } = settings;
         timings.opening_timeout = timings.opening_timeout.max(MIN_REPLY_TIMEOUT);
         timings.probe_timeout = timings.probe_timeout.max(MIN_REPLY_TIMEOUT);
         Self {
@@ -74,6 +76,7 @@
             shared_until: Time::default(),
             sweep: Sweep::default(),
             reservations: Reservations::default(),
+            hedges: Hedges::new(hedge, seed),
             members_changed_at: Time::default(),
             counters: Counters::default(),
         }
@@ -103,6 +106,7 @@
         while let Some(slot) = self.hold_buffer.pop_due(now) {
             self.handle_hold_timeout(now, slot, outlet);
         }
+        self.run_hedges(now, outlet);
         self.sweep(now, outlet);
         self.expire_reservations(now);
         self.start_all_waiting(now, outlet);
@@ -113,7 +117,8 @@
     pub fn deadline(&self) -> Time {
         let sweep = if self.table.is_empty() { Time::NEVER } else { self.sweep.deadline() };
         let reservations = self.reservations.deadline(self.timings.first_payload_timeout);
-        self.hold_buffer.deadline().min(sweep).min(reservations).min(self.shards.deadline())
+        let timers = self.hold_buffer.deadline().min(self.hedges.deadline());
+        timers.min(sweep).min(reservations).min(self.shards.deadline())
     }
 
     /// Applies a new view of the fleet and rebuilds the shards to match it. Entries of bound flows stay, except those of
--- a/crates/poplarpaddle/src/path/opening.rs
+++ b/crates/poplarpaddle/src/path/opening.rs
@@ -109,6 +109,7 @@
         self.counters.placed += 1;
         if let Some(slot) = slot {
             self.hold_buffer.set_deadline(slot, now + self.timings.opening_timeout);
+            self.schedule_hedge(now, location, slot, &packet.flow);
         }
         if self.is_allowed(location, host, &packet.flow) {
             self.send_target(host, packet, outlet);
@@ -171,6 +172,9 @@
     ) {
         let Some(entry) = self.table.get(slot).copied() else { return };
         self.finish(now, location.key, slot, end);
+        if self.continue_with_hedge(slot) {
+            return;
+        }
         let Some(queue) = self.hold_buffer.remove(slot) else {
             self.table.remove(slot);
             return;
--- a/crates/poplarpaddle/src/path/settings.rs
+++ b/crates/poplarpaddle/src/path/settings.rs
@@ -6,6 +6,7 @@
 
 use super::{MemberId, Reason, Unlimited};
 use crate::admission::Gate;
+use crate::hedge;
 use crate::view::Priority;
 
 /// Makes the gates of the shards that an engine handles.
@@ -106,6 +107,8 @@
     pub timings: Timings,
     /// Makes the gate of each shard.
     pub gates: Arc<dyn Factory>,
+    /// Limit on hedged openings.
+    pub hedge: hedge::Settings,
 }
 
 impl Default for Settings {
@@ -116,6 +119,7 @@
             bounds: Bounds::default(),
             timings: Timings::default(),
             gates: Arc::new(Unlimited),
+            hedge: hedge::Settings::default(),
         }
     }
 }
@@ -144,6 +148,14 @@
     pub placed: u64,
     /// Openings sent to another target after the first one refused or did not answer.
     pub retried: u64,
+    /// Openings of which a copy was sent to a second target.
+    pub hedges: u64,
+    /// Hedged openings whose second target accepted first.
+    pub hedges_won: u64,
+    /// Openings that were not hedged because the budget was used up.
+    pub hedges_over_budget: u64,
+    /// Openings that were not hedged because the targets were short of free slots.
+    pub hedges_without_room: u64,
     /// Flows learned from a packet of their target.
     pub learned: u64,
     /// Flows for which a probe was started.
--- a/crates/poplarpaddle/src/path/target.rs
+++ b/crates/poplarpaddle/src/path/target.rs
@@ -24,6 +24,9 @@
             return self.discard(packet, Reason::WrongTarget, outlet);
         }
         self.last_received.insert(target, now);
+        if self.handle_second_answer(now, location, target, packet, outlet) {
+            return;
+        }
         let Some(slot) = self.table.find(&packet.flow) else {
             return self.handle_unknown_flow(now, location, target, packet, outlet);
         };
@@ -143,6 +146,9 @@
             return self.handle_unknown_flow(now, location, target, packet, outlet);
         }
         self.discard(packet, Reason::WrongTarget, outlet);
+        if packet.kind == Kind::Accept {
+            self.reset_unused(location, target, packet, outlet);
+        }
     }
 
     /// Handles the answer of the target that the opening was sent to.
@@ -172,7 +178,8 @@
     }
 
     /// Binds a flow to the target that accepted its opening.
-    fn bind(&mut self, now: Time, location: &Location, slot: Slot, packet: &View<'_>) {
+    pub(super) fn bind(&mut self, now: Time, location: &Location, slot: Slot, packet: &View<'_>) {
+        self.record_accepted(now, location, slot);
         self.drop_held(location.key, slot);
         if let Some(entry) = self.table.get_mut(slot) {
             entry.stage = Stage::Accepted;
--- a/crates/poplarpaddle/tests/path/fleet.rs
+++ b/crates/poplarpaddle/tests/path/fleet.rs
@@ -57,6 +57,14 @@
     config
 }
 
+/// Marks all ports as idempotent.
+pub fn with_idempotent_ports(mut config: Config) -> Config {
+    for service in &mut config.services {
+        Arc::make_mut(service).ports.iter_mut().for_each(|port| port.idempotent = true);
+    }
+    config
+}
+
 fn target_object(service: u8, number: u8) -> Target {
     Target {
         name: format!("target-{service}-{number}"),
--- a/crates/poplarpaddle/tests/path/gate.rs
+++ b/crates/poplarpaddle/tests/path/gate.rs
@@ -4,6 +4,7 @@
 use std::net::Ipv4Addr;
 
 use poplarpaddle::admission::{Decision, Departure, End, Gate, Host, Ticket, TicketId};
+use poplarpaddle::hedge::Room;
 use poplarpaddle::packet::Flow;
 use poplarpaddle::path::{Factory, Reason};
 use poplarpaddle::time::Time;
@@ -118,4 +119,12 @@
     fn waiting(&self) -> usize {
         self.queue.len()
     }
+
+    fn room(&self) -> Room {
+        Room { free: 1, slots: 1, waiting: self.queue.len() }
+    }
+
+    fn spare_host(&self, _now: Time, candidates: &[Ipv4Addr]) -> Option<Ipv4Addr> {
+        candidates.iter().copied().find(|host| self.running.get(host).copied().unwrap_or(0) < self.limit)
+    }
 }
--- a/crates/poplarpaddle/tests/path/machine.rs
+++ b/crates/poplarpaddle/tests/path/machine.rs
@@ -1,5 +1,6 @@
 //! State machine test: random changes of members, configuration, hosts and flows against several engines.
 
+use poplarpaddle::hedge;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
@@ -85,7 +86,7 @@
     type Reference = Steps;
 
     fn init_test(_ref_state: &()) -> Simulation {
-        Simulation::new(&INITIAL_MEMBERS)
+        Simulation::new(&INITIAL_MEMBERS, hedge::Settings::default())
     }
 
     fn apply(mut state: Simulation, _ref_state: &(), transition: Step) -> Simulation {
@@ -118,6 +119,28 @@
     }
 }
 
+/// Applies the steps to a simulation that hedges every opening that takes longer than the ones before.
+#[derive(Debug)]
+struct HedgingRunner;
+
+impl StateMachineTest for HedgingRunner {
+    type SystemUnderTest = Simulation;
+    type Reference = Steps;
+
+    fn init_test(_ref_state: &()) -> Simulation {
+        let hedge = hedge::Settings { percent: 100, burst: 10, samples: 1 };
+        Simulation::new(&INITIAL_MEMBERS, hedge)
+    }
+
+    fn apply(state: Simulation, ref_state: &(), transition: Step) -> Simulation {
+        Runner::apply(state, ref_state, transition)
+    }
+
+    fn teardown(state: Simulation, ref_state: ()) {
+        Runner::teardown(state, ref_state);
+    }
+}
+
 prop_state_machine! {
     #![proptest_config(Config {
         cases: 2_000,
@@ -130,4 +153,9 @@
     /// whose payload was processed, and inconsistent accounting with a gate, under any order of member changes.
     #[test]
     fn flows_survive_member_changes(sequential 1..120 => Runner);
+
+    /// Guards against hedged openings that break a flow, leave their work in a gate, or let an answer of the second host
+    /// reach a caller that is connected to the first, under any order of member changes.
+    #[test]
+    fn hedged_flows_survive_member_changes(sequential 1..120 => HedgingRunner);
 }
--- a/crates/poplarpaddle/tests/path/main.rs
+++ b/crates/poplarpaddle/tests/path/main.rs
@@ -4,6 +4,7 @@
 mod fleet;
 mod flows;
 mod gate;
+mod hedging;
 mod machine;
 mod ownership;
 mod recovery;
--- a/crates/poplarpaddle/tests/path/world.rs
+++ b/crates/poplarpaddle/tests/path/world.rs
@@ -4,12 +4,13 @@
 use std::net::Ipv4Addr;
 use std::sync::Arc;
 
+use poplarpaddle::hedge;
 use poplarpaddle::packet::{Kind, View};
 use poplarpaddle::path::{Bounds, Engine, Settings};
 use poplarpaddle::prelude::*;
 use poplarpaddle::view::{self, Config, HostState};
 
-use crate::fleet::{config, flow, host, members, service, view as view_of};
+use crate::fleet::{config, flow, host, members, service, view as view_of, with_idempotent_ports};
 use crate::gate::Limited;
 use crate::tcp::{Caller, Connection, MESSAGE_SIZE, Phase};
 
@@ -50,6 +51,7 @@
     connections: BTreeMap<(Ipv4Addr, Flow), Connection>,
     callers: BTreeMap<Flow, Caller>,
     in_flight: VecDeque<Delivery>,
+    hedge: hedge::Settings,
     shedding: BTreeSet<Ipv4Addr>,
     paused: BTreeSet<Ipv4Addr>,
     issued_sequences: u32,
@@ -107,11 +109,14 @@
 }
 
 impl Simulation {
-    /// Returns a simulation of balancers with these ids.
-    pub fn new(ids: &[u64]) -> Self {
+    /// Returns a simulation of balancers with these ids and with these settings of hedging.
+    pub fn new(ids: &[u64], hedge: hedge::Settings) -> Self {
+        let config = config(&TARGETS, 2);
+        let config = if hedge.is_enabled() { with_idempotent_ports(config) } else { config };
         let mut simulation = Self {
             now: Time::from_millis(1000),
-            config: Arc::new(config(&TARGETS, 2)),
+            config: Arc::new(config),
+            hedge,
             engines: BTreeMap::new(),
             joined: ids.iter().copied().collect(),
             alive: ids.iter().copied().collect(),
@@ -140,6 +145,7 @@
             seed: id,
             bounds,
             gates: Arc::new(Limited { limit: 3 }),
+            hedge: self.hedge,
             ..Default::default()
         };
         self.engines.insert(id, Engine::new(settings));
