Add the setting [hedge] percent and metrics of hedged openings

Cause: operators set the limit of the extra work. Change: `[hedge] percent`, 0 to 100, default 0; the counter `poplarpaddle.hedges` by outcome. Result: the test of the setting fails without the section (unknown section).

--- a/crates/poplarpaddle-balancer/src/daemon.rs
+++ b/crates/poplarpaddle-balancer/src/daemon.rs
@@ -10,6 +10,7 @@
 use poplarpaddle::config;
 use poplarpaddle::control::{self, Node};
 use poplarpaddle::health;
+use poplarpaddle::hedge;
 use poplarpaddle::membership;
 use poplarpaddle::ownership::Ownership;
 use poplarpaddle::path::{self, MemberId};
@@ -129,7 +130,14 @@
         data: settings.listen.data,
         relay: settings.listen.relay,
         fabric: settings.fabric.address,
-        path: path::Settings { me, seed: rand::random(), bounds, gates: Arc::new(Gates), ..path::Settings::default() },
+        path: path::Settings {
+            me,
+            seed: rand::random(),
+            bounds,
+            gates: Arc::new(Gates),
+            hedge: hedge::Settings { percent: settings.hedge.percent, ..hedge::Settings::default() },
+            ..path::Settings::default()
+        },
     }
 }
 
--- a/crates/poplarpaddle-balancer/src/telemetry.rs
+++ b/crates/poplarpaddle-balancer/src/telemetry.rs
@@ -121,6 +121,22 @@
             })
             .build();
         let read = self.reader();
+        let _hedges = meter
+            .u64_observable_counter("poplarpaddle.hedges")
+            .with_description("Slow openings of idempotent ports by what became of their hedges")
+            .with_callback(move |observer| {
+                let path = read().path;
+                for (outcome, value) in [
+                    ("sent", path.hedges),
+                    ("won", path.hedges_won),
+                    ("over_budget", path.hedges_over_budget),
+                    ("without_room", path.hedges_without_room),
+                ] {
+                    observer.observe(value, &[KeyValue::new("outcome", outcome)]);
+                }
+            })
+            .build();
+        let read = self.reader();
         let _drops = meter
             .u64_observable_counter("poplarpaddle.not_forwarded")
             .with_description("Packets refused, reset or dropped, by reason")
--- a/crates/poplarpaddle-io/src/settings.rs
+++ b/crates/poplarpaddle-io/src/settings.rs
@@ -59,6 +59,8 @@
     pub log: Log,
     /// Section `[limits]`.
     pub limits: Limits,
+    /// Section `[hedge]`.
+    pub hedge: Hedge,
 }
 
 /// Identity of the balancer.
@@ -215,6 +217,13 @@
     }
 }
 
+/// Hedging of openings on the ports of idempotent requests.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Hedge {
+    /// Maximum number of hedged openings per 100 accepted ones; 0 turns hedging off.
+    pub percent: u32,
+}
+
 impl Settings {
     /// Reads and checks the file at `path`.
     ///
@@ -273,6 +282,15 @@
                 ),
             },
             limits: limits(&mut document),
+            hedge: Hedge {
+                percent: document.optional(
+                    "hedge",
+                    "percent",
+                    "a number from 0 to 100",
+                    Hedge::default().percent,
+                    |text| number(text, 0, 100),
+                ),
+            },
         };
         document.finish()?;
         Ok(settings)
--- a/crates/poplarpaddle-io/tests/settings.rs
+++ b/crates/poplarpaddle-io/tests/settings.rs
@@ -74,3 +74,17 @@
     let faults = Settings::parse("bad.ini", "[node]\nname = entry-1\ncolour = red\n").unwrap_err();
     assert!(faults.to_string().contains("bad.ini:3: [node] colour"), "{faults}");
 }
+
+/// Guards against hedging that is on without its setting, and against a limit that the file does not state.
+#[test]
+fn hedging_is_off_without_its_setting() {
+    let (plain, _) = GOOD.split_once("[hedge]").unwrap();
+    assert_eq!(Settings::parse("balancer.ini", plain).unwrap().hedge.percent, 0);
+    let with = |percent: &str| Settings::parse("bad.ini", &format!("{plain}[hedge]\npercent = {percent}\n"));
+    assert_eq!(with("5").unwrap().hedge.percent, 5);
+    for percent in ["101", "-1", "5%", "5.5"] {
+        let faults = with(percent).unwrap_err().to_string();
+        let expected = format!("[hedge] percent = {percent:?} is not allowed; allowed: a number from 0 to 100");
+        assert!(faults.ends_with(&expected), "{faults}");
+    }
+}
