--- a/crates/poplarpaddle-bench/src/bin/measure.rs
+++ b/crates/poplarpaddle-bench/src/bin/measure.rs
@@ -13,7 +13,7 @@
 use poplarpaddle_bench::trace::{self, Generator};
 
 const HELP: &str = "Usage: measure [--seed N] [--seconds N] [--deployment NAME] [--scenario NAME] [--orders]
-               [--balancers N] [--flows N] [--random-seeds N]
+               [--balancers N] [--flows N] [--random-seeds N] [--hedge PERCENT]
        measure --trace FILE [--deployment NAME] [--scenario NAME]
        measure --generate FILE [--seed N] [--seconds N] [--deployment NAME] [--load PERCENT] [--standing N]
 
@@ -36,6 +36,7 @@
     balancers: usize,
     flows: usize,
     random_seeds: u32,
+    hedge: u32,
 }
 
 impl Default for Arguments {
@@ -53,6 +54,7 @@
             balancers: 16,
             flows: 20_000,
             random_seeds: 0,
+            hedge: 5,
         }
     }
 }
@@ -66,11 +68,13 @@
         return generate(&arguments, path);
     }
     let (gate, path, floods) = (gate_scenarios(&arguments), path_scenarios(&arguments), flood_scenarios(&arguments));
-    if gate.is_empty() && path.is_empty() && floods.is_empty() {
+    if gate.is_empty() && path.is_empty() && floods.is_empty() && latency_scenarios(&arguments).is_empty() {
         let names = SCENARIOS.map(|scenario| scenario.name).join(", ");
         let floods = net::flood::SCENARIOS.map(|scenario| scenario.name).join(", ");
         let path_names: Vec<&str> = net::plan::SCENARIOS.iter().map(|scenario| scenario.name).collect();
-        eyre::bail!("no scenario {:?}; use one of {names}, {floods}, {}", arguments.scenario, path_names.join(", "));
+        let latency = net::latency::SCENARIOS.map(|scenario| scenario.name).join(", ");
+        let path_names = path_names.join(", ");
+        eyre::bail!("no scenario {:?}; use one of {names}, {floods}, {latency}, {path_names}", arguments.scenario);
     }
     for _ in 0..arguments.random_seeds {
         measure_path(&arguments, &path, rand::random())?;
@@ -92,9 +96,24 @@
             }
         }
     }
+    measure_latency(&arguments)?;
     if arguments.trace.is_none() { measure_path(&arguments, &path, arguments.seed) } else { Ok(()) }
 }
 
+/// Measures the times of answers without hedging and with it.
+fn measure_latency(arguments: &Arguments) -> eyre::Result<()> {
+    let Arguments { seed, balancers, seconds, .. } = *arguments;
+    for deployment in deployments(arguments)? {
+        for scenario in latency_scenarios(arguments) {
+            let plan = net::latency::Plan { deployment, scenario, seed, balancers, seconds };
+            for percent in [0, arguments.hedge] {
+                writeln!(std::io::stdout(), "{}", serde_json::to_string(&plan.measure(percent)?)?)?;
+            }
+        }
+    }
+    Ok(())
+}
+
 /// Runs the data-path scenarios on all cores and prints the lines in the order of the scenarios.
 fn measure_path(arguments: &Arguments, scenarios: &[net::plan::Scenario], seed: u64) -> eyre::Result<()> {
     for deployment in deployments(arguments)? {
@@ -132,6 +151,7 @@
             Arg::Long("standing") => arguments.standing = parser.value()?.parse()?,
             Arg::Long("balancers") => arguments.balancers = parser.value()?.parse()?,
             Arg::Long("flows") => arguments.flows = parser.value()?.parse()?,
+            Arg::Long("hedge") => arguments.hedge = parser.value()?.parse()?,
             Arg::Long("random-seeds") => arguments.random_seeds = parser.value()?.parse()?,
             Arg::Long("help") => return Ok(None),
             other => return Err(other.unexpected().into()),
@@ -159,6 +179,13 @@
     net::flood::SCENARIOS.into_iter().filter(is_selected).collect()
 }
 
+fn latency_scenarios(arguments: &Arguments) -> Vec<net::latency::Scenario> {
+    let is_selected = |scenario: &net::latency::Scenario| {
+        arguments.trace.is_none() && arguments.scenario.as_deref().is_none_or(|name| name == scenario.name)
+    };
+    net::latency::SCENARIOS.into_iter().filter(is_selected).collect()
+}
+
 fn path_scenarios(arguments: &Arguments) -> Vec<net::plan::Scenario> {
     let is_selected =
         |scenario: &&net::plan::Scenario| arguments.scenario.as_deref().is_none_or(|name| name == scenario.name);
--- a/crates/poplarpaddle-bench/src/net.rs
+++ b/crates/poplarpaddle-bench/src/net.rs
@@ -17,6 +17,7 @@
 pub mod callers;
 pub mod flood;
 pub mod history;
+pub mod latency;
 pub mod packet;
 pub mod plan;
 pub mod report;
--- a/crates/poplarpaddle-bench/src/net/balancer.rs
+++ b/crates/poplarpaddle-bench/src/net/balancer.rs
@@ -6,6 +6,7 @@
 
 use poplarpaddle::admission::{self, Gate, Settings};
 use poplarpaddle::event::Event;
+use poplarpaddle::hedge;
 use poplarpaddle::map;
 use poplarpaddle::packet::{Direction, Flow, View};
 use poplarpaddle::path::{self, Engine, Factory, Hop, MemberId, Outlet, Reason, Source};
@@ -48,6 +49,11 @@
 
     /// Returns the time of the next [`Balancer::tick`].
     fn deadline(&self) -> Time;
+
+    /// Returns the number of hedged openings.
+    fn hedges(&self) -> u64 {
+        0
+    }
 }
 
 /// Creates the load balancer's own gates.
@@ -62,8 +68,9 @@
 
 /// Returns the load balancer's own engine and gate.
 #[must_use]
-pub fn engine(me: MemberId, seed: u64) -> Box<dyn Balancer> {
-    Box::new(Engine::new(path::Settings { me, seed, gates: Arc::new(GateFactory), ..Default::default() }))
+pub fn engine(me: MemberId, seed: u64, hedge_percent: u32) -> Box<dyn Balancer> {
+    let hedge = hedge::Settings { percent: hedge_percent, ..Default::default() };
+    Box::new(Engine::new(path::Settings { me, seed, hedge, gates: Arc::new(GateFactory), ..Default::default() }))
 }
 
 /// Returns the baseline, which hashes every packet over the usable targets.
@@ -114,6 +121,9 @@
     fn deadline(&self) -> Time {
         self.deadline()
     }
+    fn hedges(&self) -> u64 {
+        self.counters().hedges
+    }
 }
 
 /// Baseline without a flow table: each packet goes to the usable target that the hash of its flow selects.
--- a/crates/poplarpaddle-bench/src/net/flood.rs
+++ b/crates/poplarpaddle-bench/src/net/flood.rs
@@ -17,13 +17,13 @@
 use crate::trace::{Generator, Record};
 
 /// Time before the trace begins, in which the standing flows open.
-const LEAD_TIME: Duration = Duration::from_secs(5);
+pub(super) const LEAD_TIME: Duration = Duration::from_secs(5);
 
 /// Standing flows of a host. Fewer than the connection limit of a host, so that they open within [`LEAD_TIME`].
 const STANDING_PER_HOST: u32 = 400;
 
 /// Time after the end of the trace by which the last deadlines have passed.
-const SETTLE: Duration = Duration::from_secs(5);
+pub(super) const SETTLE: Duration = Duration::from_secs(5);
 
 /// Percentage of the steady requests that open a new flow.
 const CHURN_PERCENT: u32 = 10;
@@ -137,6 +137,7 @@
             length: LEAD_TIME + self.length() + SETTLE,
             steps: Vec::new(),
             retries: false,
+            hedge_percent: 0,
         };
         let without_flood = self.run(&setup, false)?;
         let with_flood = self.run(&setup, true)?;
@@ -237,7 +238,7 @@
 }
 
 /// Adds the records of a trace. Standing flows open during [`LEAD_TIME`] with a short request.
-fn add_records(simulation: &mut Simulation<'_>, records: &[Record], flood: bool) -> eyre::Result<()> {
+pub(super) fn add_records(simulation: &mut Simulation<'_>, records: &[Record], flood: bool) -> eyre::Result<()> {
     let mut flows: BTreeMap<(SocketAddrV4, u16), usize> = BTreeMap::new();
     let standing = records.iter().filter(|record| record.is_standing()).count();
     for (number, record) in records.iter().enumerate() {
--- a/crates/poplarpaddle-bench/src/net/plan.rs
+++ b/crates/poplarpaddle-bench/src/net/plan.rs
@@ -78,6 +78,12 @@
     DelayPackets,
     /// Makes a middlebox lose the state of this percentage of the open connections.
     Silence(u32),
+    /// Makes one of this many hosts of each service accept openings late.
+    SlowOpenings(usize, Duration),
+    /// Makes one of this many hosts of each service drop openings, like a host that is paused or whose queue is full.
+    DropOpenings(usize),
+    /// Loses one of this many openings on the way to the hosts.
+    LoseOpenings(u32),
 }
 
 /// An action and its time.
@@ -202,6 +208,8 @@
     pub steps: Vec<Step>,
     /// Whether callers retry refused requests, and idempotent requests whose flow was reset.
     pub retries: bool,
+    /// Hedged openings per 100 accepted ones. Unless it is 0, all ports are marked as idempotent.
+    pub hedge_percent: u32,
 }
 
 impl Scenario {
--- a/crates/poplarpaddle-bench/src/net/report.rs
+++ b/crates/poplarpaddle-bench/src/net/report.rs
@@ -94,6 +94,7 @@
             length: Scenario::length(&steps),
             steps,
             retries: true,
+            hedge_percent: 0,
         };
         let mut simulation = Simulation::new(&setup);
         self.add_flows(&mut simulation, setup.length);
--- a/crates/poplarpaddle-bench/src/net/simulation.rs
+++ b/crates/poplarpaddle-bench/src/net/simulation.rs
@@ -139,6 +139,8 @@
     partitioned: Option<usize>,
     duplicates_openings: bool,
     delays_packets: bool,
+    /// One of this many openings is lost on the way to its host.
+    lost_openings: Option<u32>,
 }
 
 impl<'a> Simulation<'a> {
@@ -163,8 +165,10 @@
             partitioned: None,
             duplicates_openings: false,
             delays_packets: false,
+            lost_openings: None,
         };
-        simulation.actual.update(1, Update::Config(Arc::new(views::config(setup.deployment, setup.seed))));
+        let config = views::config(setup.deployment, setup.seed, setup.hedge_percent > 0);
+        simulation.actual.update(1, Update::Config(Arc::new(config)));
         for host in &simulation.targets.hosts {
             simulation.actual.update(1, Update::Host(host.address, HostState::Serving));
         }
@@ -215,6 +219,12 @@
         }
     }
 
+    /// Returns the number of hedged openings of all balancers.
+    #[must_use]
+    pub fn hedges(&self) -> u64 {
+        self.nodes.iter().map(|node| node.balancer.hedges()).sum()
+    }
+
     fn schedule_at(&mut self, time: Time, event: Event) {
         self.sequence += 1;
         self.events.insert((time, self.sequence), event);
@@ -365,8 +375,12 @@
     fn send_target(&mut self, index: usize, address: Ipv4Addr, packet: Packet) {
         let Some(host) = self.targets.get(address) else { return };
         let (from, to) = (self.nodes[index].zone, host.zone);
-        if !self.is_partitioned(from, to) {
-            self.schedule_after(self.hop_delay(from, to), Event::Target(address, packet));
+        let is_opening = packet.kind == Kind::Opening;
+        let delay = if is_opening { host.opening_delay } else { Duration::ZERO };
+        let is_dropped = is_opening && host.drops_openings;
+        let is_lost = is_opening && self.lost_openings.is_some_and(|one_in| self.rng.random_range(0..one_in) == 0);
+        if !self.is_partitioned(from, to) && !is_dropped && !is_lost {
+            self.schedule_after(self.hop_delay(from, to) + delay, Event::Target(address, packet));
         }
     }
 
--- a/crates/poplarpaddle-bench/src/net/simulation/actions.rs
+++ b/crates/poplarpaddle-bench/src/net/simulation/actions.rs
@@ -2,8 +2,8 @@
 
 use super::{
     ANNOUNCED_MS, Action, Arc, Config, DETECTED_MS, DRAIN_TIME, DelayRange, Duration, Event, FABRIC_LAG, FleetState,
-    HostState, MemberId, Node, Ownership, PUBLISHED_MS, Presence, RngExt, Selector, Simulation, State, Time, Update,
-    ZONES, balancer, views,
+    Host, HostState, MemberId, Node, Ownership, PUBLISHED_MS, Presence, RngExt, Selector, Simulation, State, Time,
+    Update, ZONES, balancer, views,
 };
 use crate::net::plan::Change;
 
@@ -27,6 +27,11 @@
             }
             Action::DuplicateOpenings => self.duplicates_openings = true,
             Action::DelayPackets => self.delays_packets = true,
+            Action::SlowOpenings(stride, delay) => {
+                self.every(stride, |host| host.opening_delay = delay);
+            }
+            Action::DropOpenings(stride) => self.every(stride, |host| host.drops_openings = true),
+            Action::LoseOpenings(one_in) => self.lost_openings = Some(one_in),
             Action::Silence(percent) => {
                 for host in &mut self.targets.hosts {
                     host.silence(|| self.rng.random_range(0..100) < percent);
@@ -35,11 +40,25 @@
         }
     }
 
+    /// Changes one of `stride` hosts of each service.
+    fn every(&mut self, stride: usize, change: impl Fn(&mut Host)) {
+        let mut numbers = [0; 2];
+        for host in &mut self.targets.hosts {
+            if numbers[host.service] % stride == 0 {
+                change(host);
+            }
+            numbers[host.service] += 1;
+        }
+    }
+
     /// Adds a balancer that does not know the fleet yet, and returns its index.
     pub(super) fn add_node(&mut self, zone: usize) -> usize {
         let id = MemberId(self.rng.random());
-        let balancer =
-            if self.setup.is_design { balancer::engine(id, self.rng.random()) } else { balancer::stateless() };
+        let balancer = if self.setup.is_design {
+            balancer::engine(id, self.rng.random(), self.setup.hedge_percent)
+        } else {
+            balancer::stateless()
+        };
         let index = self.nodes.len();
         self.nodes.push(Node {
             id,
--- a/crates/poplarpaddle-bench/src/net/targets.rs
+++ b/crates/poplarpaddle-bench/src/net/targets.rs
@@ -1,6 +1,7 @@
 //! Targets as TCP endpoints, which track their connections.
 
 use std::net::Ipv4Addr;
+use std::time::Duration;
 
 use poplarpaddle::map::{self, Map};
 use poplarpaddle::packet::{Direction, Flow, Kind};
@@ -41,6 +42,10 @@
     pub service: usize,
     /// Slots, queue and state.
     pub target: Target,
+    /// Additional time until an opening is handled.
+    pub opening_delay: Duration,
+    /// Whether the host drops openings.
+    pub drops_openings: bool,
     connections: Map<Flow, Connection>,
     silent: map::Set<Flow>,
 }
@@ -54,6 +59,8 @@
             zone,
             service,
             target,
+            opening_delay: Duration::ZERO,
+            drops_openings: false,
             connections: map::seeded(1),
             silent: map::Set::with_hasher(map::state(1)),
         }
--- a/crates/poplarpaddle-bench/src/net/views.rs
+++ b/crates/poplarpaddle-bench/src/net/views.rs
@@ -37,16 +37,16 @@
     index.host % ZONES
 }
 
-/// Returns the first configuration generation of a deployment.
+/// Returns the first configuration generation of a deployment, whose requests are idempotent or not.
 #[must_use]
-pub fn config(deployment: &Deployment, seed: u64) -> Config {
+pub fn config(deployment: &Deployment, seed: u64, is_idempotent: bool) -> Config {
     let services = deployment.services.iter().enumerate().map(|(number, service)| {
         let targets =
             (0..usize::from(service.hosts)).map(|host| target(deployment, HostIndex { service: number, host }));
         Arc::new(view::Service {
             name: service.name.to_owned(),
             address: *self::service_address(number, 0).ip(),
-            ports: (0..PRIORITIES.len()).map(|priority| port(number, priority)).collect(),
+            ports: (0..PRIORITIES.len()).map(|priority| port(number, priority, is_idempotent)).collect(),
             shards: default_shards(usize::from(service.hosts)),
             targets: targets.collect(),
         })
@@ -77,8 +77,8 @@
     }
 }
 
-fn port(service: usize, priority: usize) -> view::Port {
-    view::Port { port: self::service_address(service, priority).port(), priority, idempotent: false }
+fn port(service: usize, priority: usize, idempotent: bool) -> view::Port {
+    view::Port { port: self::service_address(service, priority).port(), priority, idempotent }
 }
 
 fn target(deployment: &Deployment, index: HostIndex) -> view::Target {
