--- a/crates/poplarpaddle/src/lib.rs
+++ b/crates/poplarpaddle/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod flow;
 pub mod former;
 pub mod health;
+pub mod hedge;
 pub mod ip;
 pub mod lease;
 pub mod limit;
