Reset all flows of a host that has ended for certain

Cause: flows of routes that must not be repeated stayed at a host known to be gone, also while idle. Each cost its caller a request that waited for its timeout. Change: such flows are reset once the registration has ended, past its grace, and a check has failed while the zone is not lost, or another host is registered at the address. Hosts whose registration has ended are checked while flows are open there. Idle flows are remembered in a small table of their own.

--- a/crates/poplarpaddle-balancer/src/direct/telemetry.rs
+++ b/crates/poplarpaddle-balancer/src/direct/telemetry.rs
@@ -82,6 +82,7 @@
                     ("hosts", latest.hosts),
                     ("members", latest.members),
                     ("flows", latest.engine.flows),
+                    ("idle_flows", latest.engine.idle_flows),
                 ];
                 for (quantity, value) in values {
                     observer.observe(value, &[KeyValue::new("what", quantity)]);
--- a/crates/poplarpaddle/src/direct.rs
+++ b/crates/poplarpaddle/src/direct.rs
@@ -42,6 +42,7 @@
 mod engine;
 mod estimate;
 mod host;
+mod idle;
 mod link;
 mod opening;
 mod outlier;
--- a/crates/poplarpaddle/src/direct/engine.rs
+++ b/crates/poplarpaddle/src/direct/engine.rs
@@ -10,7 +10,7 @@
 use super::link::{Change, Link};
 use super::opening::Pending;
 use super::queue::Queue;
-use super::{Counters, Decision, Hop, Outlet, Reason, Settings, Verdict, host, route};
+use super::{Basis, Counters, Decision, Hop, Outlet, Reason, Settings, Verdict, host, idle, route};
 use crate::limit::Limit;
 use crate::map::{self, Map};
 use crate::mark::Mark;
@@ -42,6 +42,13 @@
     pub(super) pending: Option<Box<Pending>>,
 }
 
+impl Entry {
+    /// Returns what a reset of the flow is based on if no packet of it arrives.
+    pub(super) const fn basis(&self) -> Basis {
+        Basis { sequence: self.acknowledgement, seen: self.last_packet }
+    }
+}
+
 /// A caller's packet with payload, which is a request or the end of one.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Request {
@@ -63,6 +70,7 @@
 pub struct Engine {
     pub(super) settings: Settings,
     pub(super) flows: Map<Flow, Entry>,
+    pub(super) idle: idle::Table,
     pub(super) timers: BinaryHeap<Reverse<(Time, Flow)>>,
     pub(super) hosts: host::Table,
     pub(super) routes: route::Table,
@@ -98,6 +106,7 @@
     pub fn new(settings: Settings) -> Self {
         Self {
             flows: map::seeded(settings.seed),
+            idle: idle::Table::new(settings.seed),
             timers: BinaryHeap::new(),
             hosts: host::Table::default(),
             routes: route::Table::default(),
@@ -129,7 +138,7 @@
     /// Returns the counters.
     #[must_use]
     pub fn counters(&self) -> Counters {
-        Counters { flows: self.flows.len() as u64, ..self.counters }
+        Counters { flows: self.flows.len() as u64, idle_flows: self.idle.len() as u64, ..self.counters }
     }
 
     /// Counts a datagram that was dropped because it is not a valid packet of a caller.
@@ -197,6 +206,7 @@
         if self.routes.get(packet.flow.service).is_none() {
             return self.reset(packet, Reason::UnknownRoute, outlet);
         }
+        self.idle.remove(&packet.flow);
         match packet.kind {
             Kind::Opening => self.handle_opening(now, packet, outlet),
             Kind::Accept => self.drop_packet(packet.flow, Reason::NotFromCaller, outlet),
--- a/crates/poplarpaddle/src/direct/host.rs
+++ b/crates/poplarpaddle/src/direct/host.rs
@@ -1,5 +1,6 @@
 //! Table of hosts, indexed by name, mark and service, with the requests in progress at each.
 
+use std::net::SocketAddrV4;
 use std::time::Duration;
 
 use smallvec::SmallVec;
@@ -39,6 +40,8 @@
     pub(super) grace: Option<Time>,
     /// When the host is removed from the table.
     pub(super) remove_at: Time,
+    /// True once another host is registered at the address of this one, whose registration has ended.
+    pub(super) is_replaced: bool,
 }
 
 impl Host {
@@ -51,6 +54,18 @@
     pub(super) const fn is_registered(&self) -> bool {
         self.grace.is_none()
     }
+
+    /// Returns true when the registration and its grace period have ended.
+    pub(super) fn has_left(&self, now: Time) -> bool {
+        self.grace.is_some_and(|until| now.reached(until))
+    }
+
+    /// Returns true when the host has ended for certain: it has left, and accepts no connection or another host has its
+    /// address. A running host renews its registration and accepts connections. If `is_zone_down`, a failed check shows
+    /// nothing about the host.
+    pub(super) fn is_gone(&self, now: Time, is_zone_down: bool) -> bool {
+        self.has_left(now) && (self.is_replaced || (!is_zone_down && self.reach.is_unreachable(now)))
+    }
 }
 
 /// The hosts of one service.
@@ -200,6 +215,7 @@
             entry.record = host.clone();
             entry.grace = None;
             entry.remove_at = Time::NEVER;
+            entry.is_replaced = false;
             self.sort_mark(mark_of(host));
             return;
         }
@@ -221,6 +237,7 @@
             suspicion: Suspicion::default(),
             grace: None,
             remove_at: Time::NEVER,
+            is_replaced: false,
         };
         self.hosts.insert(index, entry);
         self.names.insert(name.to_owned(), index);
@@ -240,6 +257,20 @@
         self.sort_mark(mark);
     }
 
+    /// Records which of the hosts in `left`, whose registrations have ended, have lost their addresses to others.
+    pub(super) fn mark_replaced(&mut self, left: &[Index]) {
+        let address = |index: &Index| Some((self.hosts.get(index)?.record.address, *index));
+        let mut former: Map<SocketAddrV4, Index> = map::seeded(0);
+        former.extend(left.iter().filter_map(address));
+        let registered = self.hosts.values().filter(|host| host.is_registered());
+        let replaced: Vec<Index> = registered.filter_map(|host| former.get(&host.record.address).copied()).collect();
+        for index in replaced {
+            if let Some(host) = self.hosts.get_mut(&index) {
+                host.is_replaced = true;
+            }
+        }
+    }
+
     /// Removes the hosts whose [`Host::remove_at`] has been reached.
     pub(super) fn remove_expired(&mut self, now: Time) {
         let expired: Vec<Index> =
--- a/crates/poplarpaddle/src/direct/reach.rs
+++ b/crates/poplarpaddle/src/direct/reach.rs
@@ -11,6 +11,11 @@
 //! therefore counts only once another host has answered an opening or request that was sent after the check had begun.
 //! Otherwise the balancer's own link may be the cause. A failed check says nothing about later times: it has to be
 //! confirmed within a second, and a host is unreachable for three seconds at most, unless it fails a further check.
+//!
+//! A request that must not run twice may have run, and a late answer is worth more to its caller than a reset. Flows with
+//! such requests are reset only when their host has ended for certain: its registration has ended as well, or another host
+//! is registered at its address. An idle flow loses nothing then, its caller opens the next one elsewhere, and a caller that
+//! waits learns at once that no answer comes.
 
 use std::time::Duration;
 
@@ -221,30 +226,64 @@
             let detail =
                 format!("the check that began {age} ms ago failed; another host answered what was sent {lag} ms after");
             outlet.record_event(now, "host.unreachable", &host.name, &detail);
-            self.reset_flows(index, outlet);
+            self.reset_flows(now, index, outlet);
             self.expire_openings(now, |other, _| other == index);
         }
     }
 
-    /// Resets the established flows at a host whose requests may run twice. Flows that the routers may have moved to
-    /// another balancer are left out, because their callers' acknowledgement numbers are not known here.
-    fn reset_flows(&mut self, index: Index, outlet: &mut dyn Outlet) {
+    /// Resets the established flows at hosts that have ended for certain, and checks the other hosts whose registration
+    /// has ended.
+    pub(super) fn end_flows_of_left_hosts(&mut self, now: Time, outlet: &mut dyn Outlet) {
+        let hosts = &self.hosts;
+        let has_left = |index: &Index| hosts.get(*index).is_some_and(|host| host.has_left(now));
+        let open_at = self.flows.values().map(|entry| entry.host).chain(self.idle.hosts());
+        let mut left: Vec<Index> = open_at.filter(has_left).collect();
+        if left.is_empty() {
+            return;
+        }
+        left.sort_unstable();
+        left.dedup();
+        self.hosts.mark_replaced(&left);
+        for index in left {
+            if self.is_gone(now, index) {
+                self.reset_flows(now, index, outlet);
+            } else {
+                self.doubt_host(now, index, outlet);
+            }
+        }
+    }
+
+    fn is_gone(&self, now: Time, index: Index) -> bool {
+        self.hosts.get(index).is_some_and(|host| host.is_gone(now, self.links[host.zone].is_down()))
+    }
+
+    /// Resets the established flows at an unreachable host whose requests may run twice, and all others as well if the host
+    /// has ended for certain: their requests get no answer any more. Flows that the routers may have moved to another
+    /// balancer are left out, because their callers' acknowledgement numbers are not known here.
+    fn reset_flows(&mut self, now: Time, index: Index, outlet: &mut dyn Outlet) {
         let (routes, settled) = (&self.routes, self.routers_settled);
+        let is_gone = self.is_gone(now, index);
         let may_reset = |(flow, entry): (&Flow, &Entry)| {
-            let is_idempotent = routes.get(flow.service).is_some_and(|route| route.idempotent);
+            let ends = is_gone || routes.get(flow.service).is_some_and(|route| route.idempotent);
             let has_sent_request = entry.request.is_some();
-            let basis = Basis { sequence: entry.acknowledgement, seen: entry.last_packet };
-            let is_here = basis.seen.reached(settled);
-            (entry.host == index && is_idempotent && has_sent_request && is_here).then_some((*flow, basis))
+            (entry.host == index && ends && has_sent_request).then_some((*flow, entry.basis()))
         };
-        let flows: Vec<(Flow, Basis)> = self.flows.iter().filter_map(may_reset).collect();
+        let idle = self.idle.at(index).filter(|_| is_gone);
+        let ended = self.flows.iter().filter_map(may_reset).chain(idle);
+        let flows: Vec<(Flow, Basis)> = ended.filter(|(_, basis)| basis.seen.reached(settled)).collect();
+        if let Some(host) = self.hosts.get(index).filter(|_| is_gone && !flows.is_empty()) {
+            let cause = if host.is_replaced { "another host has its address" } else { "it accepts no connection" };
+            let detail = format!("its registration has ended and {cause}; {} flows are reset", flows.len());
+            outlet.record_event(now, "host.ended", &host.name, &detail);
+        }
         for (flow, basis) in flows {
             self.reset_unreachable(flow, index, basis, outlet);
         }
     }
 
     /// Handles a packet of an established flow to the host `index` as far as that host is in doubt. Returns true when the
-    /// packet was answered with a reset, because the host is unreachable and the request may run twice.
+    /// packet was answered with a reset, because the host is unreachable and the request may run twice, or because the host
+    /// has ended for certain.
     pub(super) fn reset_if_unreachable(
         &mut self,
         now: Time,
@@ -259,10 +298,13 @@
         let is_unreachable = host.reach.is_unreachable(now);
         let request = self.flows.get(&packet.flow).and_then(|entry| entry.request);
         let is_retransmission = request.is_some_and(|request| request.is_copy(packet));
-        if is_unreachable || is_retransmission || self.links[host.zone].is_down() {
+        let is_gone = self.is_gone(now, index);
+        if is_unreachable || is_retransmission || host.has_left(now) || self.links[host.zone].is_down() {
             self.doubt_host(now, index, outlet);
         }
-        if !is_unreachable || !self.routes.get(packet.flow.service).is_some_and(|route| route.idempotent) {
+        let is_idempotent = self.routes.get(packet.flow.service).is_some_and(|route| route.idempotent);
+        let may_reset = is_gone || (is_unreachable && is_idempotent);
+        if !may_reset {
             return false;
         }
         let basis = Basis { sequence: packet.acknowledgement, seen: now };
@@ -274,6 +316,7 @@
     fn reset_unreachable(&mut self, flow: Flow, index: Index, basis: Basis, outlet: &mut dyn Outlet) {
         outlet.reset(&flow, basis.sequence);
         self.remove_flow(&flow);
+        self.idle.remove(&flow);
         let name = self.hosts.get(index).map(|host| host.name.clone());
         let decision = Decision {
             host: name.as_deref(),
--- a/crates/poplarpaddle/src/direct/settings.rs
+++ b/crates/poplarpaddle/src/direct/settings.rs
@@ -14,7 +14,8 @@
     pub seed: u64,
     /// Maximum number of flows with an entry.
     pub max_flows: usize,
-    /// Time without packets after which the entry of a flow is removed, and its request no longer counts.
+    /// Time without packets after which the entry of a flow is removed, and its request no longer counts. The engine still
+    /// knows for [`Settings::linger`] where the flow is open.
     pub idle_timeout: Duration,
     /// Time for which a removed host, and a service removed from a route, keep their established flows.
     pub linger: Duration,
@@ -80,6 +81,8 @@
     pub reasons: [u64; Reason::ALL.len()],
     /// Number of flows with an entry.
     pub flows: u64,
+    /// Number of further flows that are idle.
+    pub idle_flows: u64,
 }
 
 impl Counters {
--- a/crates/poplarpaddle/src/direct/sweep.rs
+++ b/crates/poplarpaddle/src/direct/sweep.rs
@@ -51,6 +51,7 @@
             self.next_sweep = now + SWEEP_INTERVAL;
             self.sweep(now);
             self.recheck_hosts(now, outlet);
+            self.end_flows_of_left_hosts(now, outlet);
         }
     }
 
@@ -92,8 +93,12 @@
         let idle = |(flow, entry): (&Flow, &Entry)| now.reached(entry.last_packet + timeout).then_some(*flow);
         let idle_flows: Vec<Flow> = self.flows.iter().filter_map(idle).collect();
         for flow in idle_flows {
-            self.remove_flow(&flow);
+            let has_room = self.idle.len() < self.settings.max_flows;
+            if let Some(entry) = self.remove_flow(&flow).filter(|_| has_room) {
+                self.idle.insert(flow, &entry);
+            }
         }
+        self.idle.remove_older(now, self.settings.linger);
         self.hosts.measure_rates(now);
         self.hosts.remove_expired(now);
     }
--- a/crates/poplarpaddle/tests/direct/unreachable.rs
+++ b/crates/poplarpaddle/tests/direct/unreachable.rs
@@ -49,6 +49,18 @@
     }
 }
 
+/// Leaves the openings to zone b and the pings of its members unanswered.
+fn lose_zone_b(harness: &mut Harness) {
+    for caller in 500..560 {
+        harness.send_opening(flow(caller, ONCE), 0);
+        let hop = harness.last_hop();
+        harness.advance(10);
+        if hop.host.0 / 100 != 1 {
+            harness.send(flow(caller, ONCE), hop.mark.unwrap(), Kind::Data, 100, 50);
+        }
+    }
+}
+
 fn is_reset(harness: &Harness, flow: Flow) -> bool {
     let has_decision = harness
         .record
@@ -153,6 +165,104 @@
     assert!(harness.record.resets.is_empty());
 }
 
+/// A third of the hosts gone: idle flows whose requests must not run twice stayed at their hosts, and each caller's next
+/// request waited in vain for its timeout. Once its registration has ended too, the host has ended for certain.
+#[test]
+fn flows_at_a_host_that_has_ended_are_reset_whatever_their_requests() {
+    let mut harness = harness();
+    let (waiting, idle, ended) = two_flows(&mut harness, ONCE, 1);
+    harness.send(idle, Mark::of(ended), Kind::Data, 0, 2_050);
+    harness.advance(200);
+    harness.send(waiting, Mark::of(ended), Kind::Data, 100, 50);
+    answer_elsewhere(&mut harness, ended, 500);
+    harness.finish_checks(Some(ended));
+    assert!(harness.record.resets.is_empty(), "the registration has not ended");
+    harness.deregister(ended.0);
+    harness.advance(500);
+    assert!(is_reset(&harness, idle) && is_reset(&harness, waiting), "{:?}", harness.record.resets);
+    harness.send(flow(400, ONCE), Mark::of(ended), Kind::Data, 100, 77);
+    assert!(is_reset(&harness, flow(400, ONCE)), "a request on a flow that another balancer opened");
+}
+
+/// No request shows that the host of idle flows has ended. The end of its registration leads to a check.
+#[test]
+fn a_host_whose_registration_has_ended_is_checked() {
+    let mut harness = harness();
+    let (first, second, ended) = two_flows(&mut harness, ONCE, 1);
+    for idle in [first, second] {
+        harness.send(idle, Mark::of(ended), Kind::Data, 0, 2_050);
+    }
+    // Longer than the engine keeps the entries of the flows.
+    harness.advance(8_000);
+    harness.deregister(ended.0);
+    harness.advance(500);
+    answer_elsewhere(&mut harness, ended, 500);
+    assert_eq!(harness.finish_checks(Some(ended)), 1);
+    harness.advance(500);
+    assert!(is_reset(&harness, first) && is_reset(&harness, second), "{:?}", harness.record.events);
+}
+
+/// The address of a host that has ended may belong to another one, which accepts the connection of a check.
+#[test]
+fn flows_at_a_host_whose_address_belongs_to_another_are_reset() {
+    let mut harness = harness();
+    let (idle, _, ended) = two_flows(&mut harness, ONCE, 1);
+    harness.deregister(ended.0);
+    let address = host(ended.0, "", "").address;
+    harness.register(&poplarpaddle::registry::Host { address, ..host(299, "crewdocs", "a") });
+    harness.advance(500);
+    harness.finish_checks(None);
+    assert!(is_reset(&harness, idle), "{:?}", harness.record.events);
+}
+
+/// Registrations lapse in an outage of the store, and when a host is cut off from it alone. A host that accepts connections
+/// runs, and a reset would break its flows.
+#[test]
+fn flows_at_a_running_host_whose_registration_has_ended_are_kept() {
+    for has_grace in [false, true] {
+        let mut harness = harness();
+        let (waiting, _, lapsed) = two_flows(&mut harness, ONCE, 1);
+        let grace = harness.now + std::time::Duration::from_secs(if has_grace { 2 } else { 0 });
+        harness.engine.set_host(harness.now, &super::support::name(lapsed), None, grace);
+        for _ in 0..8 {
+            harness.advance(200);
+            harness.send(waiting, Mark::of(lapsed), Kind::Data, 100, 50);
+            answer_elsewhere(&mut harness, lapsed, 500);
+            harness.finish_checks(has_grace.then_some(lapsed));
+        }
+        assert!(harness.record.resets.is_empty(), "grace {has_grace}: {:?}", harness.record.events);
+    }
+}
+
+/// In a partition, the registrations of a zone's hosts lapse and their checks fail, although the hosts run and serve again
+/// after it.
+#[test]
+fn flows_in_a_lost_zone_whose_registrations_have_ended_are_kept() {
+    let mut harness = harness();
+    let mut in_zone = Vec::new();
+    for caller in 1..40 {
+        let placed = harness.establish(flow(caller, ONCE));
+        if placed.0 / 100 == 1 {
+            in_zone.push(flow(caller, ONCE));
+        }
+    }
+    lose_zone_b(&mut harness);
+    harness.deregister(101);
+    harness.deregister(102);
+    let checks = std::mem::take(&mut harness.record.checks);
+    for (id, _) in checks {
+        harness.engine.checked(harness.now, id, false, &mut harness.record);
+    }
+    answer_elsewhere(&mut harness, HostId(101), 700);
+    harness.advance(500);
+    assert!(harness.record.events.iter().any(|event| event.starts_with("host.unreachable i-65")));
+    assert!(
+        !in_zone.is_empty() && !in_zone.iter().any(|flow| is_reset(&harness, *flow)),
+        "{:?}",
+        harness.record.events
+    );
+}
+
 /// A host that is only slow accepts connections, and its flows go on.
 #[test]
 fn flows_at_a_slow_host_are_kept() {
@@ -343,15 +453,7 @@
             in_zone.push((flow(caller, IDEMPOTENT), placed));
         }
     }
-    // The openings to zone b and the pings of its members stay unanswered.
-    for caller in 500..560 {
-        harness.send_opening(flow(caller, ONCE), 0);
-        let hop = harness.last_hop();
-        harness.advance(10);
-        if hop.host.0 / 100 != 1 {
-            harness.send(flow(caller, ONCE), hop.mark.unwrap(), Kind::Data, 100, 50);
-        }
-    }
+    lose_zone_b(&mut harness);
     assert!(harness.record.events.contains(&"zone.lost b".to_owned()));
     let checks = std::mem::take(&mut harness.record.checks);
     assert!(checks.len() >= 2, "{checks:?}");
