Decide about waiting in one place, with shares and early refusal in direct

Cause: the queue of openings went by rank alone, so a burst of urgent openings left the others nothing until their 180 ms were over, and openings that no host could serve in time waited all the same. `admission` knew shares and early refusal. Change: `waiting` holds the shares, the choice of the next class and the expected wait; `admission` and the queue of `direct` use it. An opening that could not start before its caller's timeout is refused at once, unless it is a copy. Result: with share and refusal off, three of the five new tests failed (shares, crowd after a return, copies). The tests of `admission` are unchanged and pass.

--- a/crates/poplarpaddle/src/admission/class.rs
+++ b/crates/poplarpaddle/src/admission/class.rs
@@ -5,19 +5,7 @@
 
 use super::{Order, Ticket, TicketId};
 use crate::time::Time;
-
-/// Credit that is spent on one start ahead of more urgent work, in percent of a start.
-pub(super) const CREDIT_START: u32 = 100;
-
-/// Maximum credit of a priority. Without it, shares that add up to more than 100 percent would let credits grow without
-/// bound.
-const MAX_CREDIT: u32 = 10 * CREDIT_START;
-
-/// The value 1 in the fixed-point representation of [`Class::portion`].
-pub(super) const PORTION_ONE: u64 = 1 << 16;
-
-/// Smoothing factor of the observed portion: one start has the weight `1 / (1 << PORTION_SHIFT)`.
-const PORTION_SHIFT: u32 = 5;
+use crate::waiting::Share;
 
 /// Sort key of a ticket within its queue; the smallest key starts first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -66,13 +54,8 @@
 /// Queue and share of one priority.
 #[derive(Debug)]
 pub(super) struct Class {
-    /// Guaranteed share of the contested starts, in percent.
-    share: u32,
-    /// Part of the share that is not used yet, in percent of a start.
-    pub(super) credit: u32,
-    /// Smoothed portion of the recent contested starts that went to openings of this priority, in units of
-    /// `1 / PORTION_ONE`.
-    portion: u64,
+    /// Share of the contested starts; its portion is that of openings.
+    pub(super) share: Share,
     /// Openings that may start on any of their candidates.
     pub(super) openings: BTreeSet<Key>,
     /// Payload of established flows, by the host of the flow.
@@ -85,15 +68,7 @@
 
 impl Class {
     pub(super) fn new(share: u8) -> Self {
-        Self {
-            share: u32::from(share),
-            credit: 0,
-            portion: PORTION_ONE,
-            openings: BTreeSet::new(),
-            payloads: BTreeMap::new(),
-            entries: 0,
-            bytes: 0,
-        }
+        Self { share: Share::new(share), openings: BTreeSet::new(), payloads: BTreeMap::new(), entries: 0, bytes: 0 }
     }
 
     /// Returns true if the queue stays within `entries` tickets and `bytes` bytes with this ticket. Openings may use
@@ -136,25 +111,15 @@
             }
         }
         if self.openings.is_empty() && self.payloads.is_empty() {
-            self.credit = 0;
+            self.share.clear();
         }
     }
 
     /// Accounts for a start that this priority competed for and that went to `winner`.
     pub(super) fn record_start(&mut self, winner: Winner) {
-        self.credit = (self.credit + self.share).min(MAX_CREDIT);
-        if winner != Winner::Other {
-            self.credit = self.credit.saturating_sub(CREDIT_START);
-        }
+        self.share.record_start(winner != Winner::Other);
         if !self.openings.is_empty() {
-            self.portion -= self.portion >> PORTION_SHIFT;
-            self.portion += if winner == Winner::Opening { PORTION_ONE >> PORTION_SHIFT } else { 0 };
+            self.share.observe_start(winner == Winner::Opening);
         }
     }
-
-    /// Returns the portion of starts that openings of this priority can expect, in units of `1 / PORTION_ONE`, at least
-    /// 1.
-    pub(super) fn portion(&self) -> u64 {
-        self.portion.clamp(1, PORTION_ONE)
-    }
 }
--- a/crates/poplarpaddle/src/admission/queue.rs
+++ b/crates/poplarpaddle/src/admission/queue.rs
@@ -4,12 +4,13 @@
 use std::net::Ipv4Addr;
 use std::time::Duration;
 
-use super::class::{CREDIT_START, Class, Entry, Key, PORTION_ONE, Winner};
+use super::class::{Class, Entry, Key, Winner};
 use super::host::{Account, Accounts};
 use super::{Decision, Departure, End, Gate, Host, Order, Settings, Ticket, TicketId};
 use crate::path::Reason;
 use crate::retry::Budget;
 use crate::time::Time;
+use crate::waiting;
 
 /// Answers that take longer than this multiple of the mean service time of their priority do not raise a limit.
 const TIMELY_FACTOR: u32 = 4;
@@ -168,9 +169,6 @@
     }
 
     /// Returns the expected start time of a new opening of `class`.
-    ///
-    /// By Little's law, the hosts finish as much work per mean service time as their limits allow in flight. The class
-    /// gets its observed portion of that.
     fn expected_start(&self, now: Time, class: usize) -> Time {
         let Some(service_time) = self.service_time.0 else {
             return now;
@@ -179,10 +177,8 @@
             return now;
         }
         let class = &self.classes[class];
-        let ahead = u128::try_from(class.openings.len() + 1).unwrap_or(u128::MAX);
-        let per_start = service_time.as_nanos() * u128::from(PORTION_ONE) / u128::from(class.portion());
-        let wait = per_start.saturating_mul(ahead) / u128::from(self.hosts.capacity(now));
-        now + Duration::from_nanos(u64::try_from(wait).unwrap_or(u64::MAX))
+        let ahead = u64::try_from(class.openings.len()).unwrap_or(u64::MAX);
+        now + waiting::expected_wait(service_time, class.share.portion(), ahead, self.hosts.capacity(now))
     }
 
     fn fits(&self, ticket: &Ticket<'_>) -> bool {
@@ -271,15 +267,12 @@
         first_tickets.min_by_key(|startable| startable.key)
     }
 
-    /// Chooses the ticket that starts next: from the class with the most credit if any has enough for a start,
-    /// otherwise from the most urgent class.
+    /// Chooses the ticket that starts next, from the class that [`waiting::choose`] returns.
     fn choose(&mut self, now: Time) -> Option<Startable> {
         let contenders: Vec<Startable> =
             (0..self.classes.len()).filter_map(|class| self.startable(now, class)).collect();
-        let in_credit = contenders.iter().filter(|contender| self.classes[contender.class].credit >= CREDIT_START);
-        let highest = in_credit
-            .max_by_key(|contender| (self.classes[contender.class].credit, std::cmp::Reverse(contender.class)));
-        let chosen = *highest.or_else(|| contenders.first())?;
+        let shares = contenders.iter().map(|contender| (*contender, &self.classes[contender.class].share));
+        let chosen = waiting::choose(shares)?;
         let winner = if chosen.opening { Winner::Opening } else { Winner::Payload };
         for contender in &contenders {
             self.classes[contender.class].record_start(if contender.class == chosen.class {
--- a/crates/poplarpaddle/src/direct.rs
+++ b/crates/poplarpaddle/src/direct.rs
@@ -96,11 +96,14 @@
     /// The host of the established flow is unreachable.
     #[display("unreachable")]
     Unreachable,
+    /// The hosts have so much work that a request could not start before its caller gives up.
+    #[display("late")]
+    Late,
 }
 
 impl Reason {
     /// Every reason, in the order of the counters.
-    pub const ALL: [Self; 10] = [
+    pub const ALL: [Self; 11] = [
         Self::Malformed,
         Self::NotFromCaller,
         Self::Starting,
@@ -111,6 +114,7 @@
         Self::Unanswered,
         Self::ZoneDown,
         Self::Unreachable,
+        Self::Late,
     ];
 }
 
--- a/crates/poplarpaddle/src/direct/engine.rs
+++ b/crates/poplarpaddle/src/direct/engine.rs
@@ -118,7 +118,7 @@
             next_overdue: Time::NEVER,
             ready: false,
             buffer: Buffer::default(),
-            queue: Queue::new(settings.seed),
+            queue: Queue::new(settings.seed, settings.queue_share),
             capacity_freed: false,
             checks: 0,
             failed_checks: Vec::new(),
--- a/crates/poplarpaddle/src/direct/estimate.rs
+++ b/crates/poplarpaddle/src/direct/estimate.rs
@@ -31,6 +31,11 @@
         self.smoothed = (7 * self.smoothed + micros) / 8;
     }
 
+    /// Returns the smoothed time; none before the first sample.
+    pub(super) fn mean(&self) -> Option<Duration> {
+        (self.smoothed > 0).then(|| Duration::from_micros(self.smoothed))
+    }
+
     /// Returns the smoothed time plus four deviations, as TCP computes its retransmission timeout; none before the
     /// first sample.
     pub(super) fn bound(&self) -> Option<Duration> {
--- a/crates/poplarpaddle/src/direct/host.rs
+++ b/crates/poplarpaddle/src/direct/host.rs
@@ -79,6 +79,17 @@
     requests: Rate,
 }
 
+/// Work in progress at the hosts of a service, as far as this balancer knows of it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct Load {
+    /// Mean time from a request to the first bytes of its response.
+    pub(super) service_time: Duration,
+    /// Number of requests that the hosts take.
+    pub(super) capacity: u64,
+    /// Number of requests in progress beyond that.
+    pub(super) excess: u64,
+}
+
 /// Every host that may have flows: registered ones, and others until [`Host::remove_at`].
 #[derive(Debug)]
 pub(super) struct Table {
@@ -140,6 +151,22 @@
         self.services.get(&host.record.service)?.response_time.bound()
     }
 
+    /// Returns the work in progress at the hosts of a service that accept new flows, each of which takes `backlog` requests
+    /// beyond its slots; none before the first response. It is extrapolated from the hosts in `sample`.
+    pub(super) fn load(&self, now: Time, name: &str, sample: &[Index], backlog: u32) -> Option<Load> {
+        let service = self.services.get(name)?;
+        let (mut capacity, mut excess) = (0, 0);
+        let accepting = sample.iter().filter_map(|index| self.hosts.get(index)).filter(|host| host.accepts_new(now));
+        for host in accepting {
+            let room = u32::from(host.record.slots) + backlog;
+            capacity += u64::from(room);
+            excess += u64::from((host.busy - host.overdue).saturating_sub(room));
+        }
+        let extrapolate = |sum: u64| sum * service.hosts.len() as u64 / sample.len().max(1) as u64;
+        let service_time = service.response_time.mean()?;
+        Some(Load { service_time, capacity: extrapolate(capacity), excess: extrapolate(excess) })
+    }
+
     /// Counts a request that starts at a host.
     pub(super) fn begin_request(&mut self, index: Index) {
         if let Some(host) = self.hosts.get_mut(&index) {
--- a/crates/poplarpaddle/src/direct/opening.rs
+++ b/crates/poplarpaddle/src/direct/opening.rs
@@ -11,6 +11,7 @@
 use super::{Decision, Engine, Hop, Outlet, Reason, Verdict};
 use crate::packet::{Flow, View};
 use crate::time::Time;
+use crate::waiting;
 
 /// Number of hosts that [`Pending::tried`] stores without a heap allocation.
 const TRIED_INLINE: usize = 4;
@@ -70,6 +71,9 @@
         if has_capacity {
             return self.send_first(now, opening, index, outlet);
         }
+        if self.comes_too_late(now, &opening) {
+            return self.reset(packet, Reason::Late, outlet);
+        }
         match self.queue.push(self.priority_rank(packet.flow.service), opening) {
             None => {
                 self.record_decision(&Decision::new(packet.flow, Verdict::Queued, None), outlet);
@@ -78,6 +82,22 @@
         }
     }
 
+    /// Returns true when the hosts, none of which has capacity, have so much work that a request on this flow could not start
+    /// before its caller gives up. A copy of an opening, which callers count in its acknowledgement number, is always taken:
+    /// another balancer may have placed an earlier one, and a reset would break the flow.
+    fn comes_too_late(&mut self, now: Time, opening: &Opening) -> bool {
+        let Some(route) = self.routes.get(opening.flow.service) else { return false };
+        if route.timeout_ms == 0 || opening.acknowledgement > 0 {
+            return false;
+        }
+        let (rank, timeout) = (route.rank, Duration::from_millis(u64::from(route.timeout_ms)));
+        let sample = self.candidates(&opening.service);
+        let backlog = u32::from(self.settings.limit.backlog);
+        let Some(load) = self.hosts.load(now, &opening.service, &sample, backlog) else { return false };
+        let ahead = load.excess + self.queue.count(rank, &opening.service);
+        waiting::expected_wait(load.service_time, self.queue.portion(rank), ahead, load.capacity) >= timeout
+    }
+
     /// Sends an opening to a host for the first time.
     fn send_first(&mut self, now: Time, opening: Opening, index: Index, outlet: &mut dyn Outlet) {
         let Opening { flow, sequence, bytes, .. } = opening;
@@ -98,17 +118,18 @@
         self.send_opening(now, flow, entry, index, (Verdict::Placed, None), outlet);
     }
 
-    /// Places queued openings on hosts that have capacity, the most urgent first. Refuses those whose service has no host
-    /// any more.
+    /// Places queued openings on hosts that have capacity, the most urgent first, as far as the other ranks have got their
+    /// shares. Refuses those whose service has no host any more.
     pub(super) fn serve_queue(&mut self, now: Time, outlet: &mut dyn Outlet) {
         let mut full_services: Vec<String> = Vec::new();
-        while let Some(opening) = self.queue.first_except(&full_services) {
+        while let Some(opening) = self.queue.next_except(&full_services) {
             let (flow, service) = (opening.flow, opening.service.clone());
             let selected = self.select_host(now, &service, &[]);
             if let Some((_, false)) = selected {
                 full_services.push(service);
                 continue;
             }
+            self.queue.record_start(&flow, &full_services);
             let Some(opening) = self.queue.remove(&flow) else { return };
             self.leave_queue(now, opening, selected.map(|(index, _)| index), outlet);
         }
--- a/crates/poplarpaddle/src/direct/select.rs
+++ b/crates/poplarpaddle/src/direct/select.rs
@@ -92,7 +92,7 @@
     }
 
     /// Returns the hosts of a service to compare.
-    fn candidates(&mut self, service: &str) -> SmallVec<[Index; MAX_CANDIDATES]> {
+    pub(super) fn candidates(&mut self, service: &str) -> SmallVec<[Index; MAX_CANDIDATES]> {
         let hosts = self.hosts.with_service(service);
         if hosts.len() <= MAX_CANDIDATES {
             return hosts.into();
--- a/crates/poplarpaddle/src/direct/settings.rs
+++ b/crates/poplarpaddle/src/direct/settings.rs
@@ -33,6 +33,8 @@
     pub settle_time: Duration,
     /// Maximum time for which an opening is queued until a host has capacity.
     pub queue_timeout: Duration,
+    /// Share of the placements that each priority rank keeps while openings of several ranks are queued, in percent.
+    pub queue_share: u8,
     /// Number of times that an opening is sent before only a retransmission by the caller makes the engine resend it.
     pub max_attempts: u8,
     /// Settings of the limit of each host, which pauses hosts that do not answer.
@@ -62,6 +64,8 @@
             // Callers retransmit an opening after 200 ms, and the retransmission may reach another balancer. Some
             // callers give up after 400 ms.
             queue_timeout: Duration::from_millis(180),
+            // Enough that each rank goes on, little enough that urgent openings hardly wait longer.
+            queue_share: 5,
             max_attempts: 4,
             limit: limit::Settings::default(),
             // A whole zone can fail at once. Then a third of the openings sent within some tenths of a second have to be resent.
--- a/crates/poplarpaddle/src/lib.rs
+++ b/crates/poplarpaddle/src/lib.rs
@@ -52,4 +52,5 @@
 pub mod store;
 pub mod time;
 pub mod view;
+pub mod waiting;
 pub mod wire;
--- /dev/null
+++ b/crates/poplarpaddle/tests/direct/waiting.rs
@@ -0,0 +1,136 @@
+//! Replays loads that hosts have no room for, and checks who waits, who is refused and who is placed.
+
+use poplarpaddle::direct::{Reason, Verdict};
+use poplarpaddle::mark::Mark;
+use poplarpaddle::packet::{Flow, Kind};
+use poplarpaddle::registry::{Host, Route};
+
+use super::support::{Harness, flow, host, route};
+
+const URGENT: u16 = 443;
+const IDLE: u16 = 444;
+
+/// Time after which callers give up, in milliseconds.
+const TIMEOUT: u32 = 1_000;
+
+/// Returns a harness with `hosts` hosts of 1 slot, which take 2 requests more, and a route of each kind.
+fn harness(hosts: u64) -> Harness {
+    let mut harness = Harness::new(1);
+    for id in 1..=hosts {
+        harness.register(&Host { slots: 1, ..host(id, "bookings", "a") });
+    }
+    for (port, rank) in [(URGENT, 0), (IDLE, 2)] {
+        harness.route(port, Some(&Route { rank, timeout_ms: TIMEOUT, ..route("bookings") }));
+    }
+    harness
+}
+
+/// Serves one request in `millis`, from which the engine learns the response time.
+fn serve_one(harness: &mut Harness, millis: u64) {
+    let served = flow(60_000, URGENT);
+    let placed = harness.establish(served);
+    harness.advance(millis);
+    harness.send(served, Mark::of(placed), Kind::Data, 0, 2_050);
+    harness.send(served, Mark::of(placed), Kind::Closing, 0, 2_050);
+}
+
+fn with_verdict(harness: &Harness, verdict: Verdict) -> Vec<Flow> {
+    let matching = harness.record.decisions.iter().filter(|(_, decided, _)| *decided == verdict);
+    matching.map(|(flow, ..)| *flow).collect()
+}
+
+/// Ends the request of a placed flow, which lets a queued opening start.
+fn finish(harness: &mut Harness, flow: Flow) {
+    harness.send(flow, Mark::of(poplarpaddle::mark::HostId(1)), Kind::Closing, 0, 60);
+}
+
+/// Burst of the urgent kind: the least urgent openings were not placed as long as an urgent one waited.
+#[test]
+fn a_burst_of_urgent_openings_leaves_the_least_urgent_ones_a_share() {
+    let mut harness = harness(1);
+    for caller in 1..=10 {
+        harness.send_opening(flow(caller, IDLE), 0);
+    }
+    for caller in 1..=200 {
+        harness.send_opening(flow(caller, URGENT), 0);
+    }
+    // A share of 5 percent is earned by 20 starts and spent on the next.
+    for finished in 0..=100 {
+        let placed = with_verdict(&harness, Verdict::Placed)[finished];
+        finish(&mut harness, placed);
+    }
+    let placed = with_verdict(&harness, Verdict::Placed);
+    let idle = placed.iter().skip(3).filter(|flow| flow.service.port() == IDLE).count();
+    assert_eq!(idle, 5);
+}
+
+/// Burst of the idle kind: an urgent opening is placed next, however many others wait.
+#[test]
+fn a_burst_of_idle_openings_does_not_delay_urgent_ones() {
+    let mut harness = harness(1);
+    for caller in 1..=100 {
+        harness.send_opening(flow(caller, IDLE), 0);
+    }
+    for caller in 1..=10 {
+        harness.send_opening(flow(caller, URGENT), 0);
+        let placed = with_verdict(&harness, Verdict::Placed)[usize::from(caller) - 1];
+        finish(&mut harness, placed);
+        assert_eq!(with_verdict(&harness, Verdict::Placed).last(), Some(&flow(caller, URGENT)));
+    }
+}
+
+/// Return of all: of the crowd that comes at once, those that could not start before their callers give up are refused at
+/// once, before a host got them, and the others are not.
+#[test]
+fn of_a_crowd_only_those_that_come_too_late_are_refused() {
+    for (hosts, crowd) in [(3, 300), (2, 300), (3, 60)] {
+        let mut harness = harness(hosts);
+        serve_one(&mut harness, 50);
+        harness.record.decisions.clear();
+        for caller in 1..=crowd {
+            harness.send_opening(flow(caller, IDLE), 0);
+        }
+        let refused = with_verdict(&harness, Verdict::Refused);
+        // Each host takes 3 requests of 50 ms, so within the timeout as many start as 20 times that.
+        let served_in_time = 3 * usize::try_from(hosts).unwrap() * 20;
+        assert_eq!(usize::from(crowd) - refused.len(), (served_in_time + 3 * hosts as usize - 1).min(crowd.into()));
+        let resets: Vec<Flow> = harness.record.resets.iter().map(|(flow, _)| *flow).collect();
+        assert_eq!(resets, refused, "each is told at once");
+        assert!(
+            harness
+                .record
+                .decisions
+                .iter()
+                .all(|(_, verdict, reason)| { (*verdict == Verdict::Refused) == (*reason == Some(Reason::Late)) })
+        );
+    }
+}
+
+/// Moving callers: a copy whose original went through another balancer may belong to a flow that is open by now.
+#[test]
+fn a_copy_of_an_opening_is_not_refused() {
+    let mut harness = harness(1);
+    serve_one(&mut harness, 50);
+    for caller in 1..=200 {
+        harness.send_opening(flow(caller, IDLE), 0);
+    }
+    assert!(with_verdict(&harness, Verdict::Refused).contains(&flow(200, IDLE)));
+    harness.send_opening(flow(300, IDLE), 1);
+    assert!(!with_verdict(&harness, Verdict::Refused).contains(&flow(300, IDLE)));
+}
+
+/// Without a known timeout or response time, nothing shows that an opening comes too late.
+#[test]
+fn openings_are_not_refused_on_a_guess() {
+    for knows_timeout in [false, true] {
+        let mut harness = harness(1);
+        if !knows_timeout {
+            harness.route(IDLE, Some(&Route { rank: 2, ..route("bookings") }));
+            serve_one(&mut harness, 50);
+        }
+        for caller in 1..=300 {
+            harness.send_opening(flow(caller, IDLE), 0);
+        }
+        assert!(with_verdict(&harness, Verdict::Refused).is_empty());
+    }
+}
