--- a/crates/poplarpaddle-balancer/src/direct/telemetry.rs
+++ b/crates/poplarpaddle-balancer/src/direct/telemetry.rs
@@ -84,6 +84,7 @@
                     ("members", latest.members),
                     ("drained_zones", latest.drained_zones),
                     ("flows", latest.engine.flows),
+                    ("idle_flows", latest.engine.idle_flows),
                 ];
                 for (quantity, value) in values {
                     observer.observe(value, &[KeyValue::new("what", quantity)]);
--- a/crates/poplarpaddle/src/direct.rs
+++ b/crates/poplarpaddle/src/direct.rs
@@ -47,6 +47,7 @@
 mod engine;
 mod estimate;
 mod host;
+mod idle;
 mod link;
 mod opening;
 mod outlier;
@@ -100,11 +101,14 @@
     /// The host of the established flow is unreachable.
     #[display("unreachable")]
     Unreachable,
+    /// The hosts have so much work that a request could not start before its caller gives up.
+    #[display("late")]
+    Late,
 }
 
 impl Reason {
     /// Every reason, in the order of the counters.
-    pub const ALL: [Self; 10] = [
+    pub const ALL: [Self; 11] = [
         Self::Malformed,
         Self::NotFromCaller,
         Self::Starting,
@@ -115,6 +119,7 @@
         Self::Unanswered,
         Self::ZoneDown,
         Self::Unreachable,
+        Self::Late,
     ];
 }
 
--- a/crates/poplarpaddle/src/direct/host.rs
+++ b/crates/poplarpaddle/src/direct/host.rs
@@ -1,5 +1,6 @@
 //! Table of hosts, indexed by name, mark and service, with the requests in progress at each.
 
+use std::net::SocketAddrV4;
 use std::time::Duration;
 
 use smallvec::SmallVec;
@@ -28,6 +29,8 @@
     pub(super) busy: u32,
     /// Number of those flows whose request takes longer than most.
     pub(super) overdue: u32,
+    /// Number of open flows without a request in progress, as counted by the last sweep.
+    pub(super) idle_flows: u32,
     pub(super) limit: Limit,
     /// Number of consecutive openings without an answer.
     pub(super) unanswered: u32,
@@ -43,6 +46,8 @@
     pub(super) grace: Option<Time>,
     /// When the host is removed from the table.
     pub(super) remove_at: Time,
+    /// True once another host is registered at the address of this one, whose registration has ended.
+    pub(super) is_replaced: bool,
 }
 
 impl Host {
@@ -60,6 +65,18 @@
     pub(super) const fn is_registered(&self) -> bool {
         self.grace.is_none()
     }
+
+    /// Returns true when the registration and its grace period have ended.
+    pub(super) fn has_left(&self, now: Time) -> bool {
+        self.grace.is_some_and(|until| now.reached(until))
+    }
+
+    /// Returns true when the host has ended for certain: it has left, and accepts no connection or another host has its
+    /// address. A running host renews its registration and accepts connections. If `is_zone_down`, a failed check shows
+    /// nothing about the host.
+    pub(super) fn is_gone(&self, now: Time, is_zone_down: bool) -> bool {
+        self.has_left(now) && (self.is_replaced || (!is_zone_down && self.reach.is_unreachable(now)))
+    }
 }
 
 /// The hosts of one service.
@@ -73,6 +90,17 @@
     requests: Rate,
 }
 
+/// Work in progress at the hosts of a service, as far as this balancer knows of it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct Load {
+    /// Mean time from a request to the first bytes of its response.
+    pub(super) service_time: Duration,
+    /// Number of requests that the hosts take.
+    pub(super) capacity: u64,
+    /// Number of requests in progress beyond that.
+    pub(super) excess: u64,
+}
+
 /// Every host that may have flows: registered ones, and others until [`Host::remove_at`].
 #[derive(Debug)]
 pub(super) struct Table {
@@ -134,6 +162,22 @@
         self.services.get(&host.record.service)?.response_time.bound()
     }
 
+    /// Returns the work in progress at the hosts of a service that accept new flows, each of which takes `backlog` requests
+    /// beyond its slots; none before the first response. It is extrapolated from the hosts in `sample`.
+    pub(super) fn load(&self, now: Time, name: &str, sample: &[Index], backlog: u32) -> Option<Load> {
+        let service = self.services.get(name)?;
+        let (mut capacity, mut excess) = (0, 0);
+        let accepting = sample.iter().filter_map(|index| self.hosts.get(index)).filter(|host| host.accepts_new(now));
+        for host in accepting {
+            let room = u32::from(host.record.slots) + backlog;
+            capacity += u64::from(room);
+            excess += u64::from((host.busy - host.overdue).saturating_sub(room));
+        }
+        let extrapolate = |sum: u64| sum * service.hosts.len() as u64 / sample.len().max(1) as u64;
+        let service_time = service.response_time.mean()?;
+        Some(Load { service_time, capacity: extrapolate(capacity), excess: extrapolate(excess) })
+    }
+
     /// Counts a request that starts at a host.
     pub(super) fn begin_request(&mut self, index: Index) {
         if let Some(host) = self.hosts.get_mut(&index) {
@@ -144,6 +188,18 @@
         }
     }
 
+    /// Replaces the numbers of idle flows. `hosts` yields the host of each idle flow.
+    pub(super) fn count_idle_flows(&mut self, hosts: impl Iterator<Item = Index>) {
+        for host in self.hosts.values_mut() {
+            host.idle_flows = 0;
+        }
+        for index in hosts {
+            if let Some(host) = self.hosts.get_mut(&index) {
+                host.idle_flows += 1;
+            }
+        }
+    }
+
     /// Updates the rates of requests.
     pub(super) fn measure_rates(&mut self, now: Time) {
         for service in self.services.values_mut() {
@@ -209,6 +265,7 @@
             entry.record = host.clone();
             entry.grace = None;
             entry.remove_at = Time::NEVER;
+            entry.is_replaced = false;
             self.sort_mark(mark_of(host));
             return;
         }
@@ -223,6 +280,7 @@
             zone,
             busy: 0,
             overdue: 0,
+            idle_flows: 0,
             limit: new_limit(),
             unanswered: 0,
             last_answer: Time::default(),
@@ -232,6 +290,7 @@
             warmth_known_from: Time::default(),
             grace: None,
             remove_at: Time::NEVER,
+            is_replaced: false,
         };
         self.hosts.insert(index, entry);
         self.names.insert(name.to_owned(), index);
@@ -251,6 +310,20 @@
         self.sort_mark(mark);
     }
 
+    /// Records which of the hosts in `left`, whose registrations have ended, have lost their addresses to others.
+    pub(super) fn mark_replaced(&mut self, left: &[Index]) {
+        let address = |index: &Index| Some((self.hosts.get(index)?.record.address, *index));
+        let mut former: Map<SocketAddrV4, Index> = map::seeded(0);
+        former.extend(left.iter().filter_map(address));
+        let registered = self.hosts.values().filter(|host| host.is_registered());
+        let replaced: Vec<Index> = registered.filter_map(|host| former.get(&host.record.address).copied()).collect();
+        for index in replaced {
+            if let Some(host) = self.hosts.get_mut(&index) {
+                host.is_replaced = true;
+            }
+        }
+    }
+
     /// Removes the hosts whose [`Host::remove_at`] has been reached.
     pub(super) fn remove_expired(&mut self, now: Time) {
         let expired: Vec<Index> =
--- a/crates/poplarpaddle/tests/direct/main.rs
+++ b/crates/poplarpaddle/tests/direct/main.rs
@@ -10,4 +10,5 @@
 mod start;
 mod support;
 mod unreachable;
+mod waiting;
 mod zones;
