--- a/crates/poplarpaddle/src/direct/host.rs
+++ b/crates/poplarpaddle/src/direct/host.rs
@@ -29,6 +29,8 @@
     pub(super) busy: u32,
     /// Number of those flows whose request takes longer than most.
     pub(super) overdue: u32,
+    /// Number of open flows without a request in progress, as counted by the last sweep.
+    pub(super) idle_flows: u32,
     pub(super) limit: Limit,
     /// Number of consecutive openings without an answer.
     pub(super) unanswered: u32,
@@ -177,6 +179,18 @@
         }
     }
 
+    /// Replaces the numbers of idle flows. `hosts` yields the host of each idle flow.
+    pub(super) fn count_idle_flows(&mut self, hosts: impl Iterator<Item = Index>) {
+        for host in self.hosts.values_mut() {
+            host.idle_flows = 0;
+        }
+        for index in hosts {
+            if let Some(host) = self.hosts.get_mut(&index) {
+                host.idle_flows += 1;
+            }
+        }
+    }
+
     /// Updates the rates of requests.
     pub(super) fn measure_rates(&mut self, now: Time) {
         for service in self.services.values_mut() {
@@ -257,6 +271,7 @@
             zone,
             busy: 0,
             overdue: 0,
+            idle_flows: 0,
             limit: new_limit(),
             unanswered: 0,
             last_answer: Time::default(),
--- a/crates/poplarpaddle/src/direct/select.rs
+++ b/crates/poplarpaddle/src/direct/select.rs
@@ -46,6 +46,7 @@
     pub(super) fn select_host(&mut self, now: Time, service: &str, excluded: &[Index]) -> Option<(Index, bool)> {
         let candidates = self.candidates(service);
         let mut best: Option<(Cost, Index)> = None;
+        let mut second: Option<(Cost, Index)> = None;
         for index in candidates {
             if excluded.contains(&index) || !self.hosts.owns_mark(index) {
                 continue;
@@ -54,10 +55,12 @@
             let Some(host) = self.hosts.get(index).filter(|host| host.accepts_new(now)) else { continue };
             let cost = self.cost(now, host, tie_breaker);
             if best.is_none_or(|(other, _)| cost < other) {
-                best = Some((cost, index));
+                second = best.replace((cost, index));
+            } else if second.is_none_or(|(other, _)| cost < other) {
+                second = Some((cost, index));
             }
         }
-        let (cost, index) = best?;
+        let (cost, index) = self.with_fewer_idle_flows(best?, second);
         let zone = self.hosts.get(index)?.zone;
         if !cost.no_trial {
             self.links[zone].start_trial(now);
@@ -65,6 +68,15 @@
         Some((index, cost.fitness != Fitness::Full))
     }
 
+    /// Returns the one of the two best hosts that has fewer idle flows, if they are equal otherwise. The callers of these flows
+    /// will send further requests there. Of all equal hosts, two are drawn at random: if the one with the fewest flows always
+    /// won, a host that joins would get the next flow of every balancer.
+    fn with_fewer_idle_flows(&self, best: (Cost, Index), second: Option<(Cost, Index)>) -> (Cost, Index) {
+        let idle_flows = |index: Index| self.hosts.get(index).map_or(0, |host| host.idle_flows);
+        let equal = second.filter(|(cost, _)| Cost { tie_breaker: best.0.tie_breaker, ..*cost } == best.0);
+        equal.filter(|(_, index)| idle_flows(*index) < idle_flows(best.1)).unwrap_or(best)
+    }
+
     /// Returns true when the host or its zone is unreachable or the host is paused because it does not answer openings.
     pub(super) fn is_failing(&self, now: Time, host: &Host) -> bool {
         self.links[host.zone].is_down() || is_avoided(now, host)
--- a/crates/poplarpaddle/src/direct/sweep.rs
+++ b/crates/poplarpaddle/src/direct/sweep.rs
@@ -87,7 +87,7 @@
         }
     }
 
-    /// Removes idle flows and expired hosts, and measures the rate of requests.
+    /// Removes idle flows and expired hosts, counts the idle flows of each host, and measures the rate of requests.
     fn sweep(&mut self, now: Time) {
         let timeout = self.settings.idle_timeout;
         let idle = |(flow, entry): (&Flow, &Entry)| now.reached(entry.last_packet + timeout).then_some(*flow);
@@ -99,6 +99,9 @@
             }
         }
         self.idle.remove_older(now, self.settings.linger);
+        let is_idle = |entry: &&Entry| entry.request.is_some() && !entry.busy;
+        let idle = self.flows.values().filter(is_idle).map(|entry| entry.host);
+        self.hosts.count_idle_flows(idle.chain(self.idle.hosts()));
         self.hosts.measure_rates(now);
         self.hosts.remove_expired(now);
     }
--- a/crates/poplarpaddle/tests/direct/waiting.rs
+++ b/crates/poplarpaddle/tests/direct/waiting.rs
@@ -1,7 +1,9 @@
 //! Replays loads that hosts have no room for, and checks who waits, who is refused and who is placed.
 
+use std::collections::BTreeMap;
+
 use poplarpaddle::direct::{Reason, Verdict};
-use poplarpaddle::mark::Mark;
+use poplarpaddle::mark::{HostId, Mark};
 use poplarpaddle::packet::{Flow, Kind};
 use poplarpaddle::registry::{Host, Route};
 
@@ -41,7 +43,7 @@
 
 /// Ends the request of a placed flow, which lets a queued opening start.
 fn finish(harness: &mut Harness, flow: Flow) {
-    harness.send(flow, Mark::of(poplarpaddle::mark::HostId(1)), Kind::Closing, 0, 60);
+    harness.send(flow, Mark::of(HostId(1)), Kind::Closing, 0, 60);
 }
 
 /// Burst of the urgent kind: the least urgent openings were not placed as long as an urgent one waited.
@@ -134,3 +136,42 @@
         assert!(with_verdict(&harness, Verdict::Refused).is_empty());
     }
 }
+
+/// Opens a long flow, on which one request is answered, and returns its host.
+fn open_long_flow(harness: &mut Harness, caller: u16) -> HostId {
+    let opened = flow(caller, URGENT);
+    let placed = harness.establish(opened);
+    harness.advance(30);
+    harness.send(opened, Mark::of(placed), Kind::Data, 0, 2_050);
+    placed
+}
+
+/// Moving callers: long flows were spread by the requests in progress at their opening, which are few, so at random. At the
+/// peak, all of them send requests.
+#[test]
+fn long_flows_are_spread_by_the_flows_that_are_open() {
+    let mut harness = Harness::with_hosts(1, 10);
+    let mut counts = BTreeMap::new();
+    for caller in 1..=300 {
+        *counts.entry(open_long_flow(&mut harness, caller)).or_insert(0) += 1;
+        harness.advance(150);
+    }
+    // Two choices leave the fullest host above the mean by the logarithm of the logarithm of the number of hosts.
+    assert!(counts.values().all(|count| *count <= 10 + 3), "{counts:?}");
+}
+
+/// A host that joins has no flows. It must not get the next flow of every balancer.
+#[test]
+fn a_host_that_joins_gets_its_flows_over_time() {
+    let mut harness = Harness::with_hosts(1, 10);
+    for caller in 1..=100 {
+        open_long_flow(&mut harness, caller);
+    }
+    harness.register(&host(299, "bookings", "a"));
+    let mut joined = 0;
+    for caller in 200..300 {
+        joined += u32::from(open_long_flow(&mut harness, caller) == HostId(299));
+    }
+    // One of two choices among 31 hosts: 6.5 of 100 on average.
+    assert!((1..=13).contains(&joined), "{joined} of 100 flows");
+}
