Take a host for replaced only if another identifier has its address

Cause: a host that registers again with another zone or service, or whose entry another writer changes, gets a new entry at the same address, and its old one counted as replaced. All flows of a running host would have been reset. Change: the host at the address must have another identifier. Result: the new test failed without this.

--- a/crates/poplarpaddle/src/direct/host.rs
+++ b/crates/poplarpaddle/src/direct/host.rs
@@ -299,13 +299,18 @@
         self.sort_mark(mark);
     }
 
-    /// Records which of the hosts in `left`, whose registrations have ended, have lost their addresses to others.
+    /// Records which of the hosts in `left`, whose registrations have ended, have lost their addresses to others. A host that
+    /// registers again under its identifier, for example in another zone, may be running still.
     pub(super) fn mark_replaced(&mut self, left: &[Index]) {
         let address = |index: &Index| Some((self.hosts.get(index)?.record.address, *index));
         let mut former: Map<SocketAddrV4, Index> = map::seeded(0);
         former.extend(left.iter().filter_map(address));
+        let replaced_by = |host: &Host| {
+            let index = *former.get(&host.record.address)?;
+            self.hosts.get(&index).filter(|former| former.record.id != host.record.id).map(|_| index)
+        };
         let registered = self.hosts.values().filter(|host| host.is_registered());
-        let replaced: Vec<Index> = registered.filter_map(|host| former.get(&host.record.address).copied()).collect();
+        let replaced: Vec<Index> = registered.filter_map(replaced_by).collect();
         for index in replaced {
             if let Some(host) = self.hosts.get_mut(&index) {
                 host.is_replaced = true;
--- a/crates/poplarpaddle/tests/direct/unreachable.rs
+++ b/crates/poplarpaddle/tests/direct/unreachable.rs
@@ -215,6 +215,18 @@
     assert!(is_reset(&harness, idle), "{:?}", harness.record.events);
 }
 
+/// A host that registers again in another zone or service has a new entry, and its flows may live.
+#[test]
+fn flows_at_a_host_that_registers_again_under_its_identifier_are_kept() {
+    let mut harness = harness();
+    let (_, _, placed) = two_flows(&mut harness, ONCE, 1);
+    harness.register(&host(placed.0, "crewdocs", "c"));
+    harness.advance(500);
+    harness.finish_checks(None);
+    harness.advance(500);
+    assert!(harness.record.resets.is_empty(), "{:?}", harness.record.events);
+}
+
 /// Registrations lapse in an outage of the store, and when a host is cut off from it alone. A host that accepts connections
 /// runs, and a reset would break its flows.
 #[test]
