Compare drained zones by digest, and hold their calls back in an outage

In an outage each member called the store for a third topic too. Change: positions carry a digest of the zone drains; a newer position with another digest makes a member pull instead of taking it as a confirmation. Calls for the drains wait until one for the hosts succeeds. The simulated store of tests/fleet ended a watch as unchanged although it had been unable to send changes before; it now sends them, as the real one would.

--- a/crates/poplarpaddle/src/direct/drain.rs
+++ b/crates/poplarpaddle/src/direct/drain.rs
@@ -60,8 +60,13 @@
         self.links.push(self.zones.contains(zone));
     }
 
+    /// Returns true when the host gets no new flows because its zone is drained.
+    pub(super) fn excludes(&self, host: &Host) -> bool {
+        self.contains(host) && !self.exhausted.contains(&host.record.service)
+    }
+
     /// Returns true when the host is in a drained zone.
-    pub(super) fn contains(&self, host: &Host) -> bool {
+    fn contains(&self, host: &Host) -> bool {
         self.links[host.zone]
     }
 
--- a/crates/poplarpaddle/src/feed.rs
+++ b/crates/poplarpaddle/src/feed.rs
@@ -24,14 +24,14 @@
 //! watch. Confirmations cost one message per member about three times per [`Settings::bound`]. In return, a member that
 //! is cut off from its reader, but not from the store, detects this within the bound.
 
+mod announcement;
 mod settings;
 
+pub use announcement::{Announcement, Position, Topic};
 pub use settings::Settings;
 
 use std::time::Duration;
 
-use serde::{Deserialize, Serialize};
-
 use crate::map;
 use crate::path::MemberId;
 use crate::time::Time;
@@ -48,49 +48,6 @@
 /// Time for a peer to answer a pull of changes; afterwards another peer may be pulled from.
 const PULL_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// Collection in the store.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize, derive_more::Display)]
-pub enum Topic {
-    /// Registered hosts.
-    #[display("hosts")]
-    Hosts,
-    /// Configured routes.
-    #[display("routes")]
-    Routes,
-    /// Drained zones.
-    #[display("zone drains")]
-    ZoneDrains,
-}
-
-impl Topic {
-    /// Every topic, in the order of [`Announcement::positions`].
-    pub const ALL: [Self; 3] = [Self::Hosts, Self::Routes, Self::ZoneDrains];
-
-    /// Topics that every deployment has.
-    pub const REQUIRED: [Self; 2] = [Self::Hosts, Self::Routes];
-}
-
-/// Revisions of one topic that a member has.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
-pub struct Position {
-    /// Revision of the last change.
-    pub revision: u64,
-    /// Highest revision of the store at which the state is known to be current.
-    pub as_of: u64,
-    /// Time since the store confirmed that the state was current, in milliseconds; `u32::MAX` if it never did. A
-    /// relative time requires no synchronized clocks.
-    pub age_ms: u32,
-}
-
-/// Announcement of the state that a member has.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Announcement {
-    /// Member that received the state from the store; root of the tree along which the announcement is forwarded.
-    pub root: MemberId,
-    /// Positions in the order of [`Topic::ALL`]; the default for topics that the sender does not replicate.
-    pub positions: [Position; 3],
-}
-
 /// Action that a [`Feed`] requests from its caller.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Action {
@@ -146,6 +103,7 @@
 struct Collection {
     revision: u64,
     as_of: u64,
+    digest: u64,
     /// When the store last confirmed the state, to this member or to another one.
     confirmed: Time,
     /// When the store last confirmed the state to another member, according to announcements.
@@ -178,6 +136,7 @@
         let collection = Collection {
             revision: 0,
             as_of: 0,
+            digest: 0,
             confirmed: Time::default(),
             peer_confirmed: Time::default(),
             call: Call::Idle,
@@ -210,6 +169,7 @@
                 revision: collection.revision,
                 as_of: collection.as_of,
                 age_ms: age_ms(now, collection.confirmed),
+                digest: collection.digest,
             };
         }
         Announcement { root, positions }
@@ -246,6 +206,13 @@
         now.reached(collection.peer_confirmed + self.settings.takeover_age(self.rank()))
     }
 
+    /// Sets the digest of the state of `topic`, after which members only take each other's states for equal if the digests
+    /// are. A member that has read a snapshot knows neither what was added and removed before it, nor at which revision,
+    /// so its revisions do not show that another member still has such a value.
+    pub const fn set_digest(&mut self, topic: Topic, digest: u64) {
+        self.collections[topic as usize].digest = digest;
+    }
+
     /// Processes everything that is due at `now`. `members` are the reachable members including this one, in the order
     /// of identifiers.
     pub fn tick(&mut self, now: Time, members: &[MemberId]) {
@@ -262,12 +229,19 @@
     #[must_use]
     pub fn deadline(&self) -> Time {
         let takeover_age = self.settings.takeover_age(self.rank());
-        let due = self.replicated().map(|collection| match collection.call {
-            Call::InFlight => Time::NEVER,
-            Call::Backoff(until) => until.max(collection.peer_confirmed + takeover_age),
-            Call::Idle => collection.peer_confirmed + takeover_age,
+        let due = |topic: Topic| {
+            let collection = &self.collections[topic as usize];
+            match collection.call {
+                Call::InFlight => Time::NEVER,
+                Call::Backoff(until) => until.max(collection.peer_confirmed + takeover_age),
+                Call::Idle => collection.peer_confirmed + takeover_age,
+            }
+        };
+        let due_or_held = self.settings.topics.iter().map(|topic| match topic {
+            Topic::ZoneDrains if self.has_failed(Topic::Hosts) => due(*topic).max(due(Topic::Hosts)),
+            _ => due(*topic),
         });
-        due.min().unwrap_or(Time::NEVER)
+        due_or_held.min().unwrap_or(Time::NEVER)
     }
 
     /// Handles the outcome of a call to the store. The caller has already applied the response to its state.
@@ -314,6 +288,10 @@
                 behind = true;
                 continue;
             }
+            if position.digest != collection.digest {
+                behind |= position.as_of > collection.as_of;
+                continue;
+            }
             // The sender's state includes the last change that this member has, and no later one.
             if position.as_of >= collection.revision {
                 collection.as_of = collection.as_of.max(position.as_of);
@@ -369,9 +347,20 @@
         }
     }
 
+    /// Returns true when the last call for `topic` failed.
+    const fn has_failed(&self, topic: Topic) -> bool {
+        self.collections[topic as usize].failures > 0
+    }
+
+    /// Returns true when a call for `topic` has to wait until one for the hosts succeeds. During an outage every member
+    /// calls the store, and the hosts suffice to notice its end.
+    fn is_held(&self, now: Time, topic: Topic) -> bool {
+        topic == Topic::ZoneDrains && self.has_failed(Topic::Hosts) && self.is_reader(now, Topic::Hosts)
+    }
+
     /// Starts a call to the store if this member reads the topic and no call is in progress or backed off.
     fn start_call(&mut self, now: Time, topic: Topic) {
-        let is_reader = self.is_reader(now, topic);
+        let is_reader = self.is_reader(now, topic) && !self.is_held(now, topic);
         let collection = &mut self.collections[topic as usize];
         let may_start = match collection.call {
             Call::InFlight => false,
--- a/crates/poplarpaddle/src/fleet.rs
+++ b/crates/poplarpaddle/src/fleet.rs
@@ -313,26 +313,6 @@
         self.dispatch(now);
     }
 
-    /// Pings up to `count` members of `zone`, starting with a different one each time. Returns how many were pinged.
-    pub fn ping_zone(&mut self, now: Time, zone: &str, count: usize) -> usize {
-        let mut peers: Vec<SocketAddr> = self.peers_in(zone).map(|record| record.peer).collect();
-        let pinged = peers.len().min(count);
-        if pinged > 0 {
-            let start = self.requests.next_number() % peers.len();
-            peers.rotate_left(start);
-        }
-        for peer in peers.into_iter().take(pinged) {
-            self.ping(now, peer);
-        }
-        pinged
-    }
-
-    /// Returns true when [`Self::ping_zone`] knows a member of the zone. Members of other regions are not known.
-    #[must_use]
-    pub fn can_ping(&self, zone: &str) -> bool {
-        self.peers_in(zone).next().is_some()
-    }
-
     /// Returns the other members of a zone that are alive or suspect.
     fn peers_in<'a>(&'a self, zone: &'a str) -> impl Iterator<Item = &'a Record> + 'a {
         let may_be_alive =
--- a/crates/poplarpaddle/src/fleet/apply.rs
+++ b/crates/poplarpaddle/src/fleet/apply.rs
@@ -96,6 +96,7 @@
     fn merge_zone_drains(&mut self, now: Time, delta: ZoneDrainDelta) -> Result<()> {
         let was_unknown = self.zone_drains.as_of() == 0;
         let changed = self.zone_drains.merge(delta)?;
+        self.feed.set_digest(Topic::ZoneDrains, self.zone_drains.digest());
         let detail = format!("revision {}", self.zone_drains.revision());
         for zone in &changed {
             let name = if self.zone_drains.get(zone).is_some() { "zone.drained" } else { "zone.returned" };
--- a/crates/poplarpaddle/src/fleet/messages.rs
+++ b/crates/poplarpaddle/src/fleet/messages.rs
@@ -102,6 +102,26 @@
         Ok(())
     }
 
+    /// Pings up to `count` members of `zone`, starting with a different one each time. Returns how many were pinged.
+    pub fn ping_zone(&mut self, now: Time, zone: &str, count: usize) -> usize {
+        let mut peers: Vec<SocketAddr> = self.peers_in(zone).map(|record| record.peer).collect();
+        let pinged = peers.len().min(count);
+        if pinged > 0 {
+            let start = self.requests.next_number() % peers.len();
+            peers.rotate_left(start);
+        }
+        for peer in peers.into_iter().take(pinged) {
+            self.ping(now, peer);
+        }
+        pinged
+    }
+
+    /// Returns true when [`Self::ping_zone`] knows a member of the zone. Members of other regions are not known.
+    #[must_use]
+    pub fn can_ping(&self, zone: &str) -> bool {
+        self.peers_in(zone).next().is_some()
+    }
+
     fn handle_request(&mut self, now: Time, from: SocketAddr, number: u32, gossip: &Gossip) {
         self.membership.receive(now, gossip);
         let outbound = Outbound { to: from, member: Some(gossip.sender.id), ping: None, pong: None, page: None };
--- a/crates/poplarpaddle/src/replica.rs
+++ b/crates/poplarpaddle/src/replica.rs
@@ -130,6 +130,14 @@
         self.entries.iter().map(|(key, entry)| (key, &entry.value))
     }
 
+    /// Returns a digest of the keys and of the revisions of their last changes. Replicas with equal values have equal
+    /// digests.
+    #[must_use]
+    pub fn digest(&self) -> u64 {
+        let hashes = self.entries.iter().map(|(key, entry)| map::hash(entry.changed, key));
+        hashes.fold(0, u64::wrapping_add)
+    }
+
     /// Raises [`Self::revision`] to `revision`, after a change of state that belongs to the collection but is stored
     /// outside the replica.
     pub fn touch(&mut self, revision: u64) {
--- a/crates/poplarpaddle/tests/fleet/drains.rs
+++ b/crates/poplarpaddle/tests/fleet/drains.rs
@@ -158,6 +158,22 @@
     assert!(all_know(&simulation, &[]), "{:?}", drained(&simulation));
 }
 
+/// A member that starts after a drain has ended never knew it. Its announcements once confirmed the state of a member that
+/// had missed the end, which then kept the drain for good.
+#[test]
+fn a_member_that_missed_the_end_of_a_drain_is_not_confirmed_by_one_that_never_knew_it() {
+    let mut simulation = running(&[1, 1]);
+    simulation.kill(1);
+    simulation.drain_zone("a");
+    simulation.run(5000);
+    simulation.instances[0].store_access = Access::Silent;
+    simulation.return_zone("a");
+    simulation.put_host(9, poplarpaddle::registry::State::Ready);
+    simulation.start(1);
+    simulation.run(3000);
+    assert!(all_know(&simulation, &[]), "{:?}", drained(&simulation));
+}
+
 /// An entry that cannot be read is logged once per revision and leaves the others in force.
 #[test]
 fn an_invalid_entry_is_reported_once_and_costs_only_itself() {
@@ -185,6 +201,23 @@
     }
 }
 
+/// During an outage every member calls the store. A third topic must not add a third call each time.
+#[test]
+fn an_outage_costs_no_calls_for_the_drains() {
+    let calls = |topics| {
+        let mut simulation = Simulation::running_with(&[3, 3], topics);
+        for instance in &mut simulation.instances {
+            instance.store_access = Access::Refused;
+        }
+        simulation.run(4000);
+        let before: u64 = simulation.instances.iter().map(|instance| instance.store_calls).sum();
+        simulation.run(20_000);
+        simulation.instances.iter().map(|instance| instance.store_calls).sum::<u64>() - before
+    };
+    let (without, with) = (calls(&Topic::REQUIRED), calls(&Topic::ALL));
+    assert!(with * 10 <= without * 11, "{with} calls instead of {without}");
+}
+
 /// While settings are rolled out, some members replicate the drains and others do not.
 #[test]
 fn members_with_and_without_the_topic_work_together() {
--- a/crates/poplarpaddle/tests/fleet/random.rs
+++ b/crates/poplarpaddle/tests/fleet/random.rs
@@ -2,6 +2,7 @@
 //!
 //! `POPLARPADDLE_SEEDS=1000..1500 cargo test -p poplarpaddle --test fleet random` runs other seeds.
 
+use poplarpaddle::feed::Topic;
 use poplarpaddle::registry::State;
 use rand::{RngExt as _, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -47,6 +48,20 @@
     }
 }
 
+/// Ends all failures and starts the nodes that do not run.
+fn recover(simulation: &mut Simulation) {
+    simulation.heal();
+    for instance in &mut simulation.instances {
+        instance.store_access = Access::Reachable;
+    }
+    for index in 0..simulation.instances.len() {
+        if simulation.instances[index].node.is_none() {
+            simulation.start(index);
+        }
+    }
+    simulation.run(RECOVERY_MS);
+}
+
 /// Guards against members that miss a change, or apply it too late, after failures of nodes, links and the store.
 #[test]
 fn versions_and_hosts_are_in_force_within_the_bound_after_random_failures() {
@@ -61,16 +76,7 @@
                 version += random.random_range(1..9);
                 simulation.publish(version, &[443, 1000 + version as u16]);
             }
-            simulation.heal();
-            for instance in &mut simulation.instances {
-                instance.store_access = Access::Reachable;
-            }
-            for index in 0..simulation.instances.len() {
-                if simulation.instances[index].node.is_none() {
-                    simulation.start(index);
-                }
-            }
-            simulation.run(RECOVERY_MS);
+            recover(&mut simulation);
             version += 1;
             simulation.publish(version, &[443]);
             simulation.put_host(random.random_range(1..9), State::Draining);
@@ -88,3 +94,36 @@
         }
     }
 }
+
+/// Guards against drains that a member misses, or that a failure ends, in any order of orders and failures.
+#[test]
+fn zone_drains_are_in_force_within_the_bound_after_random_failures() {
+    for seed in seeds() {
+        let mut random = Pcg64Mcg::seed_from_u64(seed);
+        let mut simulation = Simulation::running_with(&[3, 4, 2], &Topic::ALL);
+        for _ in 0..4 {
+            for _ in 0..random.random_range(1..4) {
+                inject_failure(&mut simulation, &mut random);
+                simulation.run(random.random_range(0..3000));
+                order(&mut simulation, &mut random);
+            }
+            recover(&mut simulation);
+            order(&mut simulation, &mut random);
+            simulation.run(BOUND_MS);
+            let expected = simulation.drained_zones();
+            for (index, instance) in simulation.instances.iter().enumerate() {
+                assert_eq!(instance.drained, expected, "seed {seed}, node {index}");
+            }
+        }
+    }
+}
+
+/// Drains a random zone or takes it back.
+fn order(simulation: &mut Simulation, random: &mut Pcg64Mcg) {
+    let zone = ["a", "b", "c"][random.random_range(0..3)];
+    if simulation.drained_zones().contains(zone) {
+        simulation.return_zone(zone);
+    } else {
+        simulation.drain_zone(zone);
+    }
+}
--- a/crates/poplarpaddle/tests/fleet/spread.rs
+++ b/crates/poplarpaddle/tests/fleet/spread.rs
@@ -236,7 +236,7 @@
     let mut feed = Feed::new(feed::Settings { bound, ..Default::default() }, MemberId(9));
     feed.tick(start, &[MemberId(1), MemberId(2), MemberId(9)]);
     let announcement =
-        Announcement { root: MemberId(1), positions: [Position { revision: 5, as_of: 5, age_ms: 10 }; 3] };
+        Announcement { root: MemberId(1), positions: [Position { revision: 5, as_of: 5, age_ms: 10, digest: 0 }; 3] };
     let next_pull = |feed: &mut Feed| {
         let mut actions = feed.actions().into_iter();
         actions
--- a/crates/poplarpaddle/tests/fleet/world.rs
+++ b/crates/poplarpaddle/tests/fleet/world.rs
@@ -325,6 +325,11 @@
         self.notify_watches(Topic::ZoneDrains);
     }
 
+    /// Returns the drained zones according to the store.
+    pub fn drained_zones(&self) -> BTreeSet<String> {
+        self.store.drains.keys().cloned().collect()
+    }
+
     pub fn return_zone(&mut self, zone: &str) {
         self.store.revision += 1;
         self.store.drains.remove(zone);
@@ -395,9 +400,11 @@
             Event::WatchEnd { node, run_id, call } => {
                 let is_reachable = self.instances[node].store_access == Access::Reachable;
                 if let Some(position) = self.watches.iter().position(|watch| watch.call == call && is_reachable) {
-                    let topic = self.watches.remove(position).topic;
-                    let response = Ok(Response::Unchanged { as_of: self.store.revision });
-                    self.with_node(node, run_id, |node| node.store_answered(now, topic, response));
+                    let Watch { topic, revision, .. } = self.watches.remove(position);
+                    // Changes that the store could not send while it was unreachable are still unknown to the node.
+                    let changes = self.store.changes(topic, revision);
+                    let response = changes.unwrap_or(Response::Unchanged { as_of: self.store.revision });
+                    self.with_node(node, run_id, |node| node.store_answered(now, topic, Ok(response)));
                 }
             }
             Event::WatchTimeout { node, run_id, call } => {
