--- a/crates/poplarpaddle/src/path.rs
+++ b/crates/poplarpaddle/src/path.rs
@@ -37,6 +37,7 @@
 mod probing;
 mod reserve;
 mod settings;
+mod silent;
 mod sweep;
 mod target;
 mod unlimited;
--- a/crates/poplarpaddle/src/path/hedging.rs
+++ b/crates/poplarpaddle/src/path/hedging.rs
@@ -1,7 +1,7 @@
 //! Hedged openings: sending a copy to a second host, choosing between the answers and ending the attempt that lost.
 //!
-//! The host that loses is reset only after the caller has acknowledged the other one: while views differ, another balancer
-//! may have passed on the SYN-ACK of the host that loses here, and the caller may be connected to it.
+//! The host that loses is reset only after the caller has acknowledged the other one: while views differ, another
+//! balancer may have passed on the SYN-ACK of the host that loses here, and the caller may be connected to it.
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
@@ -23,7 +23,7 @@
 enum Role {
     /// Neither host has answered.
     Hedge,
-    /// The flow is bound to the other host. The gate still counts the attempt, so that a host without an answer is noticed.
+    /// The flow is bound to the other host. The gate still counts the attempt, to notice a host without an answer.
     Loser,
     /// The loser accepted the opening and is reset once the caller has acknowledged the other host.
     Accepted,
@@ -61,7 +61,7 @@
 #[derive(Debug)]
 pub(super) struct Hedges {
     settings: Settings,
-    /// Policies by the keys of the shards. A service's owner measures its own openings, so no messages are needed.
+    /// Policies by the keys of the shards. An owner measures its own openings, so no messages are needed.
     policies: BTreeMap<u64, Policy>,
     attempts: Map<Flow, Attempt>,
     timers: BinaryHeap<Reverse<(Time, Wait)>>,
@@ -186,8 +186,8 @@
         None
     }
 
-    /// Returns the hosts other than that of the entry, those of other zones first: what slows a host down may affect its
-    /// zone.
+    /// Returns the hosts other than that of the entry, those of other zones first: what slows a host down may affect
+    /// its zone.
     fn second_candidates(&self, location: &Location, entry: &Entry) -> Candidates {
         let mut hosts = self.candidates(location, &entry.flow, Some(entry.target));
         hosts.retain(|host| *host != entry.target);
@@ -237,8 +237,8 @@
                 self.end_attempt(now, &packet.flow, End::Shed);
                 self.discard(packet, Reason::StrayReset, outlet);
             }
-            // The host has an older connection from the same caller port, or the caller is connected to it through another
-            // balancer.
+            // The host has an older connection from the same caller port, or the caller is connected to it through
+            // another balancer.
             (Kind::Data | Kind::Closing, _) => {
                 self.end_attempt(now, &packet.flow, End::Closed);
                 return false;
@@ -341,8 +341,8 @@
         }
     }
 
-    /// Ends all second attempts, before the gates change. A SYN-ACK that is still under way is then discarded, and the host
-    /// is reset when it repeats it.
+    /// Ends all second attempts, before the gates change. A SYN-ACK that is still under way is then discarded, and the
+    /// host is reset when it repeats it.
     pub(super) fn end_all_attempts(&mut self, now: Time) {
         let mut flows: Vec<Flow> = self.hedges.attempts.keys().copied().collect();
         flows.sort_unstable();
