--- a/crates/poplarpaddle/tests/path/hedging.rs
+++ b/crates/poplarpaddle/tests/path/hedging.rs
@@ -190,7 +190,7 @@
         }
         node.wait(500);
     }
-    // 110 s at one opening for each pause, whose length doubles from 100 ms to 5 s.
+    // 100 s at one opening for each pause, whose length doubles from 100 ms to 5 s.
     assert!((1..40).contains(&openings), "{openings}");
 }
 
