Let a drained zone serve its callers while it is cut off from the others and from the store

Cause: an order to drain a zone held also while the zone was cut off. Change: when every host outside the drained zones is behind a lost link, the balancer checks whether the store responds. If it does not, drained zones are used until another zone or the store is back. While the store responds, the order holds. Tests: zones::a_drained_zone_that_is_cut_off_serves_its_callers, seen failing without the exception; zones::a_drained_zone_gets_no_openings_while_the_store_responds holds either way.

--- a/crates/poplarpaddle-balancer/src/direct/task.rs
+++ b/crates/poplarpaddle-balancer/src/direct/task.rs
@@ -34,6 +34,9 @@
 /// Timeout of a read of the store.
 const READ_TIMEOUT: Duration = Duration::from_millis(1200);
 
+/// Time for the store to respond to a check. It answers in milliseconds.
+const STORE_CHECK_TIMEOUT: Duration = Duration::from_millis(400);
+
 /// Time after the end of a watch in which a late response of the store is still accepted.
 const WATCH_SLACK: Duration = Duration::from_millis(500);
 
@@ -57,6 +60,8 @@
     FormerSaved(Result<()>),
     /// Outcome of loading former services of routes.
     FormerLoaded(Result<Vec<former::Entry>>),
+    /// Result of a check of the store: whether it responded.
+    StoreChecked(bool),
     /// Result of a check of a host: whether it accepted a connection.
     Checked(CheckId, bool),
     /// A peer pulls the changes after its revisions.
@@ -214,6 +219,9 @@
             Input::Pulled(member, transfer) => self.node.pulled(now, member, transfer.map(|transfer| *transfer)),
             Input::FormerSaved(outcome) => self.node.former_saved(now, &outcome),
             Input::FormerLoaded(outcome) => self.node.former_loaded(now, outcome),
+            Input::StoreChecked(responds) => {
+                self.with_engine(|engine, now, outlet| engine.store_checked(now, responds, outlet));
+            }
             Input::Checked(id, is_reachable) => {
                 self.with_engine(|engine, now, outlet| engine.checked(now, id, is_reachable, outlet));
             }
@@ -275,6 +283,9 @@
         for (id, address) in checks {
             self.check(id, address);
         }
+        if self.engine.take_store_check() {
+            self.check_store();
+        }
         if pings.is_empty() && silences.is_empty() && !has_foreign_packet {
             return;
         }
@@ -432,6 +443,18 @@
         });
     }
 
+    /// Checks whether the store responds.
+    fn check_store(&self) {
+        let (store, outcomes, telemetry, clock) =
+            (Arc::clone(&self.store), self.outcomes.clone(), self.telemetry.clone(), self.clock);
+        tokio::spawn(async move {
+            let started = clock.now();
+            let response = store.read(Topic::ZoneDrains, started + STORE_CHECK_TIMEOUT).await;
+            telemetry.record_call("store_check", outcome_label(&response), clock.now().since(started));
+            drop(outcomes.send(Input::StoreChecked(response.is_ok())));
+        });
+    }
+
     /// Checks whether the machine at `address` accepts a connection.
     fn check(&self, id: CheckId, address: SocketAddrV4) {
         let (source, timeout) = (self.peer_address, self.engine.settings().check_timeout);
--- a/crates/poplarpaddle/src/direct/drain.rs
+++ b/crates/poplarpaddle/src/direct/drain.rs
@@ -4,7 +4,9 @@
 //! queued, buffered or retransmitted by their callers leave the zone too. Established flows stay.
 //!
 //! If every usable host of a service is in a drained zone, its openings are placed as if no zone was drained. Hosts that
-//! are unreachable or do not answer count as usable here, because an order must not end when links fail.
+//! are unreachable or do not answer count as usable here, because an order must not end when links fail. The exception is a
+//! balancer that is cut off from every zone with other hosts and from the store as well: it cannot know whether the order
+//! still holds, and its callers would get no answer at all. It uses drained zones until it reaches another zone or the store.
 //!
 //! The hosts of a zone may have become cold while it was drained. Their registrations and the end of the drain arrive
 //! independently of each other, so the hosts of a zone that has just returned are presumed to be cold.
@@ -26,6 +28,9 @@
 /// Time after the return of a zone in which registrations that were written before it may still arrive.
 const REORDERING: Duration = Duration::from_millis(500);
 
+/// Time between two checks whether the store responds, while no host outside the drained zones can be reached.
+const STORE_CHECK_PAUSE: Duration = Duration::from_secs(1);
+
 /// Maximum number of hosts that are drawn at random to find [`MAX_CANDIDATES`] usable ones.
 const MAX_DRAWS: usize = 4 * MAX_CANDIDATES;
 
@@ -42,13 +47,27 @@
     exhausted: BTreeSet<String>,
     /// Those of them that no event has been recorded for.
     unreported: Vec<String>,
+    /// True while this balancer reaches neither the hosts outside the drained zones nor the store.
+    is_cut_off: bool,
+    /// True when the caller has to check whether the store responds.
+    wants_store_check: bool,
+    next_store_check: Time,
 }
 
 impl Drains {
     /// Returns the state without drained zones and links. `is_known` is false if openings have to wait until the drained
     /// zones are known.
     pub(super) const fn new(is_known: bool) -> Self {
-        Self { is_known, zones: BTreeSet::new(), links: Vec::new(), exhausted: BTreeSet::new(), unreported: Vec::new() }
+        Self {
+            is_known,
+            zones: BTreeSet::new(),
+            links: Vec::new(),
+            exhausted: BTreeSet::new(),
+            unreported: Vec::new(),
+            is_cut_off: false,
+            wants_store_check: false,
+            next_store_check: Time::from_nanos(0),
+        }
     }
 
     pub(super) const fn is_known(&self) -> bool {
@@ -62,7 +81,7 @@
 
     /// Returns true when the host gets no new flows because its zone is drained.
     pub(super) fn excludes(&self, host: &Host) -> bool {
-        self.contains(host) && !self.exhausted.contains(&host.record.service)
+        self.contains(host) && !self.is_cut_off && !self.exhausted.contains(&host.record.service)
     }
 
     /// Returns true when the host is in a drained zone.
@@ -75,6 +94,20 @@
         !self.zones.is_empty()
     }
 
+    /// Records that no host outside the drained zones can be reached. Returns true if drained zones may be used.
+    fn may_use_drained(&mut self, now: Time) -> bool {
+        if now.reached(self.next_store_check) {
+            self.next_store_check = now + STORE_CHECK_PAUSE;
+            self.wants_store_check = true;
+        }
+        self.is_cut_off
+    }
+
+    /// Records that another zone can be reached.
+    pub(super) const fn end_cut_off(&mut self) {
+        self.is_cut_off = false;
+    }
+
     /// Drains a zone or ends its drain. Returns false if that changes nothing.
     fn set(&mut self, zone: &str, drained: bool) -> bool {
         // Every change gives another set of usable hosts, which is reported anew.
@@ -122,6 +155,23 @@
         self.update_ready();
     }
 
+    /// Returns true when the caller has to check whether the store responds, once for each request of a check. The result is
+    /// passed to [`Self::store_checked`].
+    pub const fn take_store_check(&mut self) -> bool {
+        std::mem::replace(&mut self.drains.wants_store_check, false)
+    }
+
+    /// Records the result of a check whether the store responds.
+    pub fn store_checked(&mut self, now: Time, responds: bool, outlet: &mut dyn Outlet) {
+        let was_cut_off = std::mem::replace(&mut self.drains.is_cut_off, !responds);
+        if !responds && !was_cut_off {
+            let detail =
+                "no host outside the drained zones and no store can be reached, so new flows go to drained zones";
+            outlet.record_event(now, "zones.cut_off", &self.settings.zone, detail);
+        }
+        self.serve_queue_soon(now);
+    }
+
     /// Records an event for each service that has had to use drained zones since the last call.
     pub(super) fn report_exhausted(&mut self, now: Time, outlet: &mut dyn Outlet) {
         for service in self.drains.unreported.drain(..) {
@@ -155,7 +205,9 @@
         }
         let is_exhausted = usable.is_empty() && !hosts.is_empty();
         self.drains.set_exhausted(service, is_exhausted);
-        (!usable.is_empty()).then_some(usable)
+        let is_lost = |index: &Index| self.hosts.get(*index).is_some_and(|host| self.links[host.zone].is_down());
+        let may_use_drained = usable.iter().all(is_lost) && self.drains.may_use_drained(now);
+        (!usable.is_empty() && !may_use_drained).then_some(usable)
     }
 
     /// Ends the presumption that a host is cold, because its registration has changed, unless the registration may be
--- a/crates/poplarpaddle/src/direct/engine.rs
+++ b/crates/poplarpaddle/src/direct/engine.rs
@@ -314,6 +314,7 @@
     /// Records that the zone with the index `zone` is reachable.
     pub(super) fn confirm_zone(&mut self, now: Time, zone: usize, detail: &str, outlet: &mut dyn Outlet) {
         if self.links[zone].confirm_alive(now) == Some(Change::Regained) {
+            self.drains.end_cut_off();
             outlet.record_event(now, "zone.regained", &self.links[zone].zone, detail);
             for host in self.hosts.iter_mut().filter(|host| host.zone == zone) {
                 host.reach.confirm(now);
--- a/crates/poplarpaddle/tests/direct/support.rs
+++ b/crates/poplarpaddle/tests/direct/support.rs
@@ -69,6 +69,8 @@
     pub engine: Engine,
     pub record: Record,
     pub now: Time,
+    /// Whether the store responds to the checks that the engine requests.
+    pub store_responds: bool,
 }
 
 pub const ZONES: [&str; 3] = ["a", "b", "c"];
@@ -104,7 +106,12 @@
 impl Harness {
     pub fn new(seed: u64) -> Self {
         let settings = Settings { zone: "a".into(), seed, ..Default::default() };
-        Self { engine: Engine::new(settings), record: Record::default(), now: Time::from_millis(1000) }
+        Self {
+            engine: Engine::new(settings),
+            record: Record::default(),
+            now: Time::from_millis(1000),
+            store_responds: true,
+        }
     }
 
     /// Returns a harness with `per_zone` hosts of `bookings` in each zone and a route to them on port 443.
@@ -144,6 +151,9 @@
             self.engine.tick(self.now, &mut self.record);
         }
         self.now = until;
+        if self.engine.take_store_check() {
+            self.engine.store_checked(until, self.store_responds, &mut self.record);
+        }
     }
 
     /// Sends an opening. `retransmission` is 0 for the first packet and counts the caller's retransmissions.
--- a/crates/poplarpaddle/tests/direct/zones.rs
+++ b/crates/poplarpaddle/tests/direct/zones.rs
@@ -165,3 +165,29 @@
     run_traffic(&mut harness, 5000, 3000, &[0, 2]);
     assert!(harness.record.sent.iter().all(|sent| zone_of(sent.hop.host.0) != 1));
 }
+
+/// The zone of the balancer is drained and then cut off from the others and from the store. Its callers must be served
+/// there, since nothing else is left and the order may have ended. Once another zone is back, the order holds again.
+#[test]
+fn a_drained_zone_that_is_cut_off_serves_its_callers() {
+    let mut harness = Harness::with_hosts(8, 4);
+    harness.engine.set_zone_drain(harness.now, "a", true, &mut harness.record);
+    run_traffic(&mut harness, 1000, 2000, &[0, 1, 2]);
+    harness.store_responds = false;
+    let waits = run_traffic(&mut harness, 3000, 2000, &[0]);
+    assert!(waits[50..].iter().all(|wait| *wait == Some(10)), "{waits:?}");
+    assert!(harness.record.events.contains(&"zones.cut_off a".to_owned()));
+    harness.engine.zone_alive(harness.now, "b", &mut harness.record);
+    harness.record.sent.clear();
+    harness.send_opening(flow(9000, 443), 0);
+    assert_eq!(zone_of(harness.last_hop().host.0), 1);
+}
+
+/// As long as the store responds, the order holds, even if the other zones cannot be reached.
+#[test]
+fn a_drained_zone_gets_no_openings_while_the_store_responds() {
+    let mut harness = Harness::with_hosts(9, 4);
+    harness.engine.set_zone_drain(harness.now, "a", true, &mut harness.record);
+    run_traffic(&mut harness, 1000, 2000, &[0]);
+    assert!(harness.record.sent.iter().all(|sent| zone_of(sent.hop.host.0) != 0));
+}
