Take a host for replaced only by a later host with another identifier

A registration that another writer had damaged so that it named another service was taken for another host at the address of the running one, and all flows there were reset, idle ones and those whose requests must not run twice. The registration of a host that ended before, which lasts longer than the time after which its address is used again, had the same effect once that of the running host was missing. A host now counts as replaced only by one with another identifier that was registered later; otherwise the check decides. Two hosts that ended at one address are both found.

--- a/crates/poplarpaddle/src/direct/host.rs
+++ b/crates/poplarpaddle/src/direct/host.rs
@@ -71,6 +71,12 @@
         self.grace.is_some_and(|until| now.reached(until))
     }
 
+    /// Returns true when this host has taken over the address of `other`. A registration under the same identifier may be a
+    /// damaged one of the same process, and an earlier one may be left over from a host that ended before `other` started.
+    fn has_replaced(&self, other: &Self) -> bool {
+        self.record.id != other.record.id && self.record.created > other.record.created
+    }
+
     /// Returns true when the host has ended for certain: it has left, and accepts no connection or another host has its
     /// address. A running host renews its registration and accepts connections. If `is_zone_down`, a failed check shows
     /// nothing about the host.
@@ -312,11 +318,18 @@
 
     /// Records which of the hosts in `left`, whose registrations have ended, have lost their addresses to others.
     pub(super) fn mark_replaced(&mut self, left: &[Index]) {
-        let address = |index: &Index| Some((self.hosts.get(index)?.record.address, *index));
-        let mut former: Map<SocketAddrV4, Index> = map::seeded(0);
-        former.extend(left.iter().filter_map(address));
-        let registered = self.hosts.values().filter(|host| host.is_registered());
-        let replaced: Vec<Index> = registered.filter_map(|host| former.get(&host.record.address).copied()).collect();
+        let mut former: Map<SocketAddrV4, SmallVec<[Index; 1]>> = map::seeded(0);
+        for index in left {
+            if let Some(host) = self.hosts.get(index) {
+                former.entry(host.record.address).or_default().push(*index);
+            }
+        }
+        let mut replaced = Vec::new();
+        for host in self.hosts.values().filter(|host| host.is_registered()) {
+            let indices = former.get(&host.record.address).into_iter().flatten().copied();
+            let is_replaced = |index: &Index| self.hosts.get(index).is_some_and(|left| host.has_replaced(left));
+            replaced.extend(indices.filter(is_replaced));
+        }
         for index in replaced {
             if let Some(host) = self.hosts.get_mut(&index) {
                 host.is_replaced = true;
--- a/crates/poplarpaddle/tests/direct/unreachable.rs
+++ b/crates/poplarpaddle/tests/direct/unreachable.rs
@@ -4,9 +4,9 @@
 use poplarpaddle::direct::{Reason, Verdict};
 use poplarpaddle::mark::{HostId, Mark};
 use poplarpaddle::packet::{Flow, Kind};
-use poplarpaddle::registry::Route;
+use poplarpaddle::registry::{Host, Route};
 
-use super::support::{Harness, flow, host, route};
+use super::support::{Harness, ZONES, flow, host, route};
 
 const RESET: (Verdict, Option<Reason>) = (Verdict::Reset, Some(Reason::Unreachable));
 
@@ -209,12 +209,34 @@
     let (idle, _, ended) = two_flows(&mut harness, ONCE, 1);
     harness.deregister(ended.0);
     let address = host(ended.0, "", "").address;
-    harness.register(&poplarpaddle::registry::Host { address, ..host(299, "crewdocs", "a") });
+    harness.register(&Host { address, ..host(299, "crewdocs", "a") });
     harness.advance(500);
     harness.finish_checks(None);
     assert!(is_reset(&harness, idle), "{:?}", harness.record.events);
 }
 
+/// A registration that another writer damaged may name another service, and that of a host which ended before names its
+/// former address. Neither shows that another host has taken over the address of a running one.
+#[test]
+fn flows_at_a_running_host_whose_address_others_name_are_kept() {
+    for is_older in [false, true] {
+        let mut harness = harness();
+        let (_, _, running) = two_flows(&mut harness, ONCE, 1);
+        let former = host(running.0, "crewdocs", ZONES[usize::try_from(running.0 / 100).unwrap()]);
+        if is_older {
+            harness.register(&Host { id: HostId(299), created: 0, ..former });
+            harness.deregister(running.0);
+        } else {
+            harness.register(&former);
+        }
+        for _ in 0..4 {
+            harness.advance(500);
+            harness.finish_checks(None);
+        }
+        assert!(harness.record.resets.is_empty(), "older {is_older}: {:?}", harness.record.events);
+    }
+}
+
 /// Registrations lapse in an outage of the store, and when a host is cut off from it alone. A host that accepts connections
 /// runs, and a reset would break its flows.
 #[test]
