Expect all of the capacity while no other rank waits

The portion of the starts that a rank got in a burst of another one was kept after the burst, when nothing competed any more. Openings that would have started within a few response times were refused as too late. The portion now counts only while openings of other ranks wait.

--- a/crates/poplarpaddle/src/direct/queue.rs
+++ b/crates/poplarpaddle/src/direct/queue.rs
@@ -125,9 +125,12 @@
         }
     }
 
-    /// Returns the portion of the capacity that openings of `rank` can expect, as [`Share::portion`] does.
+    /// Returns the portion of the capacity that openings of `rank` can expect, as [`Share::portion`] does. Without openings
+    /// of other ranks that is all of it, whatever the class got before.
     pub(super) fn portion(&self, rank: u8) -> u64 {
-        self.classes.get(&rank).map_or(waiting::PORTION_ONE, |class| class.share.portion())
+        let competes = self.classes.iter().any(|(other, class)| *other != rank && !class.openings.is_empty());
+        let class = self.classes.get(&rank).filter(|_| competes);
+        class.map_or(waiting::PORTION_ONE, |class| class.share.portion())
     }
 
     /// Returns the number of openings of a service with this rank.
--- a/crates/poplarpaddle/tests/direct/waiting.rs
+++ b/crates/poplarpaddle/tests/direct/waiting.rs
@@ -108,6 +108,32 @@
     }
 }
 
+/// After a burst of the urgent kind, nothing competes with the idle kind any more. What it got in the burst must not count.
+#[test]
+fn openings_are_not_refused_for_a_burst_that_is_over() {
+    let mut harness = harness(1);
+    serve_one(&mut harness, 50);
+    harness.record.decisions.clear();
+    for caller in 1..=20 {
+        harness.send_opening(flow(caller, IDLE), 0);
+    }
+    for started in 0..200 {
+        harness.send_opening(flow(1_000 + started, URGENT), 0);
+        let placed = with_verdict(&harness, Verdict::Placed)[usize::from(started)];
+        finish(&mut harness, placed);
+    }
+    let placed = with_verdict(&harness, Verdict::Placed);
+    let queued = with_verdict(&harness, Verdict::Queued).into_iter().filter(|flow| !placed.contains(flow));
+    // The packet of a queued flow takes it out of the queue.
+    queued.chain(placed.iter().copied()).for_each(|ended| finish(&mut harness, ended));
+    harness.record.decisions.clear();
+    for caller in 2_001..=2_013 {
+        harness.send_opening(flow(caller, IDLE), 0);
+    }
+    assert_eq!(with_verdict(&harness, Verdict::Placed).len(), 3);
+    assert!(with_verdict(&harness, Verdict::Refused).is_empty());
+}
+
 /// Moving callers: a copy whose original went through another balancer may belong to a flow that is open by now.
 #[test]
 fn a_copy_of_an_opening_is_not_refused() {
