Count only starts at the same service in the portion of a rank

A flood of urgent openings at one service lowered the portion of the ranks whose openings waited for hosts of another service, although it takes nothing there, and these were refused as too late. A start now changes the portion of a class only if an opening of the same service waits in it, and the portion counts only against openings of that service.

--- a/crates/poplarpaddle/src/direct/opening.rs
+++ b/crates/poplarpaddle/src/direct/opening.rs
@@ -104,7 +104,8 @@
         let backlog = u32::from(self.settings.limit.backlog);
         let Some(load) = self.hosts.load(now, &opening.service, &sample, backlog) else { return false };
         let ahead = load.excess + self.queue.count(rank, &opening.service);
-        waiting::expected_wait(load.service_time, self.queue.portion(rank), ahead, load.capacity) >= timeout
+        let portion = self.queue.portion(rank, &opening.service);
+        waiting::expected_wait(load.service_time, portion, ahead, load.capacity) >= timeout
     }
 
     /// Sends an opening to a host for the first time.
--- a/crates/poplarpaddle/src/direct/queue.rs
+++ b/crates/poplarpaddle/src/direct/queue.rs
@@ -113,26 +113,38 @@
         self.contenders(full_services).find(|(other, ..)| *other == rank).map(|(.., opening)| opening)
     }
 
-    /// Accounts for the opening that [`Self::next_except`] returned, which is about to be placed.
+    /// Accounts for the opening that [`Self::next_except`] returned, which is about to be placed. The portion of a class
+    /// changes only if an opening of the same service waits in it.
     pub(super) fn record_start(&mut self, flow: &Flow, full_services: &[String]) {
-        let Some(started) = self.keys.get(flow).map(|key| key.rank) else { return };
+        let Some(started) = self.keys.get(flow).copied() else { return };
+        let opening = self.classes.get(&started.rank).and_then(|class| class.openings.get(&started.arrival));
+        let Some(service) = opening.map(|opening| opening.service.clone()) else { return };
         let ranks: SmallVec<[u8; 4]> = self.contenders(full_services).map(|(rank, ..)| rank).collect();
         for rank in ranks {
+            let competes = self.competes(rank, &service);
             if let Some(class) = self.classes.get_mut(&rank) {
-                class.share.record_start(rank == started);
-                class.share.observe_start(rank == started);
+                class.share.record_start(rank == started.rank);
+                if competes {
+                    class.share.observe_start(rank == started.rank);
+                }
             }
         }
     }
 
-    /// Returns the portion of the capacity that openings of `rank` can expect, as [`Share::portion`] does. Without openings
-    /// of other ranks that is all of it, whatever the class got before.
-    pub(super) fn portion(&self, rank: u8) -> u64 {
-        let competes = self.classes.iter().any(|(other, class)| *other != rank && !class.openings.is_empty());
-        let class = self.classes.get(&rank).filter(|_| competes);
+    /// Returns the portion of the capacity of `service` that openings of `rank` can expect, as [`Share::portion`] does. Without
+    /// openings of other ranks for the same service that is all of it, whatever the class got before.
+    pub(super) fn portion(&self, rank: u8, service: &str) -> u64 {
+        let is_contested = self.classes.keys().any(|other| *other != rank && self.competes(*other, service));
+        let class = self.classes.get(&rank).filter(|_| is_contested);
         class.map_or(waiting::PORTION_ONE, |class| class.share.portion())
     }
 
+    /// Returns true when an opening of `rank` waits for a host of `service`.
+    fn competes(&self, rank: u8, service: &str) -> bool {
+        let class = self.classes.get(&rank);
+        class.is_some_and(|class| class.openings.values().any(|opening| opening.service == service))
+    }
+
     /// Returns the number of openings of a service with this rank.
     pub(super) fn count(&self, rank: u8, service: &str) -> u64 {
         let openings = self.classes.get(&rank).into_iter().flat_map(|class| class.openings.values());
--- a/crates/poplarpaddle/tests/direct/waiting.rs
+++ b/crates/poplarpaddle/tests/direct/waiting.rs
@@ -134,6 +134,39 @@
     assert!(with_verdict(&harness, Verdict::Refused).is_empty());
 }
 
+/// A burst of the urgent kind at another service takes nothing of the hosts that the idle kind waits for.
+#[test]
+fn openings_are_not_refused_for_a_burst_at_other_hosts() {
+    let mut harness = harness(1);
+    harness.register(&Host { slots: 1, ..host(2, "crewdocs", "a") });
+    harness.route(IDLE, Some(&Route { rank: 2, timeout_ms: TIMEOUT, ..route("crewdocs") }));
+    harness.establish(flow(60_000, IDLE));
+    harness.advance(50);
+    harness.send(flow(60_000, IDLE), Mark::of(HostId(2)), Kind::Data, 0, 2_050);
+    harness.send(flow(60_000, IDLE), Mark::of(HostId(2)), Kind::Closing, 0, 2_050);
+    harness.record.decisions.clear();
+    (1..=4).for_each(|caller| harness.send_opening(flow(caller, IDLE), 0));
+    (1..=10).for_each(|caller| harness.send_opening(flow(caller, URGENT), 0));
+    let placed = |harness: &Harness, port: u16, index: u16| {
+        let mut placed = with_verdict(harness, Verdict::Placed).into_iter().filter(|flow| flow.service.port() == port);
+        placed.nth(usize::from(index)).unwrap()
+    };
+    for started in 0..300 {
+        harness.send_opening(flow(1_000 + started, URGENT), 0);
+        let ended = placed(&harness, URGENT, started);
+        finish(&mut harness, ended);
+        // The idle kind goes on, at a lower rate than its share of the starts.
+        if started % 25 == 24 {
+            let ended = placed(&harness, IDLE, started / 25);
+            harness.send(ended, Mark::of(HostId(2)), Kind::Closing, 0, 60);
+            harness.send_opening(flow(1_000 + started, IDLE), 0);
+        }
+    }
+    assert!(with_verdict(&harness, Verdict::Placed).iter().filter(|flow| flow.service.port() == IDLE).count() > 10);
+    (2_001..=2_010).for_each(|caller| harness.send_opening(flow(caller, IDLE), 0));
+    assert!(with_verdict(&harness, Verdict::Refused).is_empty(), "{:?}", with_verdict(&harness, Verdict::Refused));
+}
+
 /// Moving callers: a copy whose original went through another balancer may belong to a flow that is open by now.
 #[test]
 fn a_copy_of_an_opening_is_not_refused() {
