Refuse an opening only if all the work ahead of it takes too long

The wait of a less urgent opening was expected from the small share of its rank alone. But no opening stays in the queue for longer than 180 ms, so it waits no longer than for all the work ahead of it, and openings were refused that would have been served in time. The expected wait is now the lower one of both.

The test failed before: 9 of 9 openings were refused with 0.43 s of work ahead and a timeout of 1 s.

--- a/crates/poplarpaddle/src/direct/opening.rs
+++ b/crates/poplarpaddle/src/direct/opening.rs
@@ -103,9 +103,13 @@
         let sample = self.candidates(&opening.service);
         let backlog = u32::from(self.settings.limit.backlog);
         let Some(load) = self.hosts.load(now, &opening.service, &sample, backlog) else { return false };
-        let ahead = load.excess + self.queue.count(rank, &opening.service);
-        let portion = self.queue.portion(rank, &opening.service);
-        waiting::expected_wait(load.service_time, portion, ahead, load.capacity) >= timeout
+        let (of_rank, of_all) = self.queue.count(rank, &opening.service);
+        let wait = |portion: u64, queued: u64| {
+            waiting::expected_wait(load.service_time, portion, load.excess + queued, load.capacity)
+        };
+        // A less urgent opening leaves the queue in time too, so it waits no longer than for all the work ahead of it.
+        let by_rank = wait(self.queue.portion(rank, &opening.service), of_rank);
+        by_rank.min(wait(waiting::PORTION_ONE, of_all)) >= timeout
     }
 
     /// Sends an opening to a host for the first time.
--- a/crates/poplarpaddle/src/direct/queue.rs
+++ b/crates/poplarpaddle/src/direct/queue.rs
@@ -145,10 +145,10 @@
         class.is_some_and(|class| class.openings.values().any(|opening| opening.service == service))
     }
 
-    /// Returns the number of openings of a service with this rank.
-    pub(super) fn count(&self, rank: u8, service: &str) -> u64 {
-        let openings = self.classes.get(&rank).into_iter().flat_map(|class| class.openings.values());
-        openings.filter(|opening| opening.service == service).count() as u64
+    /// Returns the number of openings of a service with this rank, and with any rank.
+    pub(super) fn count(&self, rank: u8, service: &str) -> (u64, u64) {
+        let count = |class: &Class| class.openings.values().filter(|opening| opening.service == service).count() as u64;
+        (self.classes.get(&rank).map_or(0, count), self.classes.values().map(count).sum())
     }
 
     /// Returns the flows of all openings, the most urgent first.
--- a/crates/poplarpaddle/tests/direct/waiting.rs
+++ b/crates/poplarpaddle/tests/direct/waiting.rs
@@ -167,6 +167,24 @@
     assert!(with_verdict(&harness, Verdict::Refused).is_empty(), "{:?}", with_verdict(&harness, Verdict::Refused));
 }
 
+/// No opening waits here for longer than the queue keeps it. So a less urgent one, whose share is small, waits no longer than
+/// all the work ahead of it takes.
+#[test]
+fn openings_are_not_refused_for_their_share_alone() {
+    let mut harness = harness(1);
+    serve_one(&mut harness, 50);
+    harness.record.decisions.clear();
+    (1..=20).for_each(|caller| harness.send_opening(flow(caller, IDLE), 0));
+    for started in 0..200 {
+        harness.send_opening(flow(1_000 + started, URGENT), 0);
+        let placed = with_verdict(&harness, Verdict::Placed)[usize::from(started)];
+        finish(&mut harness, placed);
+    }
+    // 17 openings wait, so the last of these starts after 26 times 50 ms / 3.
+    (2_001..=2_009).for_each(|caller| harness.send_opening(flow(caller, IDLE), 0));
+    assert!(with_verdict(&harness, Verdict::Refused).is_empty(), "{:?}", with_verdict(&harness, Verdict::Refused));
+}
+
 /// Moving callers: a copy whose original went through another balancer may belong to a flow that is open by now.
 #[test]
 fn a_copy_of_an_opening_is_not_refused() {
