End the flows at all hosts that have ended in one pass

All hosts that have ended are now handled in one pass, and their idle flows are forgotten with them.

The test failed before: both idle flows were still in the table.

--- a/crates/poplarpaddle/src/direct/idle.rs
+++ b/crates/poplarpaddle/src/direct/idle.rs
@@ -57,9 +57,9 @@
         self.flows.values().map(|idle| idle.host)
     }
 
-    /// Returns the flows at a host.
-    pub(super) fn at(&self, host: Index) -> impl Iterator<Item = (Flow, Basis)> {
-        let at_host = self.flows.iter().filter(move |(_, idle)| idle.host == host);
-        at_host.map(|(flow, idle)| (*flow, idle.basis))
+    /// Removes the flows at the hosts in `hosts`, which are sorted, and returns them with their hosts.
+    pub(super) fn take(&mut self, hosts: &[Index]) -> impl Iterator<Item = (Index, Flow, Basis)> {
+        let at_hosts = self.flows.extract_if(|_, idle| hosts.binary_search(&idle.host).is_ok());
+        at_hosts.map(|(flow, idle)| (idle.host, flow, idle.basis))
     }
 }
--- a/crates/poplarpaddle/src/direct/reach.rs
+++ b/crates/poplarpaddle/src/direct/reach.rs
@@ -255,7 +255,7 @@
             let detail =
                 format!("the check that began {age} ms ago failed; another host answered what was sent {lag} ms after");
             outlet.record_event(now, "host.unreachable", &host.name, &detail);
-            self.reset_flows(now, index, outlet);
+            self.reset_flows(now, &[index], outlet);
             self.expire_openings(now, |other, _| other == index);
         }
     }
@@ -264,21 +264,19 @@
     /// has ended.
     pub(super) fn end_flows_of_left_hosts(&mut self, now: Time, outlet: &mut dyn Outlet) {
         let hosts = &self.hosts;
+        if !hosts.iter().any(|(_, host)| host.has_left(now)) {
+            return;
+        }
         let has_left = |index: &Index| hosts.get(*index).is_some_and(|host| host.has_left(now));
         let open_at = self.flows.values().map(|entry| entry.host).chain(self.idle.hosts());
         let mut left: Vec<Index> = open_at.filter(has_left).collect();
-        if left.is_empty() {
-            return;
-        }
         left.sort_unstable();
         left.dedup();
         self.hosts.mark_replaced(&left);
-        for index in left {
-            if self.is_gone(now, index) {
-                self.reset_flows(now, index, outlet);
-            } else {
-                self.doubt_host(now, index, outlet);
-            }
+        let (gone, running): (Vec<Index>, Vec<Index>) = left.iter().partition(|index| self.is_gone(now, **index));
+        self.reset_flows(now, &gone, outlet);
+        for index in running {
+            self.doubt_host(now, index, outlet);
         }
     }
 
@@ -286,30 +284,43 @@
         self.hosts.get(index).is_some_and(|host| host.is_gone(now, self.links[host.zone].is_down()))
     }
 
-    /// Resets the established flows at an unreachable host whose requests may run twice, and all others as well if the host
-    /// has ended for certain: their requests get no answer any more. Flows that the routers may have moved to another
-    /// balancer are left out, because their callers' acknowledgement numbers are not known here.
-    fn reset_flows(&mut self, now: Time, index: Index, outlet: &mut dyn Outlet) {
+    /// Resets the established flows at unreachable hosts, which are sorted, as far as their requests may run twice, and all
+    /// others as well if the host has ended for certain: their requests get no answer any more. Flows that the routers may
+    /// have moved to another balancer are left out, because their callers' acknowledgement numbers are not known here.
+    fn reset_flows(&mut self, now: Time, hosts: &[Index], outlet: &mut dyn Outlet) {
+        if hosts.is_empty() {
+            return;
+        }
+        let gone: Vec<Index> = hosts.iter().copied().filter(|index| self.is_gone(now, *index)).collect();
+        let is_gone = |index: Index| gone.binary_search(&index).is_ok();
         let (routes, settled) = (&self.routes, self.routers_settled);
-        let is_gone = self.is_gone(now, index);
         let may_reset = |(flow, entry): (&Flow, &Entry)| {
-            let ends = is_gone || routes.get(flow.service).is_some_and(|route| route.idempotent);
-            let has_sent_request = entry.request.is_some();
-            (entry.host == index && ends && has_sent_request).then_some((*flow, entry.basis()))
+            let is_idempotent = || routes.get(flow.service).is_some_and(|route| route.idempotent);
+            let ends = hosts.binary_search(&entry.host).is_ok() && (is_gone(entry.host) || is_idempotent());
+            (ends && entry.request.is_some()).then_some((entry.host, *flow, entry.basis()))
         };
-        let idle = self.idle.at(index).filter(|_| is_gone);
-        let ended = self.flows.iter().filter_map(may_reset).chain(idle);
-        let flows: Vec<(Flow, Basis)> = ended.filter(|(_, basis)| basis.seen.reached(settled)).collect();
-        if let Some(host) = self.hosts.get(index).filter(|_| is_gone && !flows.is_empty()) {
-            let cause = if host.is_replaced { "another host has its address" } else { "it accepts no connection" };
-            let detail = format!("its registration has ended and {cause}; {} flows are reset", flows.len());
-            outlet.record_event(now, "host.ended", &host.name, &detail);
-        }
-        for (flow, basis) in flows {
-            self.reset_unreachable(flow, index, basis, outlet);
+        let ended = self.flows.iter().filter_map(may_reset).chain(self.idle.take(&gone));
+        let mut flows: Vec<(Index, Flow, Basis)> = ended.filter(|(.., basis)| basis.seen.reached(settled)).collect();
+        flows.sort_unstable_by_key(|(index, ..)| *index);
+        for at_host in flows.chunk_by(|(one, ..), (other, ..)| one == other) {
+            let index = at_host[0].0;
+            if is_gone(index) {
+                self.record_end(now, index, at_host.len(), outlet);
+            }
+            for (_, flow, basis) in at_host {
+                self.reset_unreachable(*flow, index, *basis, outlet);
+            }
         }
     }
 
+    /// Records the event that a host has ended for certain.
+    fn record_end(&self, now: Time, index: Index, flows: usize, outlet: &mut dyn Outlet) {
+        let Some(host) = self.hosts.get(index) else { return };
+        let cause = if host.is_replaced { "another host has its address" } else { "it accepts no connection" };
+        let detail = format!("its registration has ended and {cause}; {flows} flows are reset");
+        outlet.record_event(now, "host.ended", &host.name, &detail);
+    }
+
     /// Handles a packet of an established flow to the host `index` as far as that host is in doubt. Returns true when the
     /// packet was answered with a reset, because the host is unreachable and the request may run twice, or because the host
     /// has ended for certain.
--- a/crates/poplarpaddle/tests/direct/unreachable.rs
+++ b/crates/poplarpaddle/tests/direct/unreachable.rs
@@ -237,6 +237,24 @@
     }
 }
 
+/// An idle flow that the routers may have moved is not reset, neither now nor later. It must not be looked at in each sweep
+/// for the rest of its life.
+#[test]
+fn idle_flows_at_a_host_that_has_ended_are_forgotten() {
+    let mut harness = harness();
+    let (first, second, ended) = two_flows(&mut harness, ONCE, 1);
+    harness.advance(8_000);
+    let before = harness.engine.counters().idle_flows;
+    harness.engine.flows_may_move(harness.now);
+    harness.deregister(ended.0);
+    harness.advance(500);
+    answer_elsewhere(&mut harness, ended, 500);
+    assert_eq!(harness.finish_checks(Some(ended)), 1);
+    harness.advance(500);
+    assert!(!is_reset(&harness, first) && !is_reset(&harness, second));
+    assert_eq!(harness.engine.counters().idle_flows, before - 2);
+}
+
 /// Registrations lapse in an outage of the store, and when a host is cut off from it alone. A host that accepts connections
 /// runs, and a reset would break its flows.
 #[test]
