Ignore the failure of an earlier check of a host

A check of the former process of a host that restarted under its name and address was taken for the check of the new one, and flows at the new process were reset. A check is now identified by its begin as well.

The test failed before, and without the comparison of the begins.

--- a/crates/poplarpaddle/src/direct.rs
+++ b/crates/poplarpaddle/src/direct.rs
@@ -198,9 +198,13 @@
     pub mark: Option<Mark>,
 }
 
-/// Identifies the host that a check concerns.
+/// Identifies a check of a host.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub struct CheckId(host::Index);
+pub struct CheckId {
+    host: host::Index,
+    /// When the check began.
+    begun: Time,
+}
 
 /// A host that does not respond while others do, as reported to [`Outlet::report_silence`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/poplarpaddle/src/direct/reach.rs
+++ b/crates/poplarpaddle/src/direct/reach.rs
@@ -155,14 +155,15 @@
     /// Records the result of the check `id`, which [`Outlet::check`] requested.
     pub fn checked(&mut self, now: Time, id: CheckId, is_reachable: bool, outlet: &mut dyn Outlet) {
         self.checks = self.checks.saturating_sub(1);
-        let Some(host) = self.hosts.get_mut(id.0) else { return };
+        let Some(host) = self.hosts.get_mut(id.host) else { return };
         if is_reachable {
             if host.reach.confirm(now) {
                 outlet.record_event(now, "host.reachable", &host.name, "the host accepted a connection");
             }
             return;
         }
-        if host.reach.state != State::Checking {
+        // The failure of an earlier check may concern a former process of the host.
+        if host.reach.state != State::Checking || host.reach.checked != id.begun {
             return;
         }
         let until = host.reach.checked + DOUBT_TIME;
@@ -188,7 +189,7 @@
         if !self.open_checks.contains(&index) {
             self.open_checks.push(index);
         }
-        outlet.check(CheckId(index), host.record.address);
+        outlet.check(CheckId { host: index, begun: now }, host.record.address);
     }
 
     /// Begins checks of the hosts in a zone that became unreachable, as far as flows of this balancer are open there.
--- a/crates/poplarpaddle/tests/direct/unreachable.rs
+++ b/crates/poplarpaddle/tests/direct/unreachable.rs
@@ -255,6 +255,28 @@
     assert_eq!(harness.engine.counters().idle_flows, before - 2);
 }
 
+/// A host restarts under its name and address while a check of its former process is in progress. The failure of that check
+/// says nothing about the new process.
+#[test]
+fn a_check_of_a_former_process_says_nothing_about_the_next_one() {
+    let mut harness = harness();
+    let (waiting, _, restarted) = two_flows(&mut harness, IDEMPOTENT, 1);
+    harness.advance(200);
+    harness.send(waiting, Mark::of(restarted), Kind::Data, 100, 50);
+    let former = std::mem::take(&mut harness.record.checks);
+    let zone = ZONES[usize::try_from(restarted.0 / 100).unwrap()];
+    harness.register(&Host { born: 2, ..host(restarted.0, "bookings", zone) });
+    harness.advance(50);
+    harness.send(waiting, Mark::of(restarted), Kind::Data, 100, 50);
+    assert_eq!((former.len(), harness.record.checks.len()), (1, 1));
+    harness.advance(1);
+    harness.engine.checked(harness.now, former[0].0, false, &mut harness.record);
+    answer_elsewhere(&mut harness, restarted, 500);
+    assert!(harness.record.resets.is_empty(), "{:?}", harness.record.events);
+    assert_eq!(harness.finish_checks(Some(restarted)), 1);
+    assert!(is_reset(&harness, waiting), "the check of the new process counts");
+}
+
 /// Registrations lapse in an outage of the store, and when a host is cut off from it alone. A host that accepts connections
 /// runs, and a reset would break its flows.
 #[test]
