Check the cap on the lifetime of former services

The test of the cap passed without it, since the simulated store returned the lifetime of the writer. It now returns one that a clock ahead of time would give, and fails without the cap.

--- a/crates/poplarpaddle/tests/fleet/former.rs
+++ b/crates/poplarpaddle/tests/fleet/former.rs
@@ -1,6 +1,8 @@
 //! Guards against balancers that drop the packets of established flows because they started after their route moved to
 //! another service.
 
+use poplarpaddle::time::Time;
+
 use super::world::{Access, Simulation};
 
 const FORMER: &str = "bookings";
@@ -83,6 +85,8 @@
     simulation.publish_service(8, &[443], "crewdocs");
     simulation.run(1000);
     restart_all(&mut simulation);
+    // The clock of the writer was ahead.
+    simulation.store.former.iter_mut().for_each(|entry| entry.until = Time::NEVER);
     simulation.with(3, |node, now| node.report_missing_service(now));
     let until = simulation.instances[3].former[0].until;
     assert!(until.since(simulation.now).as_secs() <= 60);
