--- a/crates/poplarpaddle/src/direct/engine.rs
+++ b/crates/poplarpaddle/src/direct/engine.rs
@@ -270,8 +270,8 @@
         links.chain([opening, self.next_sweep, self.next_overdue, self.queue.deadline()]).min().unwrap_or(Time::NEVER)
     }
 
-    /// Sets `ready` once hosts, routes and, if required, zone drains are known. The engine stays ready when a configuration removes the last
-    /// route.
+    /// Sets `ready` once hosts, routes and, if required, zone drains are known. The engine stays ready when a configuration
+    /// removes the last route.
     pub(super) fn update_ready(&mut self) {
         self.ready |= !self.routes.is_empty() && !self.hosts.is_empty() && self.drains.is_known();
     }
