Test each half of the condition for a replaced host alone

The damaged registration is now also a later one, and the test fails without the comparison of the identifiers.

--- a/crates/poplarpaddle/tests/direct/unreachable.rs
+++ b/crates/poplarpaddle/tests/direct/unreachable.rs
@@ -227,7 +227,7 @@
             harness.register(&Host { id: HostId(299), created: 0, ..former });
             harness.deregister(running.0);
         } else {
-            harness.register(&former);
+            harness.register(&Host { created: 1_000, ..former });
         }
         for _ in 0..4 {
             harness.advance(500);
