Trust a failed check only if it began after the end of the host's registration

A host that was cut off for a moment, so that a check failed, and whose registration expired just after, counted as ended for certain, and all its flows were reset without a further check. Change: only a check that began after the registration had ended counts together with that end. Test: unreachable::flows_at_a_host_that_has_ended_are_reset_whatever_their_requests expected the reset on the older check; it now demands that none follows before a new check has failed, which is stricter. The code before reset the flows at once.

--- a/crates/poplarpaddle/src/direct/host.rs
+++ b/crates/poplarpaddle/src/direct/host.rs
@@ -77,11 +77,13 @@
         self.record.id != other.record.id && self.record.created > other.record.created
     }
 
-    /// Returns true when the host has ended for certain: it has left, and accepts no connection or another host has its
-    /// address. A running host renews its registration and accepts connections. If `is_zone_down`, a failed check shows
-    /// nothing about the host.
+    /// Returns true when the host has ended for certain: it has left, and has accepted no connection since, or another host
+    /// has its address. A running host renews its registration and accepts connections. If `is_zone_down`, a failed check
+    /// shows nothing about the host. Nor does one from before the end of the registration: the host may have been cut off
+    /// for a while, and both may be due to that.
     pub(super) fn is_gone(&self, now: Time, is_zone_down: bool) -> bool {
-        self.has_left(now) && (self.is_replaced || (!is_zone_down && self.reach.is_unreachable(now)))
+        let Some(left) = self.grace.filter(|until| now.reached(*until)) else { return false };
+        self.is_replaced || (!is_zone_down && self.reach.is_unreachable_since(now, left))
     }
 }
 
--- a/crates/poplarpaddle/src/direct/reach.rs
+++ b/crates/poplarpaddle/src/direct/reach.rs
@@ -85,6 +85,11 @@
         !now.reached(self.unreachable_until)
     }
 
+    /// Returns true when the host is unreachable according to a check that began at `time` or later.
+    pub(super) fn is_unreachable_since(&self, now: Time, time: Time) -> bool {
+        self.is_unreachable(now) && self.unreachable_until >= time + VERDICT_TIME
+    }
+
     /// Records that the host is reachable, as an answer shows. Returns true when it was unreachable.
     pub(super) fn confirm(&mut self, now: Time) -> bool {
         let was_unreachable = self.is_unreachable(now);
--- a/crates/poplarpaddle/tests/direct/unreachable.rs
+++ b/crates/poplarpaddle/tests/direct/unreachable.rs
@@ -178,6 +178,12 @@
     harness.finish_checks(Some(ended));
     assert!(harness.record.resets.is_empty(), "the registration has not ended");
     harness.deregister(ended.0);
+    while harness.record.checks.is_empty() {
+        harness.advance(50);
+    }
+    assert!(harness.record.resets.is_empty(), "the failed check is older than the end of the registration");
+    answer_elsewhere(&mut harness, ended, 600);
+    assert_eq!(harness.finish_checks(Some(ended)), 1);
     harness.advance(500);
     assert!(is_reset(&harness, idle) && is_reset(&harness, waiting), "{:?}", harness.record.resets);
     harness.send(flow(400, ONCE), Mark::of(ended), Kind::Data, 100, 77);
