Bound the openings of all balancers at a cold host

Cause: every balancer chose among cold hosts by itself, so nothing bounded what the fleet opens at one host that has just started.

Change: direct::warmup. A service may state the rate that a cold host bears. One member of the host's zone, the owner by rendezvous hash, then opens flows there, with at most half of the bound in any second; all others leave the host out. A member whose view has not settled, that hears nobody, leaves or sees fewer than half of its zone owns nothing, and a member that left the view keeps its hosts for 1.5 s. Repeats, copies and moved openings count. Openings for which only cold hosts are left wait in the queue and are then refused with the reason cold_hosts. Without a rate all choices are as before.

--- a/crates/poplarpaddle/src/direct.rs
+++ b/crates/poplarpaddle/src/direct.rs
@@ -33,6 +33,11 @@
 //! A host can accept connections and yet not respond to requests. New flows avoid hosts that are silent while others
 //! respond, to this balancer or to several members.
 //!
+//! # Cold hosts
+//!
+//! A service may bound the openings that a host gets after its start. One balancer then opens flows at each cold host, see
+//! [`warmup`].
+//!
 //! # Trade-offs
 //!
 //! Losing an entry only makes the request counts less exact, so entries are not replicated to peers. In return, each
@@ -51,6 +56,7 @@
 mod select;
 mod settings;
 mod sweep;
+pub mod warmup;
 
 pub use engine::Engine;
 pub use settings::{Counters, Settings};
@@ -86,6 +92,9 @@
     /// No host of the service accepts new flows.
     #[display("no_host")]
     NoHost,
+    /// Only hosts that have just started accept new flows, and the bound on their openings is reached.
+    #[display("cold_hosts")]
+    ColdHosts,
     /// The host did not answer the opening in time.
     #[display("unanswered")]
     Unanswered,
@@ -99,7 +108,7 @@
 
 impl Reason {
     /// Every reason, in the order of the counters.
-    pub const ALL: [Self; 10] = [
+    pub const ALL: [Self; 11] = [
         Self::Malformed,
         Self::NotFromCaller,
         Self::Starting,
@@ -107,6 +116,7 @@
         Self::UnknownMark,
         Self::ForeignHost,
         Self::NoHost,
+        Self::ColdHosts,
         Self::Unanswered,
         Self::ZoneDown,
         Self::Unreachable,
--- a/crates/poplarpaddle/src/direct/engine.rs
+++ b/crates/poplarpaddle/src/direct/engine.rs
@@ -10,6 +10,7 @@
 use super::link::{Change, Link};
 use super::opening::Pending;
 use super::queue::Queue;
+use super::warmup::Warmup;
 use super::{Counters, Decision, Hop, Outlet, Reason, Settings, Verdict, host, route};
 use crate::limit::Limit;
 use crate::map::{self, Map};
@@ -77,6 +78,7 @@
     ready: bool,
     buffer: Buffer,
     pub(super) queue: Queue,
+    pub(super) warmup: Warmup,
     /// True when a request ended or became overdue since the queue was last served.
     pub(super) capacity_freed: bool,
     /// Number of checks of hosts in progress.
@@ -110,6 +112,7 @@
             ready: false,
             buffer: Buffer::default(),
             queue: Queue::new(settings.seed),
+            warmup: Warmup::new(settings.warmup),
             capacity_freed: false,
             checks: 0,
             failed_checks: Vec::new(),
@@ -173,8 +176,9 @@
         self.update_ready();
     }
 
-    /// Records that a message from a member in `zone` arrived, so the zone is reachable.
+    /// Records that a message from a member in `zone` arrived, so the zone is reachable and this balancer is not cut off.
     pub fn zone_alive(&mut self, now: Time, zone: &str, outlet: &mut dyn Outlet) {
+        self.warmup.record_contact(now);
         if let Some(index) = self.links.iter().position(|link| link.zone == zone) {
             self.confirm_zone(now, index, "a message from a member of the zone arrived", outlet);
         }
@@ -215,6 +219,7 @@
         self.tick_openings(now, outlet);
         self.tick_queue(now, outlet);
         self.sweep_if_due(now, outlet);
+        self.capacity_freed |= self.warmup.take_retry(now);
         self.serve_queue_if_freed(now, outlet);
     }
 
@@ -226,7 +231,8 @@
             return Time::default();
         }
         let links = self.links.iter().map(|link| link.deadline(self.settings.ping_timeout));
-        links.chain([opening, self.next_sweep, self.next_overdue, self.queue.deadline()]).min().unwrap_or(Time::NEVER)
+        let others = [opening, self.next_sweep, self.next_overdue, self.queue.deadline(), self.warmup.deadline()];
+        links.chain(others).min().unwrap_or(Time::NEVER)
     }
 
     /// Sets `ready` once hosts and routes are known. The engine stays ready when a configuration removes the last
--- a/crates/poplarpaddle/src/direct/host.rs
+++ b/crates/poplarpaddle/src/direct/host.rs
@@ -48,6 +48,11 @@
         is_active && self.record.state == State::Ready
     }
 
+    /// Returns true while the host is slower than usual because it has just started.
+    pub(super) const fn is_cold(&self, now: Time) -> bool {
+        !now.reached(self.record.cold_until)
+    }
+
     pub(super) const fn is_registered(&self) -> bool {
         self.grace.is_none()
     }
--- a/crates/poplarpaddle/src/direct/opening.rs
+++ b/crates/poplarpaddle/src/direct/opening.rs
@@ -55,9 +55,10 @@
         }
         self.remove_flow(&packet.flow);
         let service = self.choose_service(&packet.flow).unwrap_or_default();
-        let Some((index, has_capacity)) = self.select_host(now, &service, &[]) else {
+        let selected = self.select_host(now, &service, &[]);
+        if selected.is_none() && !self.has_cold_host(now, &service) {
             return self.reset(packet, Reason::NoHost, outlet);
-        };
+        }
         self.retries.deposit();
         let opening = Opening {
             flow: packet.flow,
@@ -67,14 +68,19 @@
             until: now + self.settings.queue_timeout,
             bytes: SmallVec::from_slice(packet.bytes),
         };
-        if has_capacity {
-            return self.send_first(now, opening, index, outlet);
-        }
+        let index = match selected {
+            Some((index, true)) => return self.send_first(now, opening, index, outlet),
+            Some((index, false)) => Some(index),
+            None => {
+                self.warmup.retry_soon(now);
+                None
+            }
+        };
         match self.queue.push(self.priority_rank(packet.flow.service), opening) {
             None => {
                 self.record_decision(&Decision::new(packet.flow, Verdict::Queued, None), outlet);
             }
-            Some(opening) => self.send_first(now, opening, index, outlet),
+            Some(opening) => self.leave_queue(now, opening, index, outlet),
         }
     }
 
@@ -105,7 +111,11 @@
         while let Some(opening) = self.queue.first_except(&full_services) {
             let (flow, service) = (opening.flow, opening.service.clone());
             let selected = self.select_host(now, &service, &[]);
-            if let Some((_, false)) = selected {
+            let is_held_back = selected.is_none() && self.has_cold_host(now, &service);
+            if is_held_back {
+                self.warmup.retry_soon(now);
+            }
+            if is_held_back || matches!(selected, Some((_, false))) {
                 full_services.push(service);
                 continue;
             }
@@ -136,6 +146,7 @@
     fn leave_queue(&mut self, now: Time, opening: Opening, index: Option<Index>, outlet: &mut dyn Outlet) {
         let reason = match (self.routes.get(opening.flow.service), index) {
             (Some(_), Some(index)) => return self.send_first(now, opening, index, outlet),
+            (Some(_), None) if self.has_cold_host(now, &opening.service) => Reason::ColdHosts,
             (Some(_), None) => Reason::NoHost,
             (None, _) => Reason::UnknownRoute,
         };
@@ -201,7 +212,10 @@
             return self.resend(now, packet.flow, Cause::Retransmission, outlet);
         }
         // The flow is established, so a late retransmission goes to its host.
-        if let Some(hop) = self.hop(index) {
+        if self.may_open(now, index)
+            && let Some(hop) = self.hop(index)
+        {
+            self.count_opening(now, index);
             self.send(&hop, packet.bytes, outlet);
         }
     }
@@ -228,6 +242,14 @@
             return;
         }
         let to = self.next_host(now, &flow, &entry, cause);
+        if !self.may_open(now, to) {
+            // A cold host may count the copy as an opening. The caller's next copy is the next attempt.
+            if let Some(pending) = entry.pending.as_mut() {
+                pending.due = Time::NEVER;
+            }
+            self.flows.insert(flow, entry);
+            return;
+        }
         let moved = to != from;
         let is_trial = self.may_be_gone(now, to);
         if moved && let Some(pending) = entry.pending.as_mut() {
@@ -312,6 +334,7 @@
         let (due, attempt) = (pending.due, u32::from(pending.attempts));
         self.timers.push(Reverse((due, flow)));
         self.send(&hop, &pending.bytes, outlet);
+        self.count_opening(now, index);
         self.hosts.begin_request(index);
         self.expect_response(now);
         if let Some(host) = self.hosts.get_mut(index) {
--- a/crates/poplarpaddle/src/direct/select.rs
+++ b/crates/poplarpaddle/src/direct/select.rs
@@ -35,7 +35,8 @@
     /// True for hosts that do not answer or whose zone is unreachable.
     failing: bool,
     fitness: Fitness,
-    /// Requests in progress per slot, including the new one, weighted by [`COLD_PERCENT`] on cold hosts.
+    /// Requests in progress per slot, weighted by [`COLD_PERCENT`] on cold hosts. The new one counts unless this member alone
+    /// opens flows at the host: it sees all of that host's requests, and of those at other hosts only its part.
     load: u64,
     /// Random number that decides between hosts that are equal otherwise.
     tie_breaker: u32,
@@ -46,17 +47,26 @@
     pub(super) fn select_host(&mut self, now: Time, service: &str, excluded: &[Index]) -> Option<(Index, bool)> {
         let candidates = self.candidates(service);
         let mut best: Option<(Cost, Index)> = None;
+        let mut left_out = false;
         for index in candidates {
             if excluded.contains(&index) || !self.hosts.owns_mark(index) {
                 continue;
             }
             let tie_breaker = self.random.random();
-            let Some(host) = self.hosts.get(index).filter(|host| host.accepts_new(now)) else { continue };
+            if !self.hosts.get(index).is_some_and(|host| host.accepts_new(now)) {
+                continue;
+            }
+            if !self.may_open(now, index) {
+                left_out = true;
+                continue;
+            }
+            let Some(host) = self.hosts.get(index) else { continue };
             let cost = self.cost(now, host, tie_breaker);
             if best.is_none_or(|(other, _)| cost < other) {
                 best = Some((cost, index));
             }
         }
+        self.counters.cold_left_out += u64::from(left_out);
         let (cost, index) = best?;
         let zone = self.hosts.get(index)?.zone;
         if !cost.no_trial {
@@ -75,7 +85,8 @@
         let failing = self.is_failing(now, host);
         let is_trial = self.links[host.zone].is_trial_due(now) && !is_avoided(now, host);
         let capacity = u32::from(host.record.slots) + u32::from(self.settings.limit.backlog);
-        let cold_percent = if now.reached(host.record.cold_until) { 100 } else { COLD_PERCENT };
+        let new = u64::from(!self.warmup.is_bounded(now, host));
+        let cold_percent = if host.is_cold(now) { COLD_PERCENT } else { 100 };
         // A failing host never counts as full: its requests may have ended without this balancer seeing it.
         let fitness = match (host.busy - host.overdue >= capacity, host.suspicion.is_active(now)) {
             (true, _) if !failing => Fitness::Full,
@@ -86,7 +97,7 @@
             no_trial: !is_trial,
             failing,
             fitness,
-            load: (busy + 1) * LOAD_UNIT * cold_percent / u64::from(host.record.slots.max(1)),
+            load: (busy + new) * LOAD_UNIT * cold_percent / u64::from(host.record.slots.max(1)),
             tie_breaker,
         }
     }
--- a/crates/poplarpaddle/src/direct/settings.rs
+++ b/crates/poplarpaddle/src/direct/settings.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::{Reason, Verdict};
+use super::{Reason, Verdict, warmup};
 use crate::{limit, retry};
 
 /// Settings of an [`Engine`](super::Engine).
@@ -38,6 +38,8 @@
     pub limit: limit::Settings,
     /// Budget for openings that the engine resends.
     pub retry: retry::Settings,
+    /// Bound on the openings at hosts that have just started.
+    pub warmup: warmup::Settings,
 }
 
 impl Default for Settings {
@@ -65,6 +67,7 @@
             limit: limit::Settings::default(),
             // A whole zone can fail at once. Then a third of the openings sent within some tenths of a second have to be resent.
             retry: retry::Settings { percent: 20, reserve: 50, burst: 200, ..retry::Settings::default() },
+            warmup: warmup::Settings::default(),
         }
     }
 }
@@ -80,6 +83,10 @@
     pub reasons: [u64; Reason::ALL.len()],
     /// Number of flows with an entry.
     pub flows: u64,
+    /// Number of cold hosts whose openings are bounded.
+    pub cold_hosts: u64,
+    /// Number of choices of a host for an opening that left out a cold host because of the bound.
+    pub cold_left_out: u64,
 }
 
 impl Counters {
--- a/crates/poplarpaddle/src/direct/sweep.rs
+++ b/crates/poplarpaddle/src/direct/sweep.rs
@@ -51,6 +51,7 @@
             self.next_sweep = now + SWEEP_INTERVAL;
             self.sweep(now);
             self.recheck_hosts(now, outlet);
+            self.sweep_cold_hosts(now, outlet);
         }
     }
 
--- a/crates/poplarpaddle/src/registry.rs
+++ b/crates/poplarpaddle/src/registry.rs
@@ -102,6 +102,17 @@
     pub idle_ms: u32,
 }
 
+/// A service, as far as a configuration describes it.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct Service {
+    /// Name of the service.
+    pub name: String,
+    /// Time for which a host is cold after its start, in milliseconds; 0 if unknown.
+    pub cold_start_ms: u32,
+    /// Rate of openings that a cold host bears, in openings per 1,000 s; 0 for no bound.
+    pub cold_rate: u32,
+}
+
 /// Address and port of a route, as callers connect to it.
 pub type Address = SocketAddrV4;
 
--- a/crates/poplarpaddle/tests/direct/main.rs
+++ b/crates/poplarpaddle/tests/direct/main.rs
@@ -8,4 +8,5 @@
 mod start;
 mod support;
 mod unreachable;
+mod warmup;
 mod zones;
