Pass the bound on cold hosts from configuration and settings to the data path

Cause: the engine can bound the openings at cold hosts, but neither configuration nor settings gave it the figures.

Change: General carries the services of the configuration; they travel with the routes, by version, so state transfers have version 2 of their own. The daemon passes members, services and its leave to the engine. Metrics: cold_hosts and poplarpaddle_cold_left_out.

--- a/crates/poplarpaddle-balancer/src/direct/daemon.rs
+++ b/crates/poplarpaddle-balancer/src/direct/daemon.rs
@@ -103,15 +103,18 @@
     let gossip = UdpSocket::bind(settings.peer)
         .await
         .wrap_err_with(|| format!("cannot bind the UDP socket for gossip to {}", settings.peer))?;
+    let mut engine = Engine::new(direct::Settings {
+        zone: settings.zone.clone(),
+        seed: rand::random(),
+        linger: settings.flow_life,
+        warmup: settings.warmup,
+        ..Default::default()
+    });
+    engine.set_members(clock.now(), me, &[]);
     Ok(Task {
         clock,
         node: node(clock.now(), settings, me),
-        engine: Engine::new(direct::Settings {
-            zone: settings.zone.clone(),
-            seed: rand::random(),
-            linger: settings.flow_life,
-            ..Default::default()
-        }),
+        engine,
         layout: Arc::clone(&adapters.layout),
         store: Arc::clone(&adapters.store),
         peers: Client::new(Some(settings.peer.ip()))?,
--- a/crates/poplarpaddle-balancer/src/direct/settings.rs
+++ b/crates/poplarpaddle-balancer/src/direct/settings.rs
@@ -3,6 +3,8 @@
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 use std::time::Duration;
 
+use poplarpaddle::direct::warmup;
+
 /// Settings of one daemon.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Settings {
@@ -29,6 +31,8 @@
     /// Maximum lifetime of a flow. A removed host, and a service removed from a route, keeps its established flows for
     /// this time.
     pub flow_life: Duration,
+    /// Bound on the openings at hosts that have just started.
+    pub warmup: warmup::Settings,
 }
 
 impl Default for Settings {
@@ -46,6 +50,7 @@
             drain: Duration::from_millis(2500),
             max_drain: Duration::from_millis(4500),
             flow_life: Duration::from_mins(1),
+            warmup: warmup::Settings::default(),
         }
     }
 }
--- a/crates/poplarpaddle-balancer/src/direct/task.rs
+++ b/crates/poplarpaddle-balancer/src/direct/task.rs
@@ -215,7 +215,7 @@
             Input::Seeds(seeds) => self.node.set_seeds(seeds),
             Input::Leave { earliest, latest } => {
                 self.stop = Some(Stop { earliest, latest });
-                self.engine.flows_may_move(now);
+                self.engine.leave(now);
                 self.node.leave(now);
             }
         }
@@ -299,7 +299,12 @@
                 }
             }
             Action::ZoneAlive(zone) => self.with_engine(|engine, now, outlet| engine.zone_alive(now, &zone, outlet)),
-            Action::NeighborsChanged => self.engine.flows_may_move(self.clock.now()),
+            Action::ServicesChanged => self.engine.set_services(self.clock.now(), &self.node.general().services),
+            Action::NeighborsChanged => {
+                let now = self.clock.now();
+                self.engine.flows_may_move(now);
+                self.engine.set_members(now, self.node.membership().me().id, self.node.neighbors());
+            }
             Action::HostsSuspected(hosts) => {
                 for host in hosts {
                     self.with_engine(|engine, now, outlet| engine.suspect(now, host, outlet));
--- a/crates/poplarpaddle-balancer/src/direct/telemetry.rs
+++ b/crates/poplarpaddle-balancer/src/direct/telemetry.rs
@@ -82,6 +82,7 @@
                     ("hosts", latest.hosts),
                     ("members", latest.members),
                     ("flows", latest.engine.flows),
+                    ("cold_hosts", latest.engine.cold_hosts),
                 ];
                 for (quantity, value) in values {
                     observer.observe(value, &[KeyValue::new("what", quantity)]);
@@ -100,6 +101,12 @@
             })
             .build();
         let read = self.reader();
+        let _left_out = meter
+            .u64_observable_counter("poplarpaddle.cold.left.out")
+            .with_description("Choices of a host for an opening that left out a cold host because of its bound")
+            .with_callback(move |observer| observer.observe(read().engine.cold_left_out, &[]))
+            .build();
+        let read = self.reader();
         let _packets = meter
             .u64_observable_counter("poplarpaddle.packets")
             .with_description("Packets forwarded, not sent, and not forwarded by reason")
--- a/crates/poplarpaddle/examples/registry.rs
+++ b/crates/poplarpaddle/examples/registry.rs
@@ -34,8 +34,9 @@
     let mut engine = Engine::new(Settings { zone: "zone-0".into(), ..Default::default() });
     let start = Instant::now();
     node.store_answered(now, Topic::Hosts, Ok(Response::Hosts { delta: all_hosts(hosts), faults: Vec::new() }));
-    let content = Some((General { version: 1, idle_ms: 15_000 }, (0..routes).map(route).collect()));
-    node.store_answered(now, Topic::Routes, Ok(Response::Routes { as_of: 2, content }));
+    let content =
+        Some((General { version: 1, idle_ms: 15_000, ..General::default() }, (0..routes).map(route).collect()));
+    node.store_answered(now, Topic::Routes, Ok(Response::Routes { as_of: 2, content, faults: Vec::new() }));
     for (name, host) in node.hosts().iter() {
         engine.set_host(now, name, Some(host), now);
     }
@@ -50,8 +51,8 @@
     node.store_answered(now, Topic::Hosts, Ok(Response::Hosts { delta, faults: Vec::new() }));
     let mut changed: Vec<_> = (0..routes).map(route).collect();
     changed[0].1.timeout_ms = 9;
-    let content = Some((General { version: 2, idle_ms: 15_000 }, changed));
-    node.store_answered(now, Topic::Routes, Ok(Response::Routes { as_of: 4, content }));
+    let content = Some((General { version: 2, idle_ms: 15_000, ..General::default() }, changed));
+    node.store_answered(now, Topic::Routes, Ok(Response::Routes { as_of: 4, content, faults: Vec::new() }));
     let one_host = node.changes_since(now, 2, 4).unwrap().encode().unwrap().len();
     let one_route = node.changes_since(now, 4, 2).unwrap().encode().unwrap().len();
     let start = Instant::now();
--- a/crates/poplarpaddle/src/fleet.rs
+++ b/crates/poplarpaddle/src/fleet.rs
@@ -41,7 +41,7 @@
 use crate::path::MemberId;
 use crate::registry::{Address, General, HostDelta, Hosts, Route, Routes};
 use crate::time::Time;
-use crate::wire::{Record, State, Transfer, VERSION};
+use crate::wire::{Record, State, TRANSFER_VERSION, Transfer};
 
 use messages::Requests;
 pub use outlier::MAX_OUTLIERS;
@@ -96,6 +96,8 @@
     HostsChanged(Vec<String>),
     /// The routes with these addresses were added, changed or removed in [`Node::routes`].
     RoutesChanged(Vec<Address>),
+    /// The services in [`Node::general`] changed.
+    ServicesChanged,
     /// A message from a member of this zone arrived, so the zone is reachable.
     ZoneAlive(String),
     /// The members in the own zone changed, so the routers may move flows between them.
@@ -122,6 +124,8 @@
         as_of: u64,
         /// General settings and routes of the configuration.
         content: Option<(General, Vec<(Address, Route)>)>,
+        /// Errors in single services of the configuration.
+        faults: Vec<Fault>,
     },
     /// The configuration is invalid.
     Unreadable {
@@ -139,12 +143,12 @@
     HistoryGone,
 }
 
-/// Error in a registration, which makes it unusable.
+/// Error in a registration, which makes it unusable, or in a service of a configuration.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Fault {
-    /// Name of the registration.
+    /// Name of the registration or service.
     pub name: String,
-    /// Revision of the registration.
+    /// Revision of the registration or configuration.
     pub revision: u64,
     /// Error message with the field, its value, and the allowed values.
     pub text: String,
@@ -225,8 +229,14 @@
 
     /// Returns the general settings of the configuration in force.
     #[must_use]
-    pub const fn general(&self) -> General {
-        self.general
+    pub const fn general(&self) -> &General {
+        &self.general
+    }
+
+    /// Returns the other members in the own zone that are alive or suspect.
+    #[must_use]
+    pub fn neighbors(&self) -> &[MemberId] {
+        &self.neighbors
     }
 
     /// Returns the membership.
@@ -312,11 +322,11 @@
             item.value.cold_until = Time::default() + item.value.cold_until.since(now);
         }
         Ok(Transfer {
-            version: VERSION,
+            version: TRANSFER_VERSION,
             news: self.positions(now),
             hosts: delta,
             routes: self.routes.delta(routes),
-            general: self.general,
+            general: self.general.clone(),
         })
     }
 
--- a/crates/poplarpaddle/src/fleet/apply.rs
+++ b/crates/poplarpaddle/src/fleet/apply.rs
@@ -15,14 +15,15 @@
     pub(super) fn apply(&mut self, now: Time, topic: Topic, response: Response) -> Result<Outcome> {
         match response {
             Response::Hosts { delta, faults } => {
-                self.report_faults(now, faults);
+                self.report_faults(now, "registration.unreadable", faults);
                 self.merge_hosts(now, delta)?;
             }
-            Response::Routes { as_of, content: Some((general, routes)) } => {
+            Response::Routes { as_of, content: Some((general, routes)), faults } => {
+                self.report_faults(now, "service.unreadable", faults);
                 let delta = self.routes.snapshot_of(as_of, routes);
                 self.merge_routes(now, general, delta)?;
             }
-            Response::Routes { as_of, content: None } => self.routes.advance(as_of),
+            Response::Routes { as_of, content: None, .. } => self.routes.advance(as_of),
             Response::Unreadable { as_of, text } => {
                 self.record_event(now, "config.unreadable", &as_of.to_string(), text);
                 self.routes.advance(as_of);
@@ -59,8 +60,8 @@
         Ok(changes.news)
     }
 
-    /// Records an event for each invalid registration, once per revision.
-    fn report_faults(&mut self, now: Time, faults: Vec<Fault>) {
+    /// Records an event `event` for each invalid registration or service, once per revision.
+    fn report_faults(&mut self, now: Time, event: &str, faults: Vec<Fault>) {
         for fault in faults {
             if self.reported.get(&fault.name) == Some(&fault.revision) {
                 continue;
@@ -68,12 +69,7 @@
             if self.reported.len() >= MAX_REPORTED {
                 self.reported.clear();
             }
-            self.record_event(
-                now,
-                "registration.unreadable",
-                &fault.name,
-                format!("revision {}: {}", fault.revision, fault.text),
-            );
+            self.record_event(now, event, &fault.name, format!("revision {}: {}", fault.revision, fault.text));
             self.reported.insert(fault.name, fault.revision);
         }
     }
@@ -106,9 +102,13 @@
         if general != self.general {
             // Peers compare revisions, so a new version has to count as a change even if no route changed.
             self.routes.touch(to);
+            let version = general.version;
+            if general.services != self.general.services {
+                self.actions.push(Action::ServicesChanged);
+            }
             self.general = general;
             let detail = format!("revision {}, {} routes changed", self.routes.revision(), changed.len());
-            self.record_event(now, "config.applied", &general.version.to_string(), detail);
+            self.record_event(now, "config.applied", &version.to_string(), detail);
         }
         if !changed.is_empty() {
             self.actions.push(Action::RoutesChanged(changed));
--- a/crates/poplarpaddle/src/registry.rs
+++ b/crates/poplarpaddle/src/registry.rs
@@ -94,12 +94,15 @@
 }
 
 /// Settings of a configuration that are not specific to a route.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub struct General {
     /// Version that the operator assigned to the configuration, 0 before the first one.
     pub version: u64,
     /// Time without packets after which the state of a flow may be dropped, in milliseconds.
     pub idle_ms: u32,
+    /// Services, in the order of the configuration.
+    #[serde(default)]
+    pub services: Vec<Service>,
 }
 
 /// A service, as far as a configuration describes it.
--- a/crates/poplarpaddle/src/wire.rs
+++ b/crates/poplarpaddle/src/wire.rs
@@ -20,6 +20,9 @@
 /// Version of the peer protocol. Messages of another version are rejected.
 pub const VERSION: u8 = 1;
 
+/// Version of [`Transfer`]. Transfers of another version are rejected.
+pub const TRANSFER_VERSION: u8 = 2;
+
 /// Version of [`Datagram`]. Datagrams of another version are rejected.
 pub const DATAGRAM_VERSION: u8 = 2;
 
@@ -230,7 +233,7 @@
 /// State transfer: the hosts and routes that changed at a member, or all of them, as the answer to a pull.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Transfer {
-    /// [`VERSION`] of the sender.
+    /// [`TRANSFER_VERSION`] of the sender.
     pub version: u8,
     /// Positions of the state of the sender.
     pub news: Announcement,
@@ -261,10 +264,10 @@
     pub fn decode(bytes: &[u8]) -> Result<Self> {
         let transfer: Self = rmp_serde::from_slice(bytes)
             .map_err(|e| Error::new(Kind::Message, format!("cannot decode a state transfer: {e}")))?;
-        if transfer.version != VERSION {
+        if transfer.version != TRANSFER_VERSION {
             return Err(Error::new(
                 Kind::Message,
-                format!("state transfer version {} is not supported, expected {VERSION}", transfer.version),
+                format!("state transfer version {} is not supported, expected {TRANSFER_VERSION}", transfer.version),
             ));
         }
         Ok(transfer)
--- a/crates/poplarpaddle/tests/fleet/spread.rs
+++ b/crates/poplarpaddle/tests/fleet/spread.rs
@@ -7,7 +7,7 @@
 use poplarpaddle::registry::State;
 use poplarpaddle::time::Time;
 
-use super::world::{Access, Simulation};
+use super::world::{Access, Simulation, service};
 
 /// Time within which a change must take effect at every member.
 const BOUND_MS: u64 = 3000;
@@ -48,6 +48,32 @@
     assert!(simulation.instances.iter().all(|instance| !instance.hosts.contains_key("i-3")));
 }
 
+/// A bound on cold hosts has to reach the data path of every member, and change there with the configuration.
+#[test]
+fn the_services_of_a_configuration_reach_every_data_path() {
+    let mut simulation = Simulation::running(&[7, 9, 4]);
+    for version in [9, 10] {
+        simulation.publish(version, &[443]);
+        simulation.run(200);
+        for instance in &simulation.instances {
+            assert_eq!(instance.services, [service(version)], "{}", instance.address);
+        }
+    }
+}
+
+/// A member that hears no other one for 1.5 s counts as cut off and opens nothing at cold hosts.
+#[test]
+fn members_hear_others_often_at_rest() {
+    for zones in [[1, 1, 1].as_slice(), &[7, 9, 4]] {
+        let mut simulation = Simulation::running(zones);
+        simulation.run(2000);
+        simulation.instances.iter_mut().for_each(|instance| instance.longest_silence = Duration::ZERO);
+        simulation.run(20_000);
+        let longest = simulation.instances.iter().map(|instance| instance.longest_silence).max().unwrap();
+        assert!(longest < Duration::from_millis(1500), "{zones:?}: {longest:?}");
+    }
+}
+
 /// The worst case is the loss of the reader together with the members that would take over from it.
 #[test]
 fn a_change_right_after_the_loss_of_the_reader_is_in_force_within_the_bound() {
--- a/crates/poplarpaddle/tests/fleet/world.rs
+++ b/crates/poplarpaddle/tests/fleet/world.rs
@@ -11,7 +11,7 @@
 use poplarpaddle::mark::HostId;
 use poplarpaddle::membership;
 use poplarpaddle::path::MemberId;
-use poplarpaddle::registry::{Address, General, Host, Route, State as HostState};
+use poplarpaddle::registry::{Address, General, Host, Route, Service, State as HostState};
 use poplarpaddle::replica::{Delta, Item, Removed};
 use poplarpaddle::time::Time;
 use poplarpaddle::wire::{Record, State, Transfer};
@@ -111,6 +111,11 @@
     /// Hosts as passed to the data path.
     pub hosts: BTreeMap<String, Host>,
     pub zone_alive_at: BTreeMap<String, Time>,
+    /// When the last message from another member arrived, and the longest time between two of them.
+    pub last_contact: Time,
+    pub longest_silence: Duration,
+    /// Services as passed to the data path.
+    pub services: Vec<Service>,
     /// When the data path was told last that the members in the node's zone changed.
     pub neighbors_changed_at: Time,
     /// Number of snapshots of the hosts that the node has sent to others.
@@ -167,6 +172,9 @@
                     version: 0,
                     hosts: BTreeMap::new(),
                     zone_alive_at: BTreeMap::new(),
+                    last_contact: Time::default(),
+                    longest_silence: Duration::ZERO,
+                    services: Vec::new(),
                     neighbors_changed_at: Time::default(),
                     snapshots: 0,
                     suspected: Vec::new(),
@@ -273,7 +281,7 @@
 
     pub fn publish(&mut self, version: u64, ports: &[u16]) {
         self.store.revision += 1;
-        let general = General { version, idle_ms: 15_000 };
+        let general = General { version, idle_ms: 15_000, services: vec![service(version)] };
         let route = |port: &u16| {
             let address = format!("198.18.0.1:{port}").parse().unwrap();
             (address, Route { service: "bookings".into(), timeout_ms: u32::from(*port), ..Default::default() })
@@ -432,7 +440,16 @@
                     }
                 }
             }
-            Action::ZoneAlive(zone) => drop(self.instances[index].zone_alive_at.insert(zone, now)),
+            Action::ZoneAlive(zone) => {
+                let instance = &mut self.instances[index];
+                instance.zone_alive_at.insert(zone, now);
+                instance.longest_silence = instance.longest_silence.max(now.since(instance.last_contact));
+                instance.last_contact = now;
+            }
+            Action::ServicesChanged => {
+                let instance = &mut self.instances[index];
+                instance.services = instance.node.as_ref().map_or(Vec::new(), |node| node.general().services.clone());
+            }
             Action::NeighborsChanged => self.instances[index].neighbors_changed_at = now,
             Action::HostsSuspected(hosts) => self.instances[index].suspected.extend(hosts),
             Action::RoutesChanged(_) | Action::Event(_) => {}
@@ -503,6 +520,11 @@
     }
 }
 
+/// Returns the service in a version of the configuration.
+pub fn service(version: u64) -> Service {
+    Service { name: "bookings".into(), cold_start_ms: 2000, cold_rate: u32::try_from(version).unwrap() * 1000 }
+}
+
 impl Store {
     fn snapshot(&self, topic: Topic) -> Response {
         match topic {
@@ -517,7 +539,7 @@
             }
             Topic::Routes => {
                 let content = self.config.clone().map(|(general, routes, _)| (general, routes));
-                Response::Routes { as_of: self.revision, content }
+                Response::Routes { as_of: self.revision, content, faults: Vec::new() }
             }
         }
     }
