--- a/crates/poplarpaddle-balancer/src/direct/daemon.rs
+++ b/crates/poplarpaddle-balancer/src/direct/daemon.rs
@@ -5,6 +5,7 @@
 
 use eyre::Context as _;
 use poplarpaddle::direct::{Engine, Layout};
+use poplarpaddle::feed::Topic;
 use poplarpaddle::fleet::{Node, Store};
 use poplarpaddle::path::MemberId;
 use poplarpaddle::time::Time;
@@ -106,6 +107,7 @@
     let mut engine = Engine::new(direct::Settings {
         zone: settings.zone.clone(),
         seed: rand::random(),
+        zone_drains: settings.zone_drains,
         linger: settings.flow_life,
         warmup: settings.warmup,
         ..Default::default()
@@ -152,8 +154,9 @@
         alone_ms: ALONE_INTERVAL_MS,
         ..Default::default()
     };
-    let feed = feed::Settings { bound: settings.bound };
-    Node::new(now, fleet::Settings { membership, feed }, record)
+    let topics: &[Topic] = if settings.zone_drains { &Topic::ALL } else { &Topic::REQUIRED };
+    let feed = feed::Settings { bound: settings.bound, topics };
+    Node::new(now, fleet::Settings { membership, feed, flow_life: settings.flow_life }, record)
 }
 
 /// Reloads the settings on SIGHUP and when they were modified. Of the settings, only the seeds are applied to the
--- a/crates/poplarpaddle-balancer/src/direct/task.rs
+++ b/crates/poplarpaddle-balancer/src/direct/task.rs
@@ -8,7 +8,8 @@
 use poplarpaddle::error::Result;
 use poplarpaddle::event::Event;
 use poplarpaddle::feed::Topic;
-use poplarpaddle::fleet::{Action, Node, Response, Store};
+use poplarpaddle::fleet::{Action, Node, Response, Revisions, Store};
+use poplarpaddle::former;
 use poplarpaddle::path::MemberId;
 use poplarpaddle::time::Time;
 use poplarpaddle::wire::Transfer;
@@ -51,11 +52,15 @@
     /// Outcome of a read or watch of a collection in the store.
     Store(Topic, Result<Response>),
     /// Outcome of a pull from a peer.
-    Pulled(MemberId, Result<Transfer>),
+    Pulled(MemberId, Result<Box<Transfer>>),
+    /// Outcome of saving former services of routes.
+    FormerSaved(Result<()>),
+    /// Outcome of loading former services of routes.
+    FormerLoaded(Result<Vec<former::Entry>>),
     /// Result of a check of a host: whether it accepted a connection.
     Checked(CheckId, bool),
-    /// A peer pulls the changes after its revisions of hosts and routes.
-    Changes { hosts: u64, routes: u64, reply: oneshot::Sender<Result<Vec<u8>>> },
+    /// A peer pulls the changes after its revisions.
+    Changes { since: Revisions, reply: oneshot::Sender<Result<Vec<u8>>> },
     /// A request for the status.
     Status(oneshot::Sender<Status>),
     /// New seeds after a reload of the settings.
@@ -91,10 +96,13 @@
     routes: usize,
     members: usize,
     flows: u64,
-    /// Whether this process reads hosts and routes, in this order, from the store itself.
-    reads: [bool; 2],
-    /// Time since the store confirmed hosts and routes, in this order, in milliseconds.
-    age_ms: [u64; 2],
+    /// Drained zones; absent if operators cannot drain zones through the store.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    drained_zones: Option<Vec<String>>,
+    /// Whether this process reads hosts, routes and zone drains, in this order, from the store itself.
+    reads: Vec<bool>,
+    /// Time since the store confirmed hosts, routes and zone drains, in this order, in milliseconds.
+    age_ms: Vec<u64>,
 }
 
 /// Task that owns the engine and the node.
@@ -203,13 +211,15 @@
         self.save_hosts_confirmed();
         match input {
             Input::Store(topic, response) => self.node.store_answered(now, topic, response),
-            Input::Pulled(member, transfer) => self.node.pulled(now, member, transfer),
+            Input::Pulled(member, transfer) => self.node.pulled(now, member, transfer.map(|transfer| *transfer)),
+            Input::FormerSaved(outcome) => self.node.former_saved(now, &outcome),
+            Input::FormerLoaded(outcome) => self.node.former_loaded(now, outcome),
             Input::Checked(id, is_reachable) => {
                 self.with_engine(|engine, now, outlet| engine.checked(now, id, is_reachable, outlet));
             }
-            Input::Changes { hosts, routes, reply } => {
+            Input::Changes { since, reply } => {
                 // A failed send means that the peer no longer waits for the reply.
-                drop(reply.send(self.node.changes_since(now, hosts, routes).and_then(|changes| changes.encode())));
+                drop(reply.send(self.node.changes_since(now, since).and_then(|changes| changes.encode())));
             }
             Input::Status(reply) => drop(reply.send(self.status(now))),
             Input::Seeds(seeds) => self.node.set_seeds(seeds),
@@ -244,6 +254,7 @@
         let now = self.clock.now();
         let (mut pings, mut checks, mut silences) = (Vec::new(), Vec::new(), Vec::new());
         let mut datagram = Vec::new();
+        let mut has_foreign_packet = false;
         let mut outlet = Sender {
             now,
             layout: &*self.layout,
@@ -255,6 +266,7 @@
             pings: &mut pings,
             checks: &mut checks,
             silences: &mut silences,
+            has_foreign_packet: &mut has_foreign_packet,
             node: &self.node,
             version: self.node.general().version,
             age: now.since(self.node.feed().confirmed(Topic::Hosts)),
@@ -263,9 +275,12 @@
         for (id, address) in checks {
             self.check(id, address);
         }
-        if pings.is_empty() && silences.is_empty() {
+        if pings.is_empty() && silences.is_empty() && !has_foreign_packet {
             return;
         }
+        if has_foreign_packet {
+            self.node.report_missing_service(now);
+        }
         for silence in silences {
             self.node.report_silence(now, silence.host, silence.rate);
         }
@@ -290,7 +305,7 @@
             }
             Action::Read(topic) => self.read(topic),
             Action::Watch { topic, revision, until } => self.watch(topic, revision, until),
-            Action::Pull { member, peer, hosts, routes, until } => self.pull(member, peer, (hosts, routes), until),
+            Action::Pull { member, peer, since, until } => self.pull(member, peer, since, until),
             Action::HostsChanged(names) => self.update_hosts(&names),
             Action::RoutesChanged(addresses) => {
                 let now = self.clock.now();
@@ -298,6 +313,7 @@
                     self.engine.set_route(now, address, self.node.routes().get(&address));
                 }
             }
+            Action::ZoneDrainsChanged(zones) => self.update_zone_drains(&zones),
             Action::ZoneAlive(zone) => self.with_engine(|engine, now, outlet| engine.zone_alive(now, &zone, outlet)),
             Action::ServicesChanged => self.engine.set_services(self.clock.now(), &self.node.general().services),
             Action::NeighborsChanged => {
@@ -310,10 +326,39 @@
                     self.with_engine(|engine, now, outlet| engine.suspect(now, host, outlet));
                 }
             }
+            Action::Former(action) => self.call_former(action),
+            Action::FormerServices(entries) => {
+                for former::Entry { address, service, until } in &entries {
+                    self.engine.allow_former_service(*address, service, *until);
+                }
+            }
             Action::Event(event) => self.record_event(event),
         }
     }
 
+    /// Saves or loads former services of routes.
+    fn call_former(&self, action: former::Action) {
+        let (store, outcomes, telemetry, clock) =
+            (Arc::clone(&self.store), self.outcomes.clone(), self.telemetry.clone(), self.clock);
+        tokio::spawn(async move {
+            let started = clock.now();
+            let deadline = started + READ_TIMEOUT;
+            let input = match action {
+                former::Action::Save(entries) => {
+                    let outcome = store.save_former(entries, deadline).await;
+                    telemetry.record_call("save_former", outcome_label(&outcome), clock.now().since(started));
+                    Input::FormerSaved(outcome)
+                }
+                former::Action::Load => {
+                    let outcome = store.load_former(deadline).await;
+                    telemetry.record_call("load_former", outcome_label(&outcome), clock.now().since(started));
+                    Input::FormerLoaded(outcome)
+                }
+            };
+            drop(outcomes.send(input));
+        });
+    }
+
     fn record_event(&self, event: Event) {
         self.journal.record_event(&event.name, &event.subject, &event.detail);
         self.telemetry.events.push(event);
@@ -327,6 +372,7 @@
             version: self.node.general().version,
             hosts: self.node.hosts().len() as u64,
             members: self.node.membership().reachable().len() as u64,
+            drained_zones: self.node.zone_drains().len() as u64,
         });
     }
 
@@ -344,6 +390,15 @@
         }
     }
 
+    /// Updates the engine for zones that were drained or returned.
+    fn update_zone_drains(&mut self, zones: &[String]) {
+        for zone in zones {
+            let drained = self.node.zone_drains().get(zone).is_some();
+            self.with_engine(|engine, now, outlet| engine.set_zone_drain(now, zone, drained, outlet));
+        }
+        self.engine.zone_drains_known();
+    }
+
     fn read(&self, topic: Topic) {
         let (store, outcomes, telemetry, clock) =
             (Arc::clone(&self.store), self.outcomes.clone(), self.telemetry.clone(), self.clock);
@@ -366,17 +421,19 @@
         });
     }
 
-    /// Pulls the changes after `revisions`, which are the revisions of hosts and routes, from a peer.
-    fn pull(&self, member: MemberId, peer: SocketAddr, revisions: (u64, u64), until: Time) {
+    /// Pulls the changes after the revisions `since` from a peer.
+    fn pull(&self, member: MemberId, peer: SocketAddr, since: Revisions, until: Time) {
         let (client, outcomes, telemetry, clock) =
             (self.peers.clone(), self.outcomes.clone(), self.telemetry.clone(), self.clock);
         tokio::spawn(async move {
             let started = clock.now();
-            let path = format!("/peer/parcel?hosts={}&routes={}", revisions.0, revisions.1);
+            let Revisions { hosts, routes, zone_drains } = since;
+            let drains = if zone_drains > 0 { format!("&zone_drains={zone_drains}") } else { String::new() };
+            let path = format!("/peer/parcel?hosts={hosts}&routes={routes}{drains}");
             let bytes = client.fetch_up_to(TRANSFER_LIMIT, peer, &path, until).await;
             let transfer = bytes.and_then(|bytes| Transfer::decode(&bytes));
             telemetry.record_call("pull", outcome_label(&transfer), clock.now().since(started));
-            drop(outcomes.send(Input::Pulled(member, transfer)));
+            drop(outcomes.send(Input::Pulled(member, transfer.map(Box::new))));
         });
     }
 
@@ -394,6 +451,13 @@
         });
     }
 
+    /// Returns the names of the drained zones, sorted.
+    fn drained_zones(&self) -> Vec<String> {
+        let mut zones: Vec<String> = self.node.zone_drains().iter().map(|(zone, _)| zone.clone()).collect();
+        zones.sort_unstable();
+        zones
+    }
+
     fn status(&self, now: Time) -> Status {
         let (me, feed) = (self.node.membership().me(), self.node.feed());
         let age = |topic| u64::try_from(now.since(feed.confirmed(topic)).as_millis()).unwrap_or(u64::MAX);
@@ -406,8 +470,9 @@
             routes: self.node.routes().len(),
             members: self.node.membership().reachable().len(),
             flows: self.engine.counters().flows,
-            reads: Topic::ALL.map(|topic| feed.is_reader(now, topic)),
-            age_ms: Topic::ALL.map(age),
+            drained_zones: feed.has_topic(Topic::ZoneDrains).then(|| self.drained_zones()),
+            reads: feed.topics().iter().map(|topic| feed.is_reader(now, *topic)).collect(),
+            age_ms: feed.topics().iter().copied().map(age).collect(),
         }
     }
 }
--- a/crates/poplarpaddle/src/direct.rs
+++ b/crates/poplarpaddle/src/direct.rs
@@ -38,15 +38,21 @@
 //! A service may bound the openings that a host gets after its start. One balancer then opens flows at each cold host, see
 //! [`warmup`].
 //!
+//! # Drained zones
+//!
+//! An operator can drain a zone: its hosts keep their established flows and get no new ones.
+//!
 //! # Trade-offs
 //!
 //! Losing an entry only makes the request counts less exact, so entries are not replicated to peers. In return, each
 //! balancer knows only the part of a host's load that passes through itself.
 
 mod buffer;
+mod drain;
 mod engine;
 mod estimate;
 mod host;
+mod idle;
 mod link;
 mod opening;
 mod outlier;
@@ -104,11 +110,14 @@
     /// The host of the established flow is unreachable.
     #[display("unreachable")]
     Unreachable,
+    /// The hosts have so much work that a request could not start before its caller gives up.
+    #[display("late")]
+    Late,
 }
 
 impl Reason {
     /// Every reason, in the order of the counters.
-    pub const ALL: [Self; 11] = [
+    pub const ALL: [Self; 12] = [
         Self::Malformed,
         Self::NotFromCaller,
         Self::Starting,
@@ -120,6 +129,7 @@
         Self::Unanswered,
         Self::ZoneDown,
         Self::Unreachable,
+        Self::Late,
     ];
 }
 
--- a/crates/poplarpaddle/src/direct/engine.rs
+++ b/crates/poplarpaddle/src/direct/engine.rs
@@ -7,11 +7,12 @@
 use rand_pcg::Pcg64Mcg;
 
 use super::buffer::Buffer;
+use super::drain::Drains;
 use super::link::{Change, Link};
 use super::opening::Pending;
 use super::queue::Queue;
 use super::warmup::Warmup;
-use super::{Counters, Decision, Hop, Outlet, Reason, Settings, Verdict, host, route};
+use super::{Basis, Counters, Decision, Hop, Outlet, Reason, Settings, Verdict, host, idle, route};
 use crate::limit::Limit;
 use crate::map::{self, Map};
 use crate::mark::Mark;
@@ -20,10 +21,21 @@
 use crate::retry::Budget;
 use crate::time::Time;
 
+/// What determines the host of an established flow.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Affinity {
+    /// The mark of each packet.
+    Mark,
+    /// [`Entry::host`], because the opening may have reached other hosts as well. The marks of the caller's packets then
+    /// tell which host answered last, not which one has the connection.
+    Pinned,
+}
+
 /// State of a flow that the engine has seen.
 #[derive(Debug)]
 pub(super) struct Entry {
     pub(super) host: host::Index,
+    pub(super) affinity: Affinity,
     /// Sequence number of the opening, which distinguishes a new connection from a retransmission.
     pub(super) sequence: u32,
     /// When the last packet of the flow arrived or its opening was last sent.
@@ -43,6 +55,17 @@
     pub(super) pending: Option<Box<Pending>>,
 }
 
+impl Entry {
+    pub(super) fn is_pinned(&self) -> bool {
+        self.affinity == Affinity::Pinned
+    }
+
+    /// Returns what a reset of the flow is based on if no packet of it arrives.
+    pub(super) const fn basis(&self) -> Basis {
+        Basis { sequence: self.acknowledgement, seen: self.last_packet }
+    }
+}
+
 /// A caller's packet with payload, which is a request or the end of one.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Request {
@@ -64,17 +87,19 @@
 pub struct Engine {
     pub(super) settings: Settings,
     pub(super) flows: Map<Flow, Entry>,
+    pub(super) idle: idle::Table,
     pub(super) timers: BinaryHeap<Reverse<(Time, Flow)>>,
     pub(super) hosts: host::Table,
     pub(super) routes: route::Table,
     pub(super) links: Vec<Link>,
+    pub(super) drains: Drains,
     pub(super) retries: Budget,
     pub(super) random: Pcg64Mcg,
     pub(super) counters: Counters,
     pub(super) next_sweep: Time,
     /// When overdue requests are searched for.
     pub(super) next_overdue: Time,
-    /// True once hosts and routes have been known.
+    /// True once hosts, routes and, if required, zone drains have been known.
     ready: bool,
     buffer: Buffer,
     pub(super) queue: Queue,
@@ -83,8 +108,8 @@
     pub(super) capacity_freed: bool,
     /// Number of checks of hosts in progress.
     pub(super) checks: usize,
-    /// Hosts whose latest check failed and is not confirmed.
-    pub(super) failed_checks: Vec<host::Index>,
+    /// Hosts whose latest check is in progress, or failed and may still be confirmed.
+    pub(super) open_checks: Vec<host::Index>,
     /// When the latest opening or request was sent that a host answered promptly.
     pub(super) last_prompt_answer: Time,
     /// When the latest request was sent that a host has answered.
@@ -98,12 +123,16 @@
     /// Returns an engine without hosts and routes.
     #[must_use]
     pub fn new(settings: Settings) -> Self {
+        let mut drains = Drains::new(!settings.zone_drains);
+        drains.add_link(&settings.zone);
         Self {
             flows: map::seeded(settings.seed),
+            idle: idle::Table::new(settings.seed),
             timers: BinaryHeap::new(),
             hosts: host::Table::default(),
             routes: route::Table::default(),
             links: vec![Link::new(&settings.zone)],
+            drains,
             retries: Budget::new(settings.retry),
             random: Pcg64Mcg::seed_from_u64(settings.seed),
             counters: Counters::default(),
@@ -111,11 +140,11 @@
             next_overdue: Time::NEVER,
             ready: false,
             buffer: Buffer::default(),
-            queue: Queue::new(settings.seed),
+            queue: Queue::new(settings.seed, settings.queue_share),
             warmup: Warmup::new(settings.warmup),
             capacity_freed: false,
             checks: 0,
-            failed_checks: Vec::new(),
+            open_checks: Vec::new(),
             last_prompt_answer: Time::default(),
             last_answered_request: Time::default(),
             routers_settled: Time::default(),
@@ -132,7 +161,7 @@
     /// Returns the counters.
     #[must_use]
     pub fn counters(&self) -> Counters {
-        Counters { flows: self.flows.len() as u64, ..self.counters }
+        Counters { flows: self.flows.len() as u64, idle_flows: self.idle.len() as u64, ..self.counters }
     }
 
     /// Counts a datagram that was dropped because it is not a valid packet of a caller.
@@ -158,6 +187,9 @@
         if let Some(index) = known.filter(|index| self.hosts.find(name) != Some(*index)) {
             self.hosts.deregister(index, now, remove_at);
         }
+        if let Some(index) = known {
+            self.confirm_warmth(now, index);
+        }
         self.start_sweeps(now);
         self.update_ready();
     }
@@ -176,6 +208,12 @@
         self.update_ready();
     }
 
+    /// Allows established flows of the route at `address` to belong to `service` until `until`, because the route used that
+    /// service before this balancer started.
+    pub fn allow_former_service(&mut self, address: Address, service: &str, until: Time) {
+        self.routes.allow_former(address, service, until);
+    }
+
     /// Records that a message from a member in `zone` arrived, so the zone is reachable and this balancer is not cut off.
     pub fn zone_alive(&mut self, now: Time, zone: &str, outlet: &mut dyn Outlet) {
         self.warmup.record_contact(now);
@@ -201,12 +239,14 @@
         if self.routes.get(packet.flow.service).is_none() {
             return self.reset(packet, Reason::UnknownRoute, outlet);
         }
+        self.idle.remove(&packet.flow);
         match packet.kind {
             Kind::Opening => self.handle_opening(now, packet, outlet),
             Kind::Accept => self.drop_packet(packet.flow, Reason::NotFromCaller, outlet),
             Kind::Data | Kind::Closing | Kind::Reset => self.forward_established(now, mark, packet, outlet),
         }
         self.serve_queue_if_freed(now, outlet);
+        self.report_exhausted(now, outlet);
     }
 
     /// Processes everything that is due at `now`.
@@ -221,6 +261,7 @@
         self.sweep_if_due(now, outlet);
         self.capacity_freed |= self.warmup.take_retry(now);
         self.serve_queue_if_freed(now, outlet);
+        self.report_exhausted(now, outlet);
     }
 
     /// Returns the time at which [`Self::tick`] has to be called next.
@@ -235,10 +276,10 @@
         links.chain(others).min().unwrap_or(Time::NEVER)
     }
 
-    /// Sets `ready` once hosts and routes are known. The engine stays ready when a configuration removes the last
+    /// Sets `ready` once hosts, routes and, if required, zone drains are known. The engine stays ready when a configuration removes the last
     /// route.
-    fn update_ready(&mut self) {
-        self.ready |= !self.routes.is_empty() && !self.hosts.is_empty();
+    pub(super) fn update_ready(&mut self) {
+        self.ready |= !self.routes.is_empty() && !self.hosts.is_empty() && self.drains.is_known();
     }
 
     /// Chooses the service for a new flow by the weights of its route.
@@ -336,46 +377,68 @@
         }
         self.track_packet(now, index, packet, outlet);
         let Some(host) = self.hosts.get(index) else { return };
-        let hop = Hop { host: host.record.id, address: host.record.address, mark: None };
+        // The host repeats the mark, so the caller learns the right one.
+        let is_pinned = self.flows.get(&packet.flow).is_some_and(Entry::is_pinned);
+        let mark = is_pinned.then_some(host.mark);
+        let hop = Hop { host: host.record.id, address: host.record.address, mark };
         self.send(&hop, packet.bytes, outlet);
     }
 
     /// Returns the host of an established flow.
     fn find_host(&self, now: Time, mark: Mark, packet: &View<'_>) -> Result<host::Index, Reason> {
+        let recorded = self.flows.get(&packet.flow);
+        let pinned = recorded.filter(|entry| entry.is_pinned() && self.hosts.get(entry.host).is_some());
+        if let Some(entry) = pinned {
+            return self.allows(now, packet, entry.host).then_some(entry.host).ok_or(Reason::ForeignHost);
+        }
         let candidates = self.hosts.with_mark(mark);
         if candidates.is_empty() || mark == Mark::NONE {
             return Err(Reason::UnknownMark);
         }
-        let recorded = self.flows.get(&packet.flow).map(|entry| entry.host);
-        let allowed = |index: &&host::Index| {
-            let host = self.hosts.get(**index);
-            host.is_some_and(|host| self.routes.allows_established(now, packet.flow.service, &host.record.service))
-        };
-        let mut allowed = candidates.iter().filter(allowed).copied();
+        let recorded = recorded.map(|entry| entry.host);
+        let mut allowed = candidates.iter().filter(|index| self.allows(now, packet, **index)).copied();
         let first = allowed.next().ok_or(Reason::ForeignHost)?;
         // If several hosts share the mark, prefer the one that this balancer selected for the flow.
         let preferred = recorded.filter(|recorded| *recorded == first || allowed.any(|index| index == *recorded));
         Ok(preferred.unwrap_or(first))
     }
 
+    /// Returns true when the route of an established flow allows the service of the host `index`.
+    fn allows(&self, now: Time, packet: &View<'_>, index: host::Index) -> bool {
+        let host = self.hosts.get(index);
+        host.is_some_and(|host| self.routes.allows_established(now, packet.flow.service, &host.record.service))
+    }
+
     /// Updates the entry of an established flow, the request count of its host, and the state of a pending opening.
     fn track_packet(&mut self, now: Time, index: host::Index, packet: &View<'_>, outlet: &mut dyn Outlet) {
-        if matches!(packet.kind, Kind::Closing | Kind::Reset) {
-            if let Some(entry) = self.remove_flow(&packet.flow) {
-                self.opening_answered(now, &entry, index, outlet);
+        let is_end = matches!(packet.kind, Kind::Closing | Kind::Reset);
+        let Some(mut entry) = self.flows.remove(&packet.flow) else {
+            if !is_end {
+                self.track_unknown_flow(now, index, packet, outlet);
             }
             return;
-        }
-        let Some(mut entry) = self.flows.remove(&packet.flow) else {
-            return self.track_unknown_flow(now, index, packet, outlet);
         };
         self.opening_answered(now, &entry, index, outlet);
-        entry.pending = None;
+        // The caller acknowledges the first answer at once, so its first packet carries the mark of the host that has the
+        // connection. A later answer of another host changes the mark, but not the connection.
+        if entry.pending.take().is_some_and(|pending| pending.has_other_hosts()) {
+            entry.affinity = Affinity::Pinned;
+        }
         if entry.host != index {
             self.end_request(&mut entry);
             entry.host = index;
         }
-        self.track_request(now, &mut entry, packet, outlet);
+        if is_end {
+            self.end_request(&mut entry);
+            // A closed flow still has packets to acknowledge and to repeat.
+            if packet.kind == Kind::Reset || !entry.is_pinned() {
+                return;
+            }
+            entry.last_packet = now;
+            entry.request = None;
+        } else {
+            self.track_request(now, &mut entry, packet, outlet);
+        }
         self.flows.insert(packet.flow, entry);
     }
 
@@ -387,6 +450,7 @@
         let (sequence, last_packet) = (0, now);
         let mut entry = Entry {
             host: index,
+            affinity: Affinity::Mark,
             sequence,
             last_packet,
             busy: false,
@@ -433,6 +497,7 @@
             return index;
         }
         self.links.push(Link::new(zone));
+        self.drains.add_link(zone);
         self.links.len() - 1
     }
 
@@ -455,7 +520,7 @@
     }
 
     /// Makes the next call of [`Self::tick`] due now if openings are queued, because the hosts changed.
-    fn serve_queue_soon(&mut self, now: Time) {
+    pub(super) fn serve_queue_soon(&mut self, now: Time) {
         if !self.queue.is_empty() {
             self.capacity_freed = true;
             self.next_sweep = self.next_sweep.min(now);
--- a/crates/poplarpaddle/src/direct/opening.rs
+++ b/crates/poplarpaddle/src/direct/opening.rs
@@ -5,12 +5,13 @@
 
 use smallvec::SmallVec;
 
-use super::engine::Entry;
+use super::engine::{Affinity, Entry};
 use super::host::{Host, Index};
 use super::queue::Opening;
 use super::{Decision, Engine, Hop, Outlet, Reason, Verdict};
 use crate::packet::{Flow, View};
 use crate::time::Time;
+use crate::waiting;
 
 /// Number of hosts that [`Pending::tried`] stores without a heap allocation.
 const TRIED_INLINE: usize = 4;
@@ -28,12 +29,21 @@
     copies: u8,
     /// True if there was evidence already that the current host is gone when the opening was first sent to it.
     is_trial: bool,
+    /// True if the first packet here was a copy already, so that another balancer may have sent the opening to a host.
+    is_copy: bool,
     /// Hosts that it was moved away from because they did not answer.
     tried: SmallVec<[Index; TRIED_INLINE]>,
     /// Bytes of the packet.
     bytes: SmallVec<[u8; 64]>,
 }
 
+impl Pending {
+    /// Returns true when hosts other than the current one may have answered the opening too.
+    pub(super) fn has_other_hosts(&self) -> bool {
+        self.is_copy || !self.tried.is_empty()
+    }
+}
+
 /// Event that makes the engine send an opening again.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Cause {
@@ -70,6 +80,7 @@
         };
         let index = match selected {
             Some((index, true)) => return self.send_first(now, opening, index, outlet),
+            Some(_) if self.comes_too_late(now, &opening) => return self.reset(packet, Reason::Late, outlet),
             Some((index, false)) => Some(index),
             None => {
                 self.warmup.retry_soon(now);
@@ -84,14 +95,39 @@
         }
     }
 
+    /// Returns true when the hosts, none of which has capacity, have so much work that a request on this flow could not start
+    /// before its caller gives up. A copy of an opening, which callers count in its acknowledgement number, is always taken:
+    /// another balancer may have placed an earlier one, and a reset would break the flow.
+    fn comes_too_late(&mut self, now: Time, opening: &Opening) -> bool {
+        let Some(route) = self.routes.get(opening.flow.service) else { return false };
+        if route.timeout_ms == 0 || opening.acknowledgement > 0 {
+            return false;
+        }
+        let (rank, timeout) = (route.rank, Duration::from_millis(u64::from(route.timeout_ms)));
+        let sample = self.candidates(&opening.service);
+        let backlog = u32::from(self.settings.limit.backlog);
+        let Some(load) = self.hosts.load(now, &opening.service, &sample, backlog) else { return false };
+        let ahead = load.excess + self.queue.count(rank, &opening.service);
+        waiting::expected_wait(load.service_time, self.queue.portion(rank), ahead, load.capacity) >= timeout
+    }
+
     /// Sends an opening to a host for the first time.
     fn send_first(&mut self, now: Time, opening: Opening, index: Index, outlet: &mut dyn Outlet) {
-        let Opening { flow, sequence, bytes, .. } = opening;
-        let is_trial = self.may_be_gone(now, index);
-        let pending = Pending { sent: now, due: now, attempts: 0, copies: 0, is_trial, tried: SmallVec::new(), bytes };
+        let Opening { flow, sequence, acknowledgement, bytes, .. } = opening;
+        let pending = Pending {
+            sent: now,
+            due: now,
+            attempts: 0,
+            copies: 0,
+            is_trial: self.may_be_gone(now, index),
+            is_copy: acknowledgement != 0,
+            tried: SmallVec::new(),
+            bytes,
+        };
         let pending = Some(Box::new(pending));
         let entry = Entry {
             host: index,
+            affinity: Affinity::Mark,
             sequence,
             last_packet: now,
             busy: false,
@@ -104,11 +140,11 @@
         self.send_opening(now, flow, entry, index, (Verdict::Placed, None), outlet);
     }
 
-    /// Places queued openings on hosts that have capacity, the most urgent first. Refuses those whose service has no host
-    /// any more.
+    /// Places queued openings on hosts that have capacity, the most urgent first, as far as the other ranks have got their
+    /// shares. Refuses those whose service has no host any more.
     pub(super) fn serve_queue(&mut self, now: Time, outlet: &mut dyn Outlet) {
         let mut full_services: Vec<String> = Vec::new();
-        while let Some(opening) = self.queue.first_except(&full_services) {
+        while let Some(opening) = self.queue.next_except(&full_services) {
             let (flow, service) = (opening.flow, opening.service.clone());
             let selected = self.select_host(now, &service, &[]);
             let is_held_back = selected.is_none() && self.has_cold_host(now, &service);
@@ -119,6 +155,7 @@
                 full_services.push(service);
                 continue;
             }
+            self.queue.record_start(&flow, &full_services);
             let Some(opening) = self.queue.remove(&flow) else { return };
             self.leave_queue(now, opening, selected.map(|(index, _)| index), outlet);
         }
@@ -274,10 +311,11 @@
         if !self.may_move(now, entry.host, pending, cause) {
             return entry.host;
         }
+        let accepts_new = |host: &Host| host.accepts_new(now) && !self.drains.contains(host);
         let is_answering = self
             .hosts
             .get(entry.host)
-            .is_some_and(|host| host.unanswered <= 1 && host.accepts_new(now) && !self.is_failing(now, host));
+            .is_some_and(|host| host.unanswered <= 1 && accepts_new(host) && !self.is_failing(now, host));
         if is_answering && pending.attempts < 2 {
             return entry.host;
         }
--- a/crates/poplarpaddle/src/direct/reach.rs
+++ b/crates/poplarpaddle/src/direct/reach.rs
@@ -8,9 +8,14 @@
 //! # Trade-offs
 //!
 //! A reset of a flow whose host is well does more harm than a late one of a flow whose host is gone. A failed check
-//! therefore counts only once another host has answered an opening or request that was sent after the check had begun.
-//! Otherwise the balancer's own link may be the cause. A failed check says nothing about later times: it has to be
-//! confirmed within a second, and a host is unreachable for three seconds at most, unless it fails a further check.
+//! therefore counts only if another host has answered an opening or request that was sent after the check had begun,
+//! and within the time that the check had. Otherwise the balancer's own link may be the cause: answers after that time
+//! show only that the link works again. A host is unreachable for three seconds at most, unless it fails a further check.
+//!
+//! A request that must not run twice may have run, and a late answer is worth more to its caller than a reset. Flows with
+//! such requests are reset only when their host has ended for certain: its registration has ended as well, or another host
+//! is registered at its address. An idle flow loses nothing then, its caller opens the next one elsewhere, and a caller that
+//! waits learns at once that no answer comes.
 
 use std::time::Duration;
 
@@ -29,9 +34,9 @@
 /// Maximum number of checks in progress. The loss of a zone casts doubt on many hosts at once.
 const MAX_CHECKS: usize = 16;
 
-/// Time from the begin of a check within which its failure has to be confirmed. A host that was only interrupted answers
+/// Time from the begin of a check for which its failure casts doubt on the host. A host that was only interrupted answers
 /// again soon.
-const CONFIRM_TIME: Duration = Duration::from_secs(1);
+const DOUBT_TIME: Duration = Duration::from_secs(1);
 
 /// Time from the begin of a failed check for which the host counts as unreachable. It covers the longest pause between two
 /// checks.
@@ -44,7 +49,7 @@
     Idle,
     /// A check is in progress.
     Checking,
-    /// The check failed. That counts if another host answers before this time.
+    /// The check failed, and the host is in doubt until this time.
     Failed(Time),
 }
 
@@ -54,6 +59,8 @@
     state: State,
     /// When the latest check began.
     checked: Time,
+    /// When an opening or request was sent that another host answered while the latest check ran; none if there is none.
+    vouched: Option<Time>,
     /// Time until which the host counts as unreachable, [`Time::default()`] while it does not.
     unreachable_until: Time,
     next_check: Time,
@@ -65,6 +72,7 @@
         Self {
             state: State::Idle,
             checked: Time::default(),
+            vouched: None,
             unreachable_until: Time::default(),
             next_check: Time::default(),
             pause: INITIAL_PAUSE,
@@ -104,7 +112,26 @@
         (self.state == State::Checking || self.has_failed(now)) && last_answer >= self.checked
     }
 
-    /// Returns true when the latest check failed and may still be confirmed.
+    /// Records that another host answered what was sent at `sent`. That shows that the balancer's own link worked during the
+    /// check only within `timeout`, the time that the check has.
+    fn vouch(&mut self, now: Time, sent: Time, timeout: Duration) {
+        if sent >= self.checked && !now.reached(self.checked + timeout) {
+            self.vouched = Some(sent);
+        }
+    }
+
+    /// Returns true while the check in progress, or the latest one if it failed, may still be confirmed.
+    fn is_open(&self, now: Time, timeout: Duration) -> bool {
+        let may_be_vouched = self.vouched.is_some() || !now.reached(self.checked + timeout);
+        self.state == State::Checking || (self.has_failed(now) && may_be_vouched)
+    }
+
+    /// Returns when the answer was sent for that confirms the failure of the latest check; none if it is not confirmed.
+    fn confirmation(&self, now: Time) -> Option<Time> {
+        self.vouched.filter(|_| self.has_failed(now))
+    }
+
+    /// Returns true when the latest check failed a short time ago.
     pub(super) fn has_failed(&self, now: Time) -> bool {
         matches!(self.state, State::Failed(until) if !now.reached(until))
     }
@@ -119,6 +146,7 @@
         self.next_check = now + self.pause;
         self.pause = (self.pause * 2).min(MAX_PAUSE);
         self.checked = now;
+        self.vouched = None;
         self.state = State::Checking;
     }
 }
@@ -137,7 +165,7 @@
         if host.reach.state != State::Checking {
             return;
         }
-        let until = host.reach.checked + CONFIRM_TIME;
+        let until = host.reach.checked + DOUBT_TIME;
         // An answer that arrived meanwhile has more weight than the check.
         if host.last_answer >= host.reach.checked || now.reached(until) {
             host.reach.state = State::Idle;
@@ -146,7 +174,6 @@
         host.reach.state = State::Failed(until);
         let detail = format!("the check began {} ms ago", now.since(host.reach.checked).as_millis());
         outlet.record_event(now, "host.check_failed", &host.name, &detail);
-        self.failed_checks.push(id.0);
         self.confirm_failed_checks(now, outlet);
     }
 
@@ -158,6 +185,9 @@
         }
         host.reach.begin(now);
         self.checks += 1;
+        if !self.open_checks.contains(&index) {
+            self.open_checks.push(index);
+        }
         outlet.check(CheckId(index), host.record.address);
     }
 
@@ -198,17 +228,21 @@
             return;
         }
         self.last_prompt_answer = self.last_prompt_answer.max(sent);
+        for index in &self.open_checks {
+            if let Some(host) = self.hosts.get_mut(*index) {
+                host.reach.vouch(now, sent, self.settings.check_timeout);
+            }
+        }
         self.confirm_failed_checks(now, outlet);
     }
 
     /// Makes the hosts unreachable whose checks failed while the own link works, and resets their flows.
     fn confirm_failed_checks(&mut self, now: Time, outlet: &mut dyn Outlet) {
-        let own_link_worked = self.last_prompt_answer;
-        let hosts = &self.hosts;
-        self.failed_checks.retain(|index| hosts.get(*index).is_some_and(|host| host.reach.has_failed(now)));
-        let is_confirmed = |index: &Index| hosts.get(*index).is_some_and(|host| own_link_worked >= host.reach.checked);
-        let confirmed: Vec<Index> = self.failed_checks.extract_if(.., |index| is_confirmed(index)).collect();
-        for index in confirmed {
+        let (hosts, timeout) = (&self.hosts, self.settings.check_timeout);
+        self.open_checks.retain(|index| hosts.get(*index).is_some_and(|host| host.reach.is_open(now, timeout)));
+        let confirmation = |index: &Index| Some((*index, hosts.get(*index)?.reach.confirmation(now)?));
+        let confirmed: Vec<(Index, Time)> = self.open_checks.iter().filter_map(confirmation).collect();
+        for (index, vouched) in confirmed {
             let Some(host) = self.hosts.get_mut(index) else { continue };
             let since = host.reach.checked;
             let was_unreachable = host.reach.is_unreachable(now);
@@ -217,34 +251,68 @@
             if was_unreachable {
                 continue;
             }
-            let (age, lag) = (now.since(since).as_millis(), own_link_worked.since(since).as_millis());
+            let (age, lag) = (now.since(since).as_millis(), vouched.since(since).as_millis());
             let detail =
                 format!("the check that began {age} ms ago failed; another host answered what was sent {lag} ms after");
             outlet.record_event(now, "host.unreachable", &host.name, &detail);
-            self.reset_flows(index, outlet);
+            self.reset_flows(now, index, outlet);
             self.expire_openings(now, |other, _| other == index);
         }
     }
 
-    /// Resets the established flows at a host whose requests may run twice. Flows that the routers may have moved to
-    /// another balancer are left out, because their callers' acknowledgement numbers are not known here.
-    fn reset_flows(&mut self, index: Index, outlet: &mut dyn Outlet) {
+    /// Resets the established flows at hosts that have ended for certain, and checks the other hosts whose registration
+    /// has ended.
+    pub(super) fn end_flows_of_left_hosts(&mut self, now: Time, outlet: &mut dyn Outlet) {
+        let hosts = &self.hosts;
+        let has_left = |index: &Index| hosts.get(*index).is_some_and(|host| host.has_left(now));
+        let open_at = self.flows.values().map(|entry| entry.host).chain(self.idle.hosts());
+        let mut left: Vec<Index> = open_at.filter(has_left).collect();
+        if left.is_empty() {
+            return;
+        }
+        left.sort_unstable();
+        left.dedup();
+        self.hosts.mark_replaced(&left);
+        for index in left {
+            if self.is_gone(now, index) {
+                self.reset_flows(now, index, outlet);
+            } else {
+                self.doubt_host(now, index, outlet);
+            }
+        }
+    }
+
+    fn is_gone(&self, now: Time, index: Index) -> bool {
+        self.hosts.get(index).is_some_and(|host| host.is_gone(now, self.links[host.zone].is_down()))
+    }
+
+    /// Resets the established flows at an unreachable host whose requests may run twice, and all others as well if the host
+    /// has ended for certain: their requests get no answer any more. Flows that the routers may have moved to another
+    /// balancer are left out, because their callers' acknowledgement numbers are not known here.
+    fn reset_flows(&mut self, now: Time, index: Index, outlet: &mut dyn Outlet) {
         let (routes, settled) = (&self.routes, self.routers_settled);
+        let is_gone = self.is_gone(now, index);
         let may_reset = |(flow, entry): (&Flow, &Entry)| {
-            let is_idempotent = routes.get(flow.service).is_some_and(|route| route.idempotent);
+            let ends = is_gone || routes.get(flow.service).is_some_and(|route| route.idempotent);
             let has_sent_request = entry.request.is_some();
-            let basis = Basis { sequence: entry.acknowledgement, seen: entry.last_packet };
-            let is_here = basis.seen.reached(settled);
-            (entry.host == index && is_idempotent && has_sent_request && is_here).then_some((*flow, basis))
+            (entry.host == index && ends && has_sent_request).then_some((*flow, entry.basis()))
         };
-        let flows: Vec<(Flow, Basis)> = self.flows.iter().filter_map(may_reset).collect();
+        let idle = self.idle.at(index).filter(|_| is_gone);
+        let ended = self.flows.iter().filter_map(may_reset).chain(idle);
+        let flows: Vec<(Flow, Basis)> = ended.filter(|(_, basis)| basis.seen.reached(settled)).collect();
+        if let Some(host) = self.hosts.get(index).filter(|_| is_gone && !flows.is_empty()) {
+            let cause = if host.is_replaced { "another host has its address" } else { "it accepts no connection" };
+            let detail = format!("its registration has ended and {cause}; {} flows are reset", flows.len());
+            outlet.record_event(now, "host.ended", &host.name, &detail);
+        }
         for (flow, basis) in flows {
             self.reset_unreachable(flow, index, basis, outlet);
         }
     }
 
     /// Handles a packet of an established flow to the host `index` as far as that host is in doubt. Returns true when the
-    /// packet was answered with a reset, because the host is unreachable and the request may run twice.
+    /// packet was answered with a reset, because the host is unreachable and the request may run twice, or because the host
+    /// has ended for certain.
     pub(super) fn reset_if_unreachable(
         &mut self,
         now: Time,
@@ -259,10 +327,13 @@
         let is_unreachable = host.reach.is_unreachable(now);
         let request = self.flows.get(&packet.flow).and_then(|entry| entry.request);
         let is_retransmission = request.is_some_and(|request| request.is_copy(packet));
-        if is_unreachable || is_retransmission || self.links[host.zone].is_down() {
+        let is_gone = self.is_gone(now, index);
+        if is_unreachable || is_retransmission || host.has_left(now) || self.links[host.zone].is_down() {
             self.doubt_host(now, index, outlet);
         }
-        if !is_unreachable || !self.routes.get(packet.flow.service).is_some_and(|route| route.idempotent) {
+        let is_idempotent = self.routes.get(packet.flow.service).is_some_and(|route| route.idempotent);
+        let may_reset = is_gone || (is_unreachable && is_idempotent);
+        if !may_reset {
             return false;
         }
         let basis = Basis { sequence: packet.acknowledgement, seen: now };
@@ -274,6 +345,7 @@
     fn reset_unreachable(&mut self, flow: Flow, index: Index, basis: Basis, outlet: &mut dyn Outlet) {
         outlet.reset(&flow, basis.sequence);
         self.remove_flow(&flow);
+        self.idle.remove(&flow);
         let name = self.hosts.get(index).map(|host| host.name.clone());
         let decision = Decision {
             host: name.as_deref(),
--- a/crates/poplarpaddle/src/direct/select.rs
+++ b/crates/poplarpaddle/src/direct/select.rs
@@ -9,7 +9,7 @@
 
 /// Maximum number of hosts compared for an opening. From a larger service, this many are drawn at random, so that the
 /// time per opening does not grow with the service.
-const MAX_CANDIDATES: usize = 64;
+pub(super) const MAX_CANDIDATES: usize = 64;
 
 /// Load of a request on a host that has just started, in percent of its load on a warm host.
 const COLD_PERCENT: u64 = 170;
@@ -45,8 +45,9 @@
 impl Engine {
     /// Returns the best host of `service` for a new flow, other than those in `excluded`, and whether it has capacity.
     pub(super) fn select_host(&mut self, now: Time, service: &str, excluded: &[Index]) -> Option<(Index, bool)> {
-        let candidates = self.candidates(service);
+        let candidates = self.undrained_candidates(now, service).unwrap_or_else(|| self.candidates(service));
         let mut best: Option<(Cost, Index)> = None;
+        let mut second: Option<(Cost, Index)> = None;
         let mut left_out = false;
         for index in candidates {
             if excluded.contains(&index) || !self.hosts.owns_mark(index) {
@@ -63,11 +64,13 @@
             let Some(host) = self.hosts.get(index) else { continue };
             let cost = self.cost(now, host, tie_breaker);
             if best.is_none_or(|(other, _)| cost < other) {
-                best = Some((cost, index));
+                second = best.replace((cost, index));
+            } else if second.is_none_or(|(other, _)| cost < other) {
+                second = Some((cost, index));
             }
         }
         self.counters.cold_left_out += u64::from(left_out);
-        let (cost, index) = best?;
+        let (cost, index) = self.with_fewer_idle_flows(best?, second);
         let zone = self.hosts.get(index)?.zone;
         if !cost.no_trial {
             self.links[zone].start_trial(now);
@@ -75,6 +78,15 @@
         Some((index, cost.fitness != Fitness::Full))
     }
 
+    /// Returns the one of the two best hosts that has fewer idle flows, if they are equal otherwise. The callers of these flows
+    /// will send further requests there. Of all equal hosts, two are drawn at random: if the one with the fewest flows always
+    /// won, a host that joins would get the next flow of every balancer.
+    fn with_fewer_idle_flows(&self, best: (Cost, Index), second: Option<(Cost, Index)>) -> (Cost, Index) {
+        let idle_flows = |index: Index| self.hosts.get(index).map_or(0, |host| host.idle_flows);
+        let equal = second.filter(|(cost, _)| Cost { tie_breaker: best.0.tie_breaker, ..*cost } == best.0);
+        equal.filter(|(_, index)| idle_flows(*index) < idle_flows(best.1)).unwrap_or(best)
+    }
+
     /// Returns true when the host or its zone is unreachable or the host is paused because it does not answer openings.
     pub(super) fn is_failing(&self, now: Time, host: &Host) -> bool {
         self.links[host.zone].is_down() || is_avoided(now, host)
@@ -103,7 +115,7 @@
     }
 
     /// Returns the hosts of a service to compare.
-    fn candidates(&mut self, service: &str) -> SmallVec<[Index; MAX_CANDIDATES]> {
+    pub(super) fn candidates(&mut self, service: &str) -> SmallVec<[Index; MAX_CANDIDATES]> {
         let hosts = self.hosts.with_service(service);
         if hosts.len() <= MAX_CANDIDATES {
             return hosts.into();
--- a/crates/poplarpaddle/src/direct/settings.rs
+++ b/crates/poplarpaddle/src/direct/settings.rs
@@ -12,9 +12,12 @@
     pub zone: String,
     /// Seed of the random generator and of the hash of flows. Callers must not be able to predict it.
     pub seed: u64,
+    /// True if openings have to wait until the drained zones are known.
+    pub zone_drains: bool,
     /// Maximum number of flows with an entry.
     pub max_flows: usize,
-    /// Time without packets after which the entry of a flow is removed, and its request no longer counts.
+    /// Time without packets after which the entry of a flow is removed, and its request no longer counts. The engine still
+    /// knows for [`Settings::linger`] where the flow is open.
     pub idle_timeout: Duration,
     /// Time for which a removed host, and a service removed from a route, keep their established flows.
     pub linger: Duration,
@@ -32,6 +35,8 @@
     pub settle_time: Duration,
     /// Maximum time for which an opening is queued until a host has capacity.
     pub queue_timeout: Duration,
+    /// Share of the placements that each priority rank keeps while openings of several ranks are queued, in percent.
+    pub queue_share: u8,
     /// Number of times that an opening is sent before only a retransmission by the caller makes the engine resend it.
     pub max_attempts: u8,
     /// Settings of the limit of each host, which pauses hosts that do not answer.
@@ -47,6 +52,7 @@
         Self {
             zone: String::new(),
             seed: 0,
+            zone_drains: false,
             max_flows: 65_536,
             idle_timeout: Duration::from_secs(3),
             linger: Duration::from_mins(1),
@@ -63,6 +69,8 @@
             // Callers retransmit an opening after 200 ms, and the retransmission may reach another balancer. Some
             // callers give up after 400 ms.
             queue_timeout: Duration::from_millis(180),
+            // Enough that each rank goes on, little enough that urgent openings hardly wait longer.
+            queue_share: 5,
             max_attempts: 4,
             limit: limit::Settings::default(),
             // A whole zone can fail at once. Then a third of the openings sent within some tenths of a second have to be resent.
@@ -83,6 +91,8 @@
     pub reasons: [u64; Reason::ALL.len()],
     /// Number of flows with an entry.
     pub flows: u64,
+    /// Number of further flows that are idle.
+    pub idle_flows: u64,
     /// Number of cold hosts whose openings are bounded.
     pub cold_hosts: u64,
     /// Number of choices of a host for an opening that left out a cold host because of the bound.
--- a/crates/poplarpaddle/src/direct/sweep.rs
+++ b/crates/poplarpaddle/src/direct/sweep.rs
@@ -51,6 +51,7 @@
             self.next_sweep = now + SWEEP_INTERVAL;
             self.sweep(now);
             self.recheck_hosts(now, outlet);
+            self.end_flows_of_left_hosts(now, outlet);
             self.sweep_cold_hosts(now, outlet);
         }
     }
@@ -87,18 +88,33 @@
         }
     }
 
-    /// Removes idle flows and expired hosts, and measures the rate of requests.
+    /// Removes idle flows and expired hosts, counts the idle flows of each host, and measures the rate of requests.
     fn sweep(&mut self, now: Time) {
         let timeout = self.settings.idle_timeout;
         let idle = |(flow, entry): (&Flow, &Entry)| now.reached(entry.last_packet + timeout).then_some(*flow);
         let idle_flows: Vec<Flow> = self.flows.iter().filter_map(idle).collect();
         for flow in idle_flows {
-            self.remove_flow(&flow);
+            self.remove_idle(now, flow);
         }
+        self.idle.remove_older(now, self.settings.linger);
+        let is_idle = |entry: &&Entry| entry.request.is_some() && !entry.busy;
+        let idle = self.flows.values().filter(is_idle).map(|entry| entry.host);
+        self.hosts.count_idle_flows(idle.chain(self.idle.hosts()));
         self.hosts.measure_rates(now);
         self.hosts.remove_expired(now);
     }
 
+    /// Ends the request of an idle flow and moves it to the table of idle flows. A pinned flow keeps its entry, since the other hosts that got its
+    /// opening repeat their answers for seconds, and its caller repeats their marks.
+    fn remove_idle(&mut self, now: Time, flow: Flow) {
+        let Some(entry) = self.remove_flow(&flow) else { return };
+        if entry.is_pinned() && !now.reached(entry.last_packet + self.settings.linger) {
+            self.flows.insert(flow, entry);
+        } else if self.idle.len() < self.settings.max_flows {
+            self.idle.insert(flow, &entry);
+        }
+    }
+
     /// Records that the host `index` answered a request that was sent at `sent`.
     pub(super) fn request_answered(&mut self, now: Time, index: Index, sent: Time, outlet: &mut dyn Outlet) {
         let bound = self.hosts.response_bound(index).unwrap_or_default().max(self.settings.min_overdue_time);
--- a/crates/poplarpaddle/src/direct/warmup.rs
+++ b/crates/poplarpaddle/src/direct/warmup.rs
@@ -312,8 +312,9 @@
         self.warmup.set_members(now, me, neighbors);
     }
 
-    /// Replaces the services whose hosts have a bounded start.
+    /// Replaces the services that state a cold start time or a bound on the openings at cold hosts.
     pub fn set_services(&mut self, now: Time, services: &[Service]) {
+        self.drains.set_services(services);
         self.warmup.set_services(now, services);
     }
 
--- a/crates/poplarpaddle/src/registry.rs
+++ b/crates/poplarpaddle/src/registry.rs
@@ -1,4 +1,4 @@
-//! Registered hosts and configured routes.
+//! Registered hosts, configured routes, and drained zones.
 //!
 //! Hosts register themselves in a store, and the configuration refers only to services, not to hosts. A balancer knows
 //! a [`Host`] for each registration and a [`Route`] for each address that callers connect to.
@@ -80,7 +80,13 @@
     /// Returns true when new flows of the route may go to `service`.
     #[must_use]
     pub fn allows(&self, service: &str) -> bool {
-        if self.shares.is_empty() { self.service == service } else { self.shares.iter().any(|s| s.service == service) }
+        self.services().any(|allowed| allowed == service)
+    }
+
+    /// Returns the services that new flows of the route go to.
+    pub fn services(&self) -> impl Iterator<Item = &str> {
+        let single = self.shares.is_empty().then_some(self.service.as_str());
+        single.into_iter().chain(self.shares.iter().map(|share| share.service.as_str()))
     }
 }
 
@@ -119,6 +125,10 @@
 /// Address and port of a route, as callers connect to it.
 pub type Address = SocketAddrV4;
 
+/// Order of an operator that hosts of a zone get no new flows. It holds while the store has it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct ZoneDrain;
+
 /// Registered hosts, keyed by the name of the registration.
 pub type Hosts = Replica<String, Host>;
 
@@ -131,6 +141,12 @@
 /// Changes of [`Routes`].
 pub type RouteDelta = Delta<Address, Route>;
 
+/// Drained zones, keyed by the name of the zone.
+pub type ZoneDrains = Replica<String, ZoneDrain>;
+
+/// Changes of [`ZoneDrains`].
+pub type ZoneDrainDelta = Delta<String, ZoneDrain>;
+
 /// Returns true when `address` is valid for a host or route: its port is not 0, and its IP address is a unicast
 /// address.
 #[must_use]
--- a/crates/poplarpaddle/tests/direct/warmup.rs
+++ b/crates/poplarpaddle/tests/direct/warmup.rs
@@ -412,6 +412,23 @@
     assert_eq!(harness.record.sent.len(), 1, "the lost opening is not repeated to the cold host");
 }
 
+/// The hosts of a zone that was taken back may be cold before their registrations say so.
+#[test]
+fn hosts_of_a_zone_that_returns_are_bounded_before_their_registrations_arrive() {
+    let mut harness = Harness::with_hosts(6, 1);
+    harness.engine.set_services(harness.now, &[Service { cold_start_ms: 3000, ..service(RATE) }]);
+    let openings_in_b = |harness: &mut Harness, first_caller: u16| {
+        let placed = (first_caller..first_caller + 60).map(|caller| harness.establish(flow(caller, 443)));
+        placed.filter(|host| host.0 / 100 == 1).count()
+    };
+    harness.engine.set_zone_drain(harness.now, "b", true, &mut harness.record);
+    harness.engine.set_zone_drain(harness.now, "b", false, &mut harness.record);
+    harness.advance(2500);
+    assert_eq!(openings_in_b(&mut harness, 1), 0, "this member, in another zone, owns no host there");
+    harness.advance(600);
+    assert!(openings_in_b(&mut harness, 1000) > 0);
+}
+
 /// Deployments without a rate keep their choices.
 #[test]
 fn a_service_without_a_rate_is_placed_as_before() {
--- a/crates/poplarpaddle/tests/fleet/world.rs
+++ b/crates/poplarpaddle/tests/fleet/world.rs
@@ -8,10 +8,11 @@
 use poplarpaddle::error::{Error, Kind, Result};
 use poplarpaddle::feed::{self, Topic};
 use poplarpaddle::fleet::{Action, Node, Response, Settings};
+use poplarpaddle::former;
 use poplarpaddle::mark::HostId;
 use poplarpaddle::membership;
 use poplarpaddle::path::MemberId;
-use poplarpaddle::registry::{Address, General, Host, Route, Service, State as HostState};
+use poplarpaddle::registry::{Address, General, Host, Route, Service, State as HostState, ZoneDrain, ZoneDrainDelta};
 use poplarpaddle::replica::{Delta, Item, Removed};
 use poplarpaddle::time::Time;
 use poplarpaddle::wire::{Record, State, Transfer};
@@ -70,7 +71,7 @@
         node: usize,
         run_id: u64,
         member: MemberId,
-        changes: Result<Transfer>,
+        changes: Result<Box<Transfer>>,
     },
 }
 
@@ -92,9 +93,13 @@
     pub revision: u64,
     hosts: BTreeMap<String, (Host, u64)>,
     removed: BTreeMap<String, u64>,
+    drains: BTreeMap<String, u64>,
+    ended_drains: BTreeMap<String, u64>,
     config: Option<(General, Routes, u64)>,
     /// Changes before this revision are no longer known.
     floor: u64,
+    /// Former services that the nodes have saved.
+    pub former: Vec<former::Entry>,
 }
 
 /// A node and its state in the simulation.
@@ -110,6 +115,12 @@
     version: u64,
     /// Hosts as passed to the data path.
     pub hosts: BTreeMap<String, Host>,
+    /// Drained zones as passed to the data path.
+    pub drained: BTreeSet<String>,
+    /// Events about zone drains.
+    pub drain_events: Vec<String>,
+    /// Topics that the node has called the store for.
+    pub topics_called: BTreeSet<String>,
     pub zone_alive_at: BTreeMap<String, Time>,
     /// When the last message from another member arrived, and the longest time between two of them.
     pub last_contact: Time,
@@ -120,6 +131,8 @@
     pub neighbors_changed_at: Time,
     /// Number of snapshots of the hosts that the node has sent to others.
     pub snapshots: u64,
+    /// Former services that the data path was told.
+    pub former: Vec<former::Entry>,
     /// Hosts that the data path was told to suspect.
     pub suspected: Vec<HostId>,
     /// Number of datagrams that the node has sent.
@@ -132,6 +145,7 @@
     pub instances: Vec<Instance>,
     pub store: Store,
     pub bound: Duration,
+    pub topics: &'static [Topic],
     /// Pairs of nodes that cannot reach each other.
     cuts: BTreeSet<(usize, usize)>,
     events: BinaryHeap<Reverse<(Time, u64)>>,
@@ -171,12 +185,16 @@
                     store_calls: 0,
                     version: 0,
                     hosts: BTreeMap::new(),
+                    drained: BTreeSet::new(),
+                    drain_events: Vec::new(),
+                    topics_called: BTreeSet::new(),
                     zone_alive_at: BTreeMap::new(),
                     last_contact: Time::default(),
                     longest_silence: Duration::ZERO,
                     services: Vec::new(),
                     neighbors_changed_at: Time::default(),
                     snapshots: 0,
+                    former: Vec::new(),
                     suspected: Vec::new(),
                     datagrams: 0,
                 });
@@ -187,6 +205,7 @@
             instances,
             store: Store::default(),
             bound: Duration::from_secs(3),
+            topics: &Topic::REQUIRED,
             cuts: BTreeSet::new(),
             events: BinaryHeap::new(),
             payloads: BTreeMap::new(),
@@ -197,7 +216,12 @@
 
     /// Returns a simulation with a configuration and hosts whose nodes have run for five seconds.
     pub fn running(counts: &[usize]) -> Self {
-        let mut simulation = Self::new(counts);
+        Self::running_with(counts, &Topic::REQUIRED)
+    }
+
+    /// Like [`Self::running`], with nodes that replicate `topics`.
+    pub fn running_with(counts: &[usize], topics: &'static [Topic]) -> Self {
+        let mut simulation = Self { topics, ..Self::new(counts) };
         simulation.publish(7, &[443]);
         for number in 1..=5 {
             simulation.put_host(number, HostState::Ready);
@@ -218,6 +242,8 @@
         instance.run_id += 1;
         instance.version = 0;
         instance.hosts.clear();
+        instance.drained.clear();
+        instance.drain_events.clear();
         let id = MemberId(poplarpaddle::map::hash(instance.run_id, &instance.address));
         let me = Record {
             id,
@@ -230,8 +256,8 @@
             state: State::Alive,
         };
         let membership = membership::Settings { seeds, alone_ms: 50, ..Default::default() };
-        let feed = feed::Settings { bound: self.bound };
-        instance.node = Some(Node::new(now, Settings { membership, feed }, me));
+        let feed = feed::Settings { bound: self.bound, topics: self.topics };
+        instance.node = Some(Node::new(now, Settings { membership, feed, ..Default::default() }, me));
         self.tick(index);
     }
 
@@ -280,11 +306,16 @@
     }
 
     pub fn publish(&mut self, version: u64, ports: &[u16]) {
+        self.publish_service(version, ports, "bookings");
+    }
+
+    /// Publishes a configuration whose routes lead to the service `name`.
+    pub fn publish_service(&mut self, version: u64, ports: &[u16], name: &str) {
         self.store.revision += 1;
         let general = General { version, idle_ms: 15_000, services: vec![service(version)] };
         let route = |port: &u16| {
             let address = format!("198.18.0.1:{port}").parse().unwrap();
-            (address, Route { service: "bookings".into(), timeout_ms: u32::from(*port), ..Default::default() })
+            (address, Route { service: name.into(), timeout_ms: u32::from(*port), ..Default::default() })
         };
         self.store.config = Some((general, ports.iter().map(route).collect(), self.store.revision));
         self.notify_watches(Topic::Routes);
@@ -306,6 +337,20 @@
         self.notify_watches(Topic::Hosts);
     }
 
+    pub fn drain_zone(&mut self, zone: &str) {
+        self.store.revision += 1;
+        self.store.ended_drains.remove(zone);
+        self.store.drains.insert(zone.to_owned(), self.store.revision);
+        self.notify_watches(Topic::ZoneDrains);
+    }
+
+    pub fn return_zone(&mut self, zone: &str) {
+        self.store.revision += 1;
+        self.store.drains.remove(zone);
+        self.store.ended_drains.insert(zone.to_owned(), self.store.revision);
+        self.notify_watches(Topic::ZoneDrains);
+    }
+
     /// Drops the history of the store and interrupts all watches.
     pub fn compact(&mut self) {
         self.store.floor = self.store.revision + 1;
@@ -382,7 +427,7 @@
                 }
             }
             Event::Pulled { node, run_id, member, changes } => {
-                self.with_node(node, run_id, |node| node.pulled(now, member, changes));
+                self.with_node(node, run_id, |node| node.pulled(now, member, changes.map(|changes| *changes)));
             }
         }
     }
@@ -418,13 +463,16 @@
             }
             Action::Read(topic) => self.read(index, run_id, topic),
             Action::Watch { topic, revision, until } => self.watch(index, run_id, topic, revision, until),
-            Action::Pull { member, peer, hosts, routes, .. } => {
+            Action::Pull { member, peer, since, .. } => {
                 let reachable = self.index(peer).filter(|other| self.reaches(index, *other));
                 let (wait, changes) = match reachable.map(|other| &mut self.instances[other]) {
                     Some(Instance { node: Some(node), snapshots, .. }) => {
-                        let changes = node.changes_since(now, hosts, routes);
+                        let changes = node.changes_since(now, since);
                         *snapshots += u64::from(changes.as_ref().is_ok_and(|changes| changes.hosts.base == 0));
-                        (2 * HOP_MS, changes.map(|changes| Transfer::decode(&changes.encode().unwrap()).unwrap()))
+                        (
+                            2 * HOP_MS,
+                            changes.map(|changes| Box::new(Transfer::decode(&changes.encode().unwrap()).unwrap())),
+                        )
                     }
                     _ => (300, Err(Error::new(Kind::Unavailable, "no response to a pull"))),
                 };
@@ -452,12 +500,48 @@
             }
             Action::NeighborsChanged => self.instances[index].neighbors_changed_at = now,
             Action::HostsSuspected(hosts) => self.instances[index].suspected.extend(hosts),
+            Action::Former(action) => self.call_former(index, action),
+            Action::FormerServices(entries) => self.instances[index].former.extend(entries),
+            Action::ZoneDrainsChanged(zones) => {
+                let instance = &mut self.instances[index];
+                let Some(node) = &instance.node else { return };
+                for zone in zones {
+                    match node.zone_drains().get(&zone) {
+                        Some(ZoneDrain) => drop(instance.drained.insert(zone)),
+                        None => drop(instance.drained.remove(&zone)),
+                    }
+                }
+            }
+            Action::Event(event) if event.name.contains("drain") || event.name == "zone.returned" => {
+                self.instances[index].drain_events.push(format!("{} {}", event.name, event.subject));
+            }
             Action::RoutesChanged(_) | Action::Event(_) => {}
         }
     }
 
+    /// Performs a call about former services at once, since no test depends on its duration.
+    fn call_former(&mut self, index: usize, action: former::Action) {
+        let is_reachable = self.instances[index].store_access == Access::Reachable;
+        let outcome = if is_reachable { Ok(()) } else { Err(Error::new(Kind::Unavailable, "the store is away")) };
+        self.instances[index].store_calls += 1;
+        let now = self.now;
+        match action {
+            former::Action::Save(entries) => {
+                if is_reachable {
+                    self.store.former.extend(entries);
+                }
+                self.with(index, |node, _| node.former_saved(now, &outcome));
+            }
+            former::Action::Load => {
+                let entries = self.store.former.clone();
+                self.with(index, |node, _| node.former_loaded(now, outcome.map(|()| entries)));
+            }
+        }
+    }
+
     fn read(&mut self, node: usize, run_id: u64, topic: Topic) {
         self.instances[node].store_calls += 1;
+        self.instances[node].topics_called.insert(topic.to_string());
         let (wait, response) = match self.instances[node].store_access {
             Access::Reachable => (STORE_MS, Ok(self.store.snapshot(topic))),
             Access::Refused => (HOP_MS, Err(Error::new(Kind::Unavailable, "status 503"))),
@@ -468,6 +552,7 @@
 
     fn watch(&mut self, node: usize, run_id: u64, topic: Topic, revision: u64, until: Time) {
         self.instances[node].store_calls += 1;
+        self.instances[node].topics_called.insert(topic.to_string());
         if self.instances[node].store_access == Access::Refused {
             let response = Err(Error::new(Kind::Unavailable, "status 503"));
             return self.schedule(HOP_MS, Event::Store { node, run_id, topic, response });
@@ -541,15 +626,30 @@
                 let content = self.config.clone().map(|(general, routes, _)| (general, routes));
                 Response::Routes { as_of: self.revision, content, faults: Vec::new() }
             }
+            Topic::ZoneDrains => Response::ZoneDrains { delta: self.drains_since(0), faults: Vec::new() },
         }
     }
 
+    /// Returns the changes of the zone drains after the revision `base`.
+    fn drains_since(&self, base: u64) -> ZoneDrainDelta {
+        let put = self.drains.iter().filter(|(_, changed)| **changed > base);
+        let put = put.map(|(zone, changed)| Item { key: zone.clone(), value: ZoneDrain, changed: *changed }).collect();
+        let removed = self.ended_drains.iter().filter(|(_, at)| base > 0 && **at > base);
+        let removed = removed.map(|(zone, at)| Removed { key: zone.clone(), at: *at }).collect();
+        Delta { base, to: self.revision, put, removed }
+    }
+
     /// Returns the changes after a revision, or none when there are none.
     fn changes(&self, topic: Topic, since: u64) -> Option<Response> {
         if since + 1 < self.floor {
             return Some(Response::HistoryGone);
         }
         match topic {
+            Topic::ZoneDrains => {
+                let delta = self.drains_since(since);
+                let has_changes = !delta.put.is_empty() || !delta.removed.is_empty();
+                has_changes.then_some(Response::ZoneDrains { delta, faults: Vec::new() })
+            }
             Topic::Routes => {
                 let is_new = self.config.as_ref().is_some_and(|(_, _, revision)| *revision > since);
                 is_new.then(|| self.snapshot(topic))
