Report each error of a service, and settle anew after every pause

Of two errors in one service only the first was reported, since errors were remembered by the name of their entry; an operator did not learn that cold_per_s is invalid if cold_start_s is too. They are now remembered by name and text.

A member whose process paused before its view had settled for the first time did not wait for the view to settle after the pause, and opened flows at cold hosts by a stale view. Now every time without a message counts.

--- a/crates/poplarpaddle/src/direct/warmup.rs
+++ b/crates/poplarpaddle/src/direct/warmup.rs
@@ -168,8 +168,8 @@
 
     /// Records a message from another member. After a time without one, members may have joined and left unnoticed.
     pub(super) fn record_contact(&mut self, now: Time) {
-        if now.since(self.last_contact) > CONTACT_TIMEOUT && now.reached(self.settled) {
-            self.settled = now + SETTLE_TIME;
+        if now.since(self.last_contact) > CONTACT_TIMEOUT {
+            self.settled = self.settled.max(now + SETTLE_TIME);
             self.settle_limit = now + MAX_SETTLE_TIME;
         }
         self.last_contact = now;
--- a/crates/poplarpaddle/src/fleet.rs
+++ b/crates/poplarpaddle/src/fleet.rs
@@ -152,8 +152,8 @@
     former: Tracker,
     /// True for each topic whose last call to the store failed.
     store_lost: [bool; 3],
-    /// Revisions of the invalid entries that were reported, by name.
-    reported: Map<String, u64>,
+    /// Revisions of the errors in entries that were reported, by the name of the entry and the text.
+    reported: Map<(String, String), u64>,
     /// Reachable members including this one, in the order of identifiers.
     members: Vec<MemberId>,
     /// The other members in the own zone that are alive or suspect, in the order of identifiers.
--- a/crates/poplarpaddle/src/fleet/apply.rs
+++ b/crates/poplarpaddle/src/fleet/apply.rs
@@ -72,17 +72,18 @@
         Ok(changes.news)
     }
 
-    /// Records the event `name` for each invalid entry, once per revision.
+    /// Records the event `name` for each error, once per revision. An entry may have several.
     fn report_faults(&mut self, now: Time, name: &str, faults: Vec<Fault>) {
         for fault in faults {
-            if self.reported.get(&fault.name) == Some(&fault.revision) {
+            let key = (fault.name, fault.text);
+            if self.reported.get(&key) == Some(&fault.revision) {
                 continue;
             }
             if self.reported.len() >= MAX_REPORTED {
                 self.reported.clear();
             }
-            self.record_event(now, name, &fault.name, format!("revision {}: {}", fault.revision, fault.text));
-            self.reported.insert(fault.name, fault.revision);
+            self.record_event(now, name, &key.0, format!("revision {}: {}", fault.revision, key.1));
+            self.reported.insert(key, fault.revision);
         }
     }
 
--- a/crates/poplarpaddle/tests/direct/warmup.rs
+++ b/crates/poplarpaddle/tests/direct/warmup.rs
@@ -375,6 +375,26 @@
     assert!(fleet.taken.is_empty(), "{:?}", fleet.taken);
 }
 
+/// A pause before the view has settled for the first time must count like a later one.
+#[test]
+fn a_member_that_paused_while_its_view_settled_waits_again() {
+    let mut harness = Harness::new(7);
+    let (me, other) = (MemberId(1), MemberId(2));
+    let id = (1..).map(HostId).find(|id| hash(id.0, &me.0) > hash(id.0, &other.0)).unwrap();
+    harness.engine.set_services(harness.now, &[service(RATE)]);
+    harness.register(&Host { cold_until: Time::from_millis(60_000), ..host(id.0, "bookings", "a") });
+    harness.route(443, Some(&route("bookings")));
+    harness.engine.set_members(harness.now, me, &[]);
+    harness.engine.set_members(harness.now, me, &[other]);
+    harness.engine.zone_alive(harness.now, "a", &mut harness.record);
+    for (millis, is_open) in [(2900, false), (500, false), (1000, false), (1000, false), (1000, true)] {
+        harness.advance(millis);
+        harness.engine.zone_alive(harness.now, "a", &mut harness.record);
+        harness.send_opening(flow(u16::try_from(harness.now.as_nanos() / 1_000_000).unwrap(), 443), 0);
+        assert_eq!(!harness.record.sent.is_empty(), is_open, "at {}", harness.now);
+    }
+}
+
 /// A configuration may lower the rate while the openings of the last second were sent at the higher one.
 #[test]
 fn a_changed_rate_holds_from_its_first_second() {
--- a/crates/poplarpaddle/tests/fleet/spread.rs
+++ b/crates/poplarpaddle/tests/fleet/spread.rs
@@ -2,10 +2,10 @@
 
 use std::time::Duration;
 
-use poplarpaddle::feed::{self, Action, Announcement, Feed, Position};
-use poplarpaddle::fleet::Revisions;
+use poplarpaddle::feed::{self, Action, Announcement, Feed, Position, Topic};
+use poplarpaddle::fleet::{self, Fault, Response, Revisions};
 use poplarpaddle::path::MemberId;
-use poplarpaddle::registry::State;
+use poplarpaddle::registry::{General, State};
 use poplarpaddle::time::Time;
 
 use super::world::{Access, Simulation, service};
@@ -315,3 +315,29 @@
     simulation.run(5000);
     assert_eq!(told(&simulation, start), [1, 2], "it is gone");
 }
+
+/// The second error of a service may be the one in its bound, which an operator has to know of.
+#[test]
+fn each_error_in_a_service_is_reported_once_per_revision() {
+    let mut simulation = Simulation::running(&[1]);
+    let revision = simulation.store.revision + 1;
+    let fault = |text: &str| Fault { name: "bookings".into(), revision, text: text.into() };
+    let faults = vec![fault("cold_start_s -1"), fault("cold_per_s \"many\"")];
+    let mut reported = Vec::new();
+    for as_of in [revision, revision + 1] {
+        let content = Some((General { version: 8, ..Default::default() }, Vec::new()));
+        let response = Response::Routes { as_of, content, faults: faults.clone() };
+        simulation.with(0, |node, now| {
+            node.store_answered(now, Topic::Routes, Ok(response));
+            for action in node.actions() {
+                if let fleet::Action::Event(event) = action
+                    && event.name == "service.unreadable"
+                {
+                    reported.push(event.detail);
+                }
+            }
+        });
+    }
+    let expected = ["cold_start_s -1", "cold_per_s \"many\""].map(|text| format!("revision {revision}: {text}"));
+    assert_eq!(reported, expected);
+}
