--- a/crates/poplarpaddle/src/direct/engine.rs
+++ b/crates/poplarpaddle/src/direct/engine.rs
@@ -276,8 +276,8 @@
         links.chain(others).min().unwrap_or(Time::NEVER)
     }
 
-    /// Sets `ready` once hosts, routes and, if required, zone drains are known. The engine stays ready when a configuration removes the last
-    /// route.
+    /// Sets `ready` once hosts, routes and, if required, zone drains are known. The engine stays ready when a configuration
+    /// removes the last route.
     pub(super) fn update_ready(&mut self) {
         self.ready |= !self.routes.is_empty() && !self.hosts.is_empty() && self.drains.is_known();
     }
@@ -320,6 +320,7 @@
     /// Records that the zone with the index `zone` is reachable.
     pub(super) fn confirm_zone(&mut self, now: Time, zone: usize, detail: &str, outlet: &mut dyn Outlet) {
         if self.links[zone].confirm_alive(now) == Some(Change::Regained) {
+            self.drains.end_cut_off();
             outlet.record_event(now, "zone.regained", &self.links[zone].zone, detail);
             for host in self.hosts.iter_mut().filter(|host| host.zone == zone) {
                 host.reach.confirm(now);
--- a/crates/poplarpaddle/tests/direct/unreachable.rs
+++ b/crates/poplarpaddle/tests/direct/unreachable.rs
@@ -4,9 +4,9 @@
 use poplarpaddle::direct::{Reason, Verdict};
 use poplarpaddle::mark::{HostId, Mark};
 use poplarpaddle::packet::{Flow, Kind};
-use poplarpaddle::registry::Route;
+use poplarpaddle::registry::{Host, Route};
 
-use super::support::{Harness, flow, host, route};
+use super::support::{Harness, ZONES, flow, host, route};
 
 const RESET: (Verdict, Option<Reason>) = (Verdict::Reset, Some(Reason::Unreachable));
 
@@ -209,7 +209,7 @@
     let (idle, _, ended) = two_flows(&mut harness, ONCE, 1);
     harness.deregister(ended.0);
     let address = host(ended.0, "", "").address;
-    harness.register(&poplarpaddle::registry::Host { address, ..host(299, "crewdocs", "a") });
+    harness.register(&Host { address, ..host(299, "crewdocs", "a") });
     harness.advance(500);
     harness.finish_checks(None);
     assert!(is_reset(&harness, idle), "{:?}", harness.record.events);
@@ -227,6 +227,68 @@
     assert!(harness.record.resets.is_empty(), "{:?}", harness.record.events);
 }
 
+/// A registration that another writer damaged may name another service, and that of a host which ended before names its
+/// former address. Neither shows that another host has taken over the address of a running one.
+#[test]
+fn flows_at_a_running_host_whose_address_others_name_are_kept() {
+    for is_older in [false, true] {
+        let mut harness = harness();
+        let (_, _, running) = two_flows(&mut harness, ONCE, 1);
+        let former = host(running.0, "crewdocs", ZONES[usize::try_from(running.0 / 100).unwrap()]);
+        if is_older {
+            harness.register(&Host { id: HostId(299), created: 0, ..former });
+            harness.deregister(running.0);
+        } else {
+            harness.register(&former);
+        }
+        for _ in 0..4 {
+            harness.advance(500);
+            harness.finish_checks(None);
+        }
+        assert!(harness.record.resets.is_empty(), "older {is_older}: {:?}", harness.record.events);
+    }
+}
+
+/// An idle flow that the routers may have moved is not reset, neither now nor later. It must not be looked at in each sweep
+/// for the rest of its life.
+#[test]
+fn idle_flows_at_a_host_that_has_ended_are_forgotten() {
+    let mut harness = harness();
+    let (first, second, ended) = two_flows(&mut harness, ONCE, 1);
+    harness.advance(8_000);
+    let before = harness.engine.counters().idle_flows;
+    harness.engine.flows_may_move(harness.now);
+    harness.deregister(ended.0);
+    harness.advance(500);
+    answer_elsewhere(&mut harness, ended, 500);
+    assert_eq!(harness.finish_checks(Some(ended)), 1);
+    harness.advance(500);
+    assert!(!is_reset(&harness, first) && !is_reset(&harness, second));
+    assert_eq!(harness.engine.counters().idle_flows, before - 2);
+}
+
+/// A host restarts under its name and address while a check of its former process is in progress. The failure of that check
+/// says nothing about the new process.
+#[test]
+fn a_check_of_a_former_process_says_nothing_about_the_next_one() {
+    let mut harness = harness();
+    let (waiting, _, restarted) = two_flows(&mut harness, IDEMPOTENT, 1);
+    harness.advance(200);
+    harness.send(waiting, Mark::of(restarted), Kind::Data, 100, 50);
+    let former = std::mem::take(&mut harness.record.checks);
+    let zone = ZONES[usize::try_from(restarted.0 / 100).unwrap()];
+    harness.register(&Host { born: 2, ..host(restarted.0, "bookings", zone) });
+    harness.advance(50);
+    harness.send(waiting, Mark::of(restarted), Kind::Data, 100, 50);
+    assert_eq!((former.len(), harness.record.checks.len()), (1, 1));
+    harness.advance(1);
+    harness.engine.checked(harness.now, former[0].0, false, &mut harness.record);
+    answer_elsewhere(&mut harness, restarted, 500);
+    assert!(harness.record.resets.is_empty(), "{:?}", harness.record.events);
+    assert_eq!(harness.finish_checks(Some(restarted)), 1);
+    assert!(is_reset(&harness, waiting), "the check of the new process counts");
+}
+
 /// Registrations lapse in an outage of the store, and when a host is cut off from it alone. A host that accepts connections
 /// runs, and a reset would break its flows.
 #[test]
