--- a/crates/poplarpaddle/src/direct/warmup.rs
+++ b/crates/poplarpaddle/src/direct/warmup.rs
@@ -261,12 +261,12 @@
     fn owned_from(&self, host: HostId) -> Time {
         let Some(me) = self.me else { return Time::NEVER };
         let mine = weight(host, me);
-        let is_behind = |member: MemberId| weight(host, member) > mine;
-        if self.neighbors.iter().any(|member| is_behind(*member)) {
+        let is_ahead = |member: MemberId| weight(host, member) > mine;
+        if self.neighbors.iter().any(|member| is_ahead(*member)) {
             return Time::NEVER;
         }
-        let ahead = self.departed.iter().filter(|departed| is_behind(departed.member));
-        ahead.map(|departed| departed.at + HANDOVER).max().unwrap_or_default()
+        let departed = self.departed.iter().filter(|departed| is_ahead(departed.member));
+        departed.map(|departed| departed.at + HANDOVER).max().unwrap_or_default()
     }
 
     /// Replaces the bounds of the services. A changed pace starts after a window, so that the openings before it count under
