--- a/crates/poplarpaddle/src/direct/drain.rs
+++ b/crates/poplarpaddle/src/direct/drain.rs
@@ -20,10 +20,12 @@
 use super::host::{Host, Index};
 use super::select::MAX_CANDIDATES;
 use super::{Engine, Outlet};
+use crate::map::{self, Map};
+use crate::registry::Service;
 use crate::time::Time;
 
-/// Time for which a host that starts is slower than usual.
-const COLD_START: Duration = Duration::from_secs(2);
+/// Time for which a host that starts is slower than usual, if its service states none.
+const DEFAULT_COLD_START: Duration = Duration::from_secs(2);
 
 /// Time after the return of a zone in which registrations that were written before it may still arrive.
 const REORDERING: Duration = Duration::from_millis(500);
@@ -43,6 +45,8 @@
     zones: BTreeSet<String>,
     /// Whether the zone of each link is drained, by the index of the link.
     links: Vec<bool>,
+    /// Time for which a host of a service is slower after its start, for each service that states one.
+    cold_starts: Map<String, Duration>,
     /// Services whose usable hosts are all in drained zones.
     exhausted: BTreeSet<String>,
     /// Those of them that no event has been recorded for.
@@ -57,19 +61,33 @@
 impl Drains {
     /// Returns the state without drained zones and links. `is_known` is false if openings have to wait until the drained
     /// zones are known.
-    pub(super) const fn new(is_known: bool) -> Self {
+    pub(super) fn new(is_known: bool) -> Self {
         Self {
             is_known,
             zones: BTreeSet::new(),
             links: Vec::new(),
+            cold_starts: map::seeded(0),
             exhausted: BTreeSet::new(),
             unreported: Vec::new(),
             is_cut_off: false,
             wants_store_check: false,
-            next_store_check: Time::from_nanos(0),
+            next_store_check: Time::default(),
         }
     }
 
+    /// Replaces the cold start times of the services.
+    pub(super) fn set_services(&mut self, services: &[Service]) {
+        let stated = services.iter().filter(|service| service.cold_start_ms > 0);
+        let time = |service: &Service| Duration::from_millis(u64::from(service.cold_start_ms));
+        self.cold_starts.clear();
+        self.cold_starts.extend(stated.map(|service| (service.name.clone(), time(service))));
+    }
+
+    /// Returns the time for which a host of `service` is slower after its start.
+    fn cold_start(&self, service: &str) -> Duration {
+        self.cold_starts.get(service).copied().unwrap_or(DEFAULT_COLD_START)
+    }
+
     pub(super) const fn is_known(&self) -> bool {
         self.is_known
     }
@@ -222,7 +240,7 @@
     /// Presumes that the hosts of a zone are cold, because its drain has ended.
     fn presume_cold(&mut self, now: Time, link: usize) {
         for host in self.hosts.iter_mut().filter(|host| host.zone == link) {
-            host.presumed_cold_until = now + COLD_START;
+            host.presumed_cold_until = now + self.drains.cold_start(&host.record.service);
             host.warmth_known_from = now + REORDERING;
         }
     }
--- a/crates/poplarpaddle/src/direct/engine.rs
+++ b/crates/poplarpaddle/src/direct/engine.rs
@@ -11,6 +11,7 @@
 use super::link::{Change, Link};
 use super::opening::Pending;
 use super::queue::Queue;
+use super::warmup::Warmup;
 use super::{Basis, Counters, Decision, Hop, Outlet, Reason, Settings, Verdict, host, idle, route};
 use crate::limit::Limit;
 use crate::map::{self, Map};
@@ -102,6 +103,7 @@
     ready: bool,
     buffer: Buffer,
     pub(super) queue: Queue,
+    pub(super) warmup: Warmup,
     /// True when a request ended or became overdue since the queue was last served.
     pub(super) capacity_freed: bool,
     /// Number of checks of hosts in progress.
@@ -139,6 +141,7 @@
             ready: false,
             buffer: Buffer::default(),
             queue: Queue::new(settings.seed, settings.queue_share),
+            warmup: Warmup::new(settings.warmup),
             capacity_freed: false,
             checks: 0,
             open_checks: Vec::new(),
@@ -211,8 +214,9 @@
         self.routes.allow_former(address, service, until);
     }
 
-    /// Records that a message from a member in `zone` arrived, so the zone is reachable.
+    /// Records that a message from a member in `zone` arrived, so the zone is reachable and this balancer is not cut off.
     pub fn zone_alive(&mut self, now: Time, zone: &str, outlet: &mut dyn Outlet) {
+        self.warmup.record_contact(now);
         if let Some(index) = self.links.iter().position(|link| link.zone == zone) {
             self.confirm_zone(now, index, "a message from a member of the zone arrived", outlet);
         }
@@ -255,6 +259,7 @@
         self.tick_openings(now, outlet);
         self.tick_queue(now, outlet);
         self.sweep_if_due(now, outlet);
+        self.capacity_freed |= self.warmup.take_retry(now);
         self.serve_queue_if_freed(now, outlet);
         self.report_exhausted(now, outlet);
     }
@@ -267,7 +272,8 @@
             return Time::default();
         }
         let links = self.links.iter().map(|link| link.deadline(self.settings.ping_timeout));
-        links.chain([opening, self.next_sweep, self.next_overdue, self.queue.deadline()]).min().unwrap_or(Time::NEVER)
+        let others = [opening, self.next_sweep, self.next_overdue, self.queue.deadline(), self.warmup.deadline()];
+        links.chain(others).min().unwrap_or(Time::NEVER)
     }
 
     /// Sets `ready` once hosts, routes and, if required, zone drains are known. The engine stays ready when a configuration
--- a/crates/poplarpaddle/src/direct/sweep.rs
+++ b/crates/poplarpaddle/src/direct/sweep.rs
@@ -52,6 +52,7 @@
             self.sweep(now);
             self.recheck_hosts(now, outlet);
             self.end_flows_of_left_hosts(now, outlet);
+            self.sweep_cold_hosts(now, outlet);
         }
     }
 
--- a/crates/poplarpaddle/src/fleet.rs
+++ b/crates/poplarpaddle/src/fleet.rs
@@ -119,6 +119,8 @@
     HostsChanged(Vec<String>),
     /// The routes with these addresses were added, changed or removed in [`Node::routes`].
     RoutesChanged(Vec<Address>),
+    /// The services in [`Node::general`] changed.
+    ServicesChanged,
     /// These zones were added to or removed from [`Node::zone_drains`]. The list is empty when the zone drains became known
     /// and there is none.
     ZoneDrainsChanged(Vec<String>),
@@ -150,8 +152,8 @@
     former: Tracker,
     /// True for each topic whose last call to the store failed.
     store_lost: [bool; 3],
-    /// Revisions of the invalid entries that were reported, by name.
-    reported: Map<String, u64>,
+    /// Revisions of the errors in entries that were reported, by the name of the entry and the text.
+    reported: Map<(String, String), u64>,
     /// Reachable members including this one, in the order of identifiers.
     members: Vec<MemberId>,
     /// The other members in the own zone that are alive or suspect, in the order of identifiers.
@@ -208,8 +210,14 @@
 
     /// Returns the general settings of the configuration in force.
     #[must_use]
-    pub const fn general(&self) -> General {
-        self.general
+    pub const fn general(&self) -> &General {
+        &self.general
+    }
+
+    /// Returns the other members in the own zone that are alive or suspect.
+    #[must_use]
+    pub fn neighbors(&self) -> &[MemberId] {
+        &self.neighbors
     }
 
     /// Returns the membership.
@@ -300,7 +308,7 @@
             news: self.positions(now),
             hosts: delta,
             routes: self.routes.delta(since.routes),
-            general: self.general,
+            general: self.general.clone(),
             zone_drains: self.zone_drains.delta(since.zone_drains),
         })
     }
--- a/crates/poplarpaddle/src/fleet/apply.rs
+++ b/crates/poplarpaddle/src/fleet/apply.rs
@@ -23,12 +23,13 @@
                 self.report_faults(now, "zone_drain.unreadable", faults);
                 self.merge_zone_drains(now, delta)?;
             }
-            Response::Routes { as_of, content: Some((general, routes)) } => {
+            Response::Routes { as_of, content: Some((general, routes)), faults } => {
+                self.report_faults(now, "service.unreadable", faults);
                 let delta = self.routes.snapshot_of(as_of, routes);
                 self.merge_routes(now, general, delta)?;
                 self.former.set_source();
             }
-            Response::Routes { as_of, content: None } => self.routes.advance(as_of),
+            Response::Routes { as_of, content: None, .. } => self.routes.advance(as_of),
             Response::Unreadable { as_of, text } => {
                 self.record_event(now, "config.unreadable", &as_of.to_string(), text);
                 self.routes.advance(as_of);
@@ -71,17 +72,18 @@
         Ok(changes.news)
     }
 
-    /// Records the event `name` for each invalid entry, once per revision.
+    /// Records the event `name` for each error, once per revision. An entry may have several.
     fn report_faults(&mut self, now: Time, name: &str, faults: Vec<Fault>) {
         for fault in faults {
-            if self.reported.get(&fault.name) == Some(&fault.revision) {
+            let key = (fault.name, fault.text);
+            if self.reported.get(&key) == Some(&fault.revision) {
                 continue;
             }
             if self.reported.len() >= MAX_REPORTED {
                 self.reported.clear();
             }
-            self.record_event(now, name, &fault.name, format!("revision {}: {}", fault.revision, fault.text));
-            self.reported.insert(fault.name, fault.revision);
+            self.record_event(now, name, &key.0, format!("revision {}: {}", fault.revision, key.1));
+            self.reported.insert(key, fault.revision);
         }
     }
 
@@ -142,9 +144,13 @@
         if general != self.general {
             // Peers compare revisions, so a new version has to count as a change even if no route changed.
             self.routes.touch(to);
+            let version = general.version;
+            if general.services != self.general.services {
+                self.actions.push(Action::ServicesChanged);
+            }
             self.general = general;
             let detail = format!("revision {}, {} routes changed", self.routes.revision(), changed.len());
-            self.record_event(now, "config.applied", &general.version.to_string(), detail);
+            self.record_event(now, "config.applied", &version.to_string(), detail);
         }
         if !changed.is_empty() {
             self.actions.push(Action::RoutesChanged(changed));
--- a/crates/poplarpaddle/src/fleet/store.rs
+++ b/crates/poplarpaddle/src/fleet/store.rs
@@ -24,6 +24,8 @@
         as_of: u64,
         /// General settings and routes of the configuration.
         content: Option<(General, Vec<(Address, Route)>)>,
+        /// Errors in single services of the configuration.
+        faults: Vec<Fault>,
     },
     /// The configuration is invalid.
     Unreadable {
@@ -48,12 +50,12 @@
     HistoryGone,
 }
 
-/// Error in an entry of a collection. It concerns no other entry.
+/// Error in an entry of a collection, or in a service of a configuration. It concerns no other one.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Fault {
-    /// Name of the entry.
+    /// Name of the entry or service.
     pub name: String,
-    /// Revision of the entry.
+    /// Revision of the entry or configuration.
     pub revision: u64,
     /// Error message with the field, its value, and the allowed values.
     pub text: String,
--- a/crates/poplarpaddle/src/registry.rs
+++ b/crates/poplarpaddle/src/registry.rs
@@ -100,12 +100,26 @@
 }
 
 /// Settings of a configuration that are not specific to a route.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub struct General {
     /// Version that the operator assigned to the configuration, 0 before the first one.
     pub version: u64,
     /// Time without packets after which the state of a flow may be dropped, in milliseconds.
     pub idle_ms: u32,
+    /// Services, in the order of the configuration.
+    #[serde(default)]
+    pub services: Vec<Service>,
+}
+
+/// A service, as far as a configuration describes it.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct Service {
+    /// Name of the service.
+    pub name: String,
+    /// Time for which a host is cold after its start, in milliseconds; 0 if unknown.
+    pub cold_start_ms: u32,
+    /// Rate of openings that a cold host bears, in openings per 1,000 s; 0 for no bound.
+    pub cold_rate: u32,
 }
 
 /// Address and port of a route, as callers connect to it.
--- a/crates/poplarpaddle/tests/direct/drains.rs
+++ b/crates/poplarpaddle/tests/direct/drains.rs
@@ -3,7 +3,7 @@
 use poplarpaddle::direct::{Engine, Settings, Verdict};
 use poplarpaddle::mark::{HostId, Mark};
 use poplarpaddle::packet::Kind;
-use poplarpaddle::registry::Host;
+use poplarpaddle::registry::{Host, Service};
 
 use super::support::{Harness, flow, host, route};
 
@@ -245,3 +245,26 @@
     close(&mut harness, 2000);
     assert!((85..95).contains(&registered), "{registered}");
 }
+
+/// Hosts that start more slowly than usual would count as warm too early, and get the flows of warm ones.
+#[test]
+fn hosts_of_a_zone_that_returns_are_presumed_cold_for_the_time_that_their_service_states() {
+    for (cold_start_ms, cold_after_3_s, cold_after_6_s) in [(0, false, false), (5000, true, false)] {
+        let mut harness = Harness::with_hosts(12, 1);
+        let service = Service { name: "bookings".into(), cold_start_ms, cold_rate: 0 };
+        harness.engine.set_services(harness.now, &[service]);
+        harness.drain("b");
+        harness.take_back("b");
+        for (first_caller, is_cold) in [(1, cold_after_3_s), (1000, cold_after_6_s)] {
+            harness.advance(3000);
+            let flows = first_caller..first_caller + 270;
+            let placed: Vec<_> = flows.clone().map(|caller| harness.establish(flow(caller, 443))).collect();
+            let share = placed.iter().filter(|host| zone_of(**host) == 1).count();
+            let expected = if is_cold { 60..80 } else { 85..95 };
+            assert!(expected.contains(&share), "{cold_start_ms} ms: {share} of the flows from {first_caller} on");
+            for (caller, host) in flows.zip(placed) {
+                harness.send(flow(caller, 443), Mark::of(host), Kind::Closing, 0, 60);
+            }
+        }
+    }
+}
--- a/crates/poplarpaddle/tests/direct/main.rs
+++ b/crates/poplarpaddle/tests/direct/main.rs
@@ -11,4 +11,5 @@
 mod support;
 mod unreachable;
 mod waiting;
+mod warmup;
 mod zones;
--- a/crates/poplarpaddle/tests/fleet/drains.rs
+++ b/crates/poplarpaddle/tests/fleet/drains.rs
@@ -115,7 +115,7 @@
             node.store_answered(
                 now,
                 Topic::Routes,
-                Ok(Response::Routes { as_of: 5, content: Some((general, vec![])) }),
+                Ok(Response::Routes { as_of: 5, content: Some((general.clone(), vec![])), faults: Vec::new() }),
             );
         });
         assert_eq!(simulation.node(0).is_ready(), !needs_drains);
--- a/crates/poplarpaddle/tests/fleet/world.rs
+++ b/crates/poplarpaddle/tests/fleet/world.rs
@@ -12,7 +12,7 @@
 use poplarpaddle::mark::HostId;
 use poplarpaddle::membership;
 use poplarpaddle::path::MemberId;
-use poplarpaddle::registry::{Address, General, Host, Route, State as HostState, ZoneDrain, ZoneDrainDelta};
+use poplarpaddle::registry::{Address, General, Host, Route, Service, State as HostState, ZoneDrain, ZoneDrainDelta};
 use poplarpaddle::replica::{Delta, Item, Removed};
 use poplarpaddle::time::Time;
 use poplarpaddle::wire::{Record, State, Transfer};
@@ -122,6 +122,11 @@
     /// Topics that the node has called the store for.
     pub topics_called: BTreeSet<String>,
     pub zone_alive_at: BTreeMap<String, Time>,
+    /// When the last message from another member arrived, and the longest time between two of them.
+    pub last_contact: Time,
+    pub longest_silence: Duration,
+    /// Services as passed to the data path.
+    pub services: Vec<Service>,
     /// When the data path was told last that the members in the node's zone changed.
     pub neighbors_changed_at: Time,
     /// Number of snapshots of the hosts that the node has sent to others.
@@ -184,6 +189,9 @@
                     drain_events: Vec::new(),
                     topics_called: BTreeSet::new(),
                     zone_alive_at: BTreeMap::new(),
+                    last_contact: Time::default(),
+                    longest_silence: Duration::ZERO,
+                    services: Vec::new(),
                     neighbors_changed_at: Time::default(),
                     snapshots: 0,
                     former: Vec::new(),
@@ -301,13 +309,13 @@
         self.publish_service(version, ports, "bookings");
     }
 
-    /// Publishes a configuration whose routes lead to `service`.
-    pub fn publish_service(&mut self, version: u64, ports: &[u16], service: &str) {
+    /// Publishes a configuration whose routes lead to the service `name`.
+    pub fn publish_service(&mut self, version: u64, ports: &[u16], name: &str) {
         self.store.revision += 1;
-        let general = General { version, idle_ms: 15_000 };
+        let general = General { version, idle_ms: 15_000, services: vec![service(version)] };
         let route = |port: &u16| {
             let address = format!("198.18.0.1:{port}").parse().unwrap();
-            (address, Route { service: service.into(), timeout_ms: u32::from(*port), ..Default::default() })
+            (address, Route { service: name.into(), timeout_ms: u32::from(*port), ..Default::default() })
         };
         self.store.config = Some((general, ports.iter().map(route).collect(), self.store.revision));
         self.notify_watches(Topic::Routes);
@@ -487,7 +495,16 @@
                     }
                 }
             }
-            Action::ZoneAlive(zone) => drop(self.instances[index].zone_alive_at.insert(zone, now)),
+            Action::ZoneAlive(zone) => {
+                let instance = &mut self.instances[index];
+                instance.zone_alive_at.insert(zone, now);
+                instance.longest_silence = instance.longest_silence.max(now.since(instance.last_contact));
+                instance.last_contact = now;
+            }
+            Action::ServicesChanged => {
+                let instance = &mut self.instances[index];
+                instance.services = instance.node.as_ref().map_or(Vec::new(), |node| node.general().services.clone());
+            }
             Action::NeighborsChanged => self.instances[index].neighbors_changed_at = now,
             Action::HostsSuspected(hosts) => self.instances[index].suspected.extend(hosts),
             Action::Former(action) => self.call_former(index, action),
@@ -595,6 +612,11 @@
     }
 }
 
+/// Returns the service in a version of the configuration.
+pub fn service(version: u64) -> Service {
+    Service { name: "bookings".into(), cold_start_ms: 2000, cold_rate: u32::try_from(version).unwrap() * 1000 }
+}
+
 impl Store {
     fn snapshot(&self, topic: Topic) -> Response {
         match topic {
@@ -609,7 +631,7 @@
             }
             Topic::Routes => {
                 let content = self.config.clone().map(|(general, routes, _)| (general, routes));
-                Response::Routes { as_of: self.revision, content }
+                Response::Routes { as_of: self.revision, content, faults: Vec::new() }
             }
             Topic::ZoneDrains => Response::ZoneDrains { delta: self.drains_since(0), faults: Vec::new() },
         }
