End the exception for a cut-off zone with the evidence for it

Cause: a check of the store without a response counted until the next check, whenever that was. If a zone was regained during the check, the balancer counted as cut off although nothing was lost any more, and the next time that links looked lost, its openings went to drained zones before any check. The same happened with the first opening after a cut in which no more openings came. Also, with all zones drained, or without any usable host, each balancer read the store once a second for nothing, and a failed read was reported as a cut. Change: a failed check counts for 1.5 s, which the next one renews. It does not count once a zone is regained while it is in progress. The store is only checked if there are usable hosts outside the drained zones, all behind lost links. Tests: zones::a_check_of_the_store_does_not_count_once_a_zone_is_regained, zones::a_cut_that_was_seen_long_ago_does_not_end_an_order and zones::the_store_is_not_checked_while_all_zones_are_drained, each seen failing on the code before.

--- a/crates/poplarpaddle/src/direct/drain.rs
+++ b/crates/poplarpaddle/src/direct/drain.rs
@@ -33,6 +33,10 @@
 /// Time between two checks whether the store responds, while no host outside the drained zones can be reached.
 const STORE_CHECK_PAUSE: Duration = Duration::from_secs(1);
 
+/// Time for which a check without a response of the store counts. It lasts until the result of the next check while openings
+/// arrive. After a pause without openings, the state of the network is unknown again.
+const CUT_OFF_TIME: Duration = Duration::from_millis(1500);
+
 /// Maximum number of hosts that are drawn at random to find [`MAX_CANDIDATES`] usable ones.
 const MAX_DRAWS: usize = 4 * MAX_CANDIDATES;
 
@@ -51,10 +55,12 @@
     exhausted: BTreeSet<String>,
     /// Those of them that no event has been recorded for.
     unreported: Vec<String>,
-    /// True while this balancer reaches neither the hosts outside the drained zones nor the store.
-    is_cut_off: bool,
+    /// Time until which this balancer counts as cut off from the hosts outside the drained zones and from the store.
+    cut_off_until: Time,
     /// True when the caller has to check whether the store responds.
     wants_store_check: bool,
+    /// True while a check is in progress and no zone has been regained since it began.
+    awaits_store_check: bool,
     next_store_check: Time,
 }
 
@@ -69,8 +75,9 @@
             cold_starts: map::seeded(0),
             exhausted: BTreeSet::new(),
             unreported: Vec::new(),
-            is_cut_off: false,
+            cut_off_until: Time::default(),
             wants_store_check: false,
+            awaits_store_check: false,
             next_store_check: Time::default(),
         }
     }
@@ -98,8 +105,8 @@
     }
 
     /// Returns true when the host gets no new flows because its zone is drained.
-    pub(super) fn excludes(&self, host: &Host) -> bool {
-        self.contains(host) && !self.is_cut_off && !self.exhausted.contains(&host.record.service)
+    pub(super) fn excludes(&self, now: Time, host: &Host) -> bool {
+        self.contains(host) && !self.is_cut_off(now) && !self.exhausted.contains(&host.record.service)
     }
 
     /// Returns true when the host is in a drained zone.
@@ -118,12 +125,17 @@
             self.next_store_check = now + STORE_CHECK_PAUSE;
             self.wants_store_check = true;
         }
-        self.is_cut_off
+        self.is_cut_off(now)
+    }
+
+    fn is_cut_off(&self, now: Time) -> bool {
+        !now.reached(self.cut_off_until)
     }
 
-    /// Records that another zone can be reached.
-    pub(super) const fn end_cut_off(&mut self) {
-        self.is_cut_off = false;
+    /// Records that another zone can be reached. A check in progress then says nothing any more.
+    pub(super) fn end_cut_off(&mut self) {
+        self.cut_off_until = Time::default();
+        self.awaits_store_check = false;
     }
 
     /// Drains a zone or ends its drain. Returns false if that changes nothing.
@@ -176,13 +188,18 @@
     /// Returns true when the caller has to check whether the store responds, once for each request of a check. The result is
     /// passed to [`Self::store_checked`].
     pub const fn take_store_check(&mut self) -> bool {
-        std::mem::replace(&mut self.drains.wants_store_check, false)
+        let wants_check = std::mem::replace(&mut self.drains.wants_store_check, false);
+        self.drains.awaits_store_check |= wants_check;
+        wants_check
     }
 
     /// Records the result of a check whether the store responds.
     pub fn store_checked(&mut self, now: Time, responds: bool, outlet: &mut dyn Outlet) {
-        let was_cut_off = std::mem::replace(&mut self.drains.is_cut_off, !responds);
-        if !responds && !was_cut_off {
+        let counts = std::mem::replace(&mut self.drains.awaits_store_check, false);
+        let was_cut_off = self.drains.is_cut_off(now);
+        let is_cut_off = !responds && counts;
+        self.drains.cut_off_until = if is_cut_off { now + CUT_OFF_TIME } else { Time::default() };
+        if is_cut_off && !was_cut_off {
             let detail =
                 "no host outside the drained zones and no store can be reached, so new flows go to drained zones";
             outlet.record_event(now, "zones.cut_off", &self.settings.zone, detail);
@@ -224,8 +241,10 @@
         let is_exhausted = usable.is_empty() && !hosts.is_empty();
         self.drains.set_exhausted(service, is_exhausted);
         let is_lost = |index: &Index| self.hosts.get(*index).is_some_and(|host| self.links[host.zone].is_down());
-        let may_use_drained = usable.iter().all(is_lost) && self.drains.may_use_drained(now);
-        (!usable.is_empty() && !may_use_drained).then_some(usable)
+        if usable.is_empty() || (usable.iter().all(is_lost) && self.drains.may_use_drained(now)) {
+            return None;
+        }
+        Some(usable)
     }
 
     /// Ends the presumption that a host is cold, because its registration has changed, unless the registration may be
--- a/crates/poplarpaddle/src/direct/opening.rs
+++ b/crates/poplarpaddle/src/direct/opening.rs
@@ -316,7 +316,7 @@
         if !self.may_move(now, entry.host, pending, cause) {
             return entry.host;
         }
-        let accepts_new = |host: &Host| host.accepts_new(now) && !self.drains.excludes(host);
+        let accepts_new = |host: &Host| host.accepts_new(now) && !self.drains.excludes(now, host);
         let is_answering = self
             .hosts
             .get(entry.host)
--- a/crates/poplarpaddle/tests/direct/zones.rs
+++ b/crates/poplarpaddle/tests/direct/zones.rs
@@ -191,3 +191,51 @@
     run_traffic(&mut harness, 1000, 2000, &[0]);
     assert!(harness.record.sent.iter().all(|sent| zone_of(sent.hop.host.0) != 0));
 }
+
+/// Drains zone a, loses the others while the store responds, and sends an opening for which the engine requests a check.
+fn lose_other_zones(seed: u64) -> Harness {
+    let mut harness = Harness::with_hosts(seed, 4);
+    harness.engine.set_zone_drain(harness.now, "a", true, &mut harness.record);
+    run_traffic(&mut harness, 1000, 2000, &[0]);
+    harness.advance(1500);
+    harness.send_opening(flow(5000, 443), 0);
+    assert!(harness.engine.take_store_check());
+    harness
+}
+
+/// In an overload, messages of all other zones are late, and so is the store. A zone that is regained during the check
+/// shows that the balancer is not cut off, and the zones may seem lost again later.
+#[test]
+fn a_check_of_the_store_does_not_count_once_a_zone_is_regained() {
+    let mut harness = lose_other_zones(10);
+    harness.engine.zone_alive(harness.now, "b", &mut harness.record);
+    harness.now = harness.now + std::time::Duration::from_millis(400);
+    harness.engine.store_checked(harness.now, false, &mut harness.record);
+    run_traffic(&mut harness, 7000, 2000, &[0]);
+    assert!(harness.record.sent.iter().all(|sent| zone_of(sent.hop.host.0) != 0));
+    assert!(!harness.record.events.contains(&"zones.cut_off a".to_owned()));
+}
+
+/// A cut may end while no caller opens a flow, so no check shows that the store is back.
+#[test]
+fn a_cut_that_was_seen_long_ago_does_not_end_an_order() {
+    let mut harness = lose_other_zones(11);
+    harness.engine.store_checked(harness.now, false, &mut harness.record);
+    assert!(harness.record.events.contains(&"zones.cut_off a".to_owned()));
+    harness.send_opening(flow(7000, 443), 0);
+    assert_eq!(zone_of(harness.last_hop().host.0), 0);
+    harness.advance(5000);
+    harness.send_opening(flow(7001, 443), 0);
+    assert_ne!(zone_of(harness.last_hop().host.0), 0);
+}
+
+/// With all zones drained, drained zones are used whether the store responds or not. Each check is a call to the store.
+#[test]
+fn the_store_is_not_checked_while_all_zones_are_drained() {
+    let mut harness = Harness::with_hosts(12, 4);
+    for zone in ["a", "b", "c"] {
+        harness.engine.set_zone_drain(harness.now, zone, true, &mut harness.record);
+    }
+    harness.send_opening(flow(1, 443), 0);
+    assert!(!harness.engine.take_store_check());
+}
