Leave drained zones out of the capacity that early refusal expects

Cause: the expected wait of an opening counted the hosts of drained zones as capacity, although they take nothing. Change: only hosts that may get the opening count. If the drawn sample has none of them, nothing is refused early.

--- a/crates/poplarpaddle/src/direct/host.rs
+++ b/crates/poplarpaddle/src/direct/host.rs
@@ -170,17 +170,26 @@
         self.services.get(&host.record.service)?.response_time.bound()
     }
 
-    /// Returns the work in progress at the hosts of a service that accept new flows, each of which takes `backlog` requests
-    /// beyond its slots; none before the first response. It is extrapolated from the hosts in `sample`.
-    pub(super) fn load(&self, now: Time, name: &str, sample: &[Index], backlog: u32) -> Option<Load> {
+    /// Returns the work in progress at the hosts of a service that `accepts_new` holds for, each of which takes `backlog`
+    /// requests beyond its slots; none before the first response, or if the sample has no such host. It is extrapolated from
+    /// the hosts in `sample`.
+    pub(super) fn load(
+        &self,
+        name: &str,
+        sample: &[Index],
+        backlog: u32,
+        accepts_new: impl Fn(&Host) -> bool,
+    ) -> Option<Load> {
         let service = self.services.get(name)?;
         let (mut capacity, mut excess) = (0, 0);
-        let accepting = sample.iter().filter_map(|index| self.hosts.get(index)).filter(|host| host.accepts_new(now));
-        for host in accepting {
+        for host in sample.iter().filter_map(|index| self.hosts.get(index)).filter(|host| accepts_new(host)) {
             let room = u32::from(host.record.slots) + backlog;
             capacity += u64::from(room);
             excess += u64::from((host.busy - host.overdue).saturating_sub(room));
         }
+        if capacity == 0 {
+            return None;
+        }
         let extrapolate = |sum: u64| sum * service.hosts.len() as u64 / sample.len().max(1) as u64;
         let service_time = service.response_time.mean()?;
         Some(Load { service_time, capacity: extrapolate(capacity), excess: extrapolate(excess) })
--- a/crates/poplarpaddle/src/direct/opening.rs
+++ b/crates/poplarpaddle/src/direct/opening.rs
@@ -106,7 +106,8 @@
         let (rank, timeout) = (route.rank, Duration::from_millis(u64::from(route.timeout_ms)));
         let sample = self.candidates(&opening.service);
         let backlog = u32::from(self.settings.limit.backlog);
-        let Some(load) = self.hosts.load(now, &opening.service, &sample, backlog) else { return false };
+        let accepts_new = |host: &Host| host.accepts_new(now) && !self.drains.excludes(now, host);
+        let Some(load) = self.hosts.load(&opening.service, &sample, backlog, accepts_new) else { return false };
         let (of_rank, of_all) = self.queue.count(rank, &opening.service);
         let wait = |portion: u64, queued: u64| {
             waiting::expected_wait(load.service_time, portion, load.excess + queued, load.capacity)
--- a/crates/poplarpaddle/tests/direct/waiting.rs
+++ b/crates/poplarpaddle/tests/direct/waiting.rs
@@ -252,3 +252,25 @@
     // One of two choices among 31 hosts: 6.5 of 100 on average.
     assert!((1..=13).contains(&joined), "{joined} of 100 flows");
 }
+
+/// Return of all while a zone is drained: its hosts take none of the crowd, so openings that only they could serve in time
+/// are refused.
+#[test]
+fn the_capacity_of_a_drained_zone_is_not_expected() {
+    let refused = |has_drained_zone: bool| {
+        let mut harness = harness(2);
+        if has_drained_zone {
+            for id in 101..=102 {
+                harness.register(&Host { slots: 1, ..host(id, "bookings", "b") });
+            }
+            harness.engine.set_zone_drain(harness.now, "b", true, &mut harness.record);
+        }
+        serve_one(&mut harness, 50);
+        for caller in 1..=300 {
+            harness.send_opening(flow(caller, IDLE), 0);
+        }
+        with_verdict(&harness, Verdict::Refused).len()
+    };
+    assert!(refused(false) > 0);
+    assert_eq!(refused(true), refused(false));
+}
