Drop copies of openings that only cold hosts could take instead of resetting them

Cause: a balancer that may not open flows at the cold hosts of a service refused every opening after its time in the queue. When the routers move a caller, the copy of an opening arrives at a balancer that does not own the cold host, while the owner may have placed the original there. The reset then ended a flow that the host accepted (FLOW). Early refusal spared copies for that reason. Change: a copy whose time in the queue is over while only cold hosts are left is dropped, with the reason cold_hosts. Test: warmup::a_copy_of_an_opening_that_only_cold_hosts_could_take_is_not_reset, seen failing before.

--- a/crates/poplarpaddle/src/direct/engine.rs
+++ b/crates/poplarpaddle/src/direct/engine.rs
@@ -358,7 +358,7 @@
         self.routes.get(address).map_or(u8::MAX, |route| route.rank)
     }
 
-    fn drop_packet(&mut self, flow: Flow, reason: Reason, outlet: &mut dyn Outlet) {
+    pub(super) fn drop_packet(&mut self, flow: Flow, reason: Reason, outlet: &mut dyn Outlet) {
         self.record_decision(&Decision::new(flow, Verdict::Dropped, Some(reason)), outlet);
     }
 
--- a/crates/poplarpaddle/src/direct/opening.rs
+++ b/crates/poplarpaddle/src/direct/opening.rs
@@ -185,7 +185,8 @@
         }
     }
 
-    /// Places an opening that left the queue on the host `index`, or refuses it if there is no host or its route is gone.
+    /// Places an opening that left the queue on the host `index`, or refuses it if there is no host or its route is gone. A
+    /// copy that only cold hosts could take is dropped, since their owners may have placed an earlier one.
     fn leave_queue(&mut self, now: Time, opening: Opening, index: Option<Index>, outlet: &mut dyn Outlet) {
         let reason = match (self.routes.get(opening.flow.service), index) {
             (Some(_), Some(index)) => return self.send_first(now, opening, index, outlet),
@@ -193,6 +194,9 @@
             (Some(_), None) => Reason::NoHost,
             (None, _) => Reason::UnknownRoute,
         };
+        if reason == Reason::ColdHosts && opening.acknowledgement > 0 {
+            return self.drop_packet(opening.flow, reason, outlet);
+        }
         outlet.reset(&opening.flow, opening.acknowledgement);
         self.record_decision(&Decision::new(opening.flow, Verdict::Refused, Some(reason)), outlet);
     }
--- a/crates/poplarpaddle/tests/direct/warmup.rs
+++ b/crates/poplarpaddle/tests/direct/warmup.rs
@@ -432,6 +432,21 @@
     assert_eq!(harness.record.sent.len(), 1, "the lost opening is not repeated to the cold host");
 }
 
+/// The routers move a caller while the owner of a cold host has its opening, and the next balancer may not place the copy.
+/// A reset would end the flow that the host is about to accept.
+#[test]
+fn a_copy_of_an_opening_that_only_cold_hosts_could_take_is_not_reset() {
+    use poplarpaddle::direct::Reason;
+    let mut harness = Harness::new(3);
+    harness.engine.set_services(harness.now, &[service(RATE)]);
+    harness.register(&Host { cold_until: Time::from_millis(9000), ..host(1, "bookings", "a") });
+    harness.route(443, Some(&route("bookings")));
+    harness.send_opening(flow(1, 443), 1);
+    harness.advance(200);
+    assert_eq!(harness.record.decisions.last(), Some(&(flow(1, 443), Verdict::Dropped, Some(Reason::ColdHosts))));
+    assert!(harness.record.resets.is_empty());
+}
+
 /// The hosts of a zone that was taken back may be cold before their registrations say so.
 #[test]
 fn hosts_of_a_zone_that_returns_are_bounded_before_their_registrations_arrive() {
