--- a/crates/poplarpaddle/src/direct/opening.rs
+++ b/crates/poplarpaddle/src/direct/opening.rs
@@ -106,7 +106,8 @@
         let (rank, timeout) = (route.rank, Duration::from_millis(u64::from(route.timeout_ms)));
         let sample = self.candidates(&opening.service);
         let backlog = u32::from(self.settings.limit.backlog);
-        let Some(load) = self.hosts.load(now, &opening.service, &sample, backlog) else { return false };
+        let accepts_new = |host: &Host| host.accepts_new(now) && !self.drains.excludes(now, host);
+        let Some(load) = self.hosts.load(&opening.service, &sample, backlog, accepts_new) else { return false };
         let (of_rank, of_all) = self.queue.count(rank, &opening.service);
         let wait = |portion: u64, queued: u64| {
             waiting::expected_wait(load.service_time, portion, load.excess + queued, load.capacity)
@@ -184,7 +185,8 @@
         }
     }
 
-    /// Places an opening that left the queue on the host `index`, or refuses it if there is no host or its route is gone.
+    /// Places an opening that left the queue on the host `index`, or refuses it if there is no host or its route is gone. A
+    /// copy that only cold hosts could take is dropped, since their owners may have placed an earlier one.
     fn leave_queue(&mut self, now: Time, opening: Opening, index: Option<Index>, outlet: &mut dyn Outlet) {
         let reason = match (self.routes.get(opening.flow.service), index) {
             (Some(_), Some(index)) => return self.send_first(now, opening, index, outlet),
@@ -192,6 +194,9 @@
             (Some(_), None) => Reason::NoHost,
             (None, _) => Reason::UnknownRoute,
         };
+        if reason == Reason::ColdHosts && opening.acknowledgement > 0 {
+            return self.drop_packet(opening.flow, reason, outlet);
+        }
         outlet.reset(&opening.flow, opening.acknowledgement);
         self.record_decision(&Decision::new(opening.flow, Verdict::Refused, Some(reason)), outlet);
     }
@@ -316,7 +321,7 @@
         if !self.may_move(now, entry.host, pending, cause) {
             return entry.host;
         }
-        let accepts_new = |host: &Host| host.accepts_new(now) && !self.drains.excludes(host);
+        let accepts_new = |host: &Host| host.accepts_new(now) && !self.drains.excludes(now, host);
         let is_answering = self
             .hosts
             .get(entry.host)
