--- a/crates/poplarpaddle-balancer/src/direct/task.rs
+++ b/crates/poplarpaddle-balancer/src/direct/task.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use poplarpaddle::direct::{CheckId, Engine, Layout, Reason};
-use poplarpaddle::error::Result;
+use poplarpaddle::error::{Kind, Result};
 use poplarpaddle::event::Event;
 use poplarpaddle::feed::Topic;
 use poplarpaddle::fleet::{Action, Node, Response, Revisions, Store};
@@ -456,7 +456,7 @@
             let started = clock.now();
             let response = store.read(Topic::ZoneDrains, started + STORE_CHECK_TIMEOUT).await;
             telemetry.record_call("store_check", outcome_label(&response), clock.now().since(started));
-            drop(outcomes.send(Input::StoreChecked(response.is_ok())));
+            drop(outcomes.send(Input::StoreChecked(has_responded(&response))));
         });
     }
 
@@ -507,6 +507,11 @@
     socket.connect(address.into()).await.map(drop)
 }
 
+/// Returns true when the store sent a response, even if it refuses the call for its rate or cannot be understood.
+fn has_responded<T>(result: &Result<T>) -> bool {
+    !result.as_ref().is_err_and(|error| matches!(error.kind(), Kind::Unavailable | Kind::Timeout))
+}
+
 const fn outcome_label<T>(result: &Result<T>) -> &'static str {
     match result {
         Ok(_) => "answered",
