Check a configuration of routes before it is sent

Cause: a balancer names only the first error of a configuration, after the store has it, and says nothing of entries without effect.

The command is new, so its tests cannot run on the old code.

--- a/crates/poplarpaddle/src/check.rs
+++ b/crates/poplarpaddle/src/check.rs
@@ -16,6 +16,7 @@
 
 mod address;
 mod release;
+pub mod routes;
 
 use std::collections::BTreeMap;
 
--- a/crates/poplarpaddle/tests/objects/main.rs
+++ b/crates/poplarpaddle/tests/objects/main.rs
@@ -6,5 +6,6 @@
 mod history;
 mod mutation;
 mod publish;
+mod routes;
 mod size;
 mod support;
