Explain terse comments, name two locals and a field by what they hold, and wrap comments at 120 columns

Comments that used other words than the field (vouch, room, copy) or that needed knowledge of the code around them say what they mean. Renamed, all private: Reach::vouched and vouch to other_answered and record_other_answer, a local running (hosts that are not known to have ended) to undecided, and a local remembered (departures that no longer count) to forgotten.

--- a/crates/poplarpaddle-balancer/src/direct/task.rs
+++ b/crates/poplarpaddle-balancer/src/direct/task.rs
@@ -104,9 +104,9 @@
     /// Drained zones; absent if operators cannot drain zones through the store.
     #[serde(skip_serializing_if = "Option::is_none")]
     drained_zones: Option<Vec<String>>,
-    /// Whether this process reads hosts, routes and zone drains, in this order, from the store itself.
+    /// Whether this process reads hosts, routes and, if replicated, zone drains, in this order, from the store itself.
     reads: Vec<bool>,
-    /// Time since the store confirmed hosts, routes and zone drains, in this order, in milliseconds.
+    /// Time since the store confirmed hosts, routes and, if replicated, zone drains, in this order, in milliseconds.
     age_ms: Vec<u64>,
 }
 
--- a/crates/poplarpaddle/src/admission.rs
+++ b/crates/poplarpaddle/src/admission.rs
@@ -133,7 +133,8 @@
         hedge::Room::default()
     }
 
-    /// Returns the least loaded candidate that would run one more opening at once. Call [`Gate::adopt`] when it gets one.
+    /// Returns the least loaded candidate that would run one more opening at once. Call [`Gate::adopt`] when it gets
+    /// one.
     fn spare_host(&self, _now: Time, _candidates: &[Ipv4Addr]) -> Option<Ipv4Addr> {
         None
     }
--- a/crates/poplarpaddle/src/check/routes.rs
+++ b/crates/poplarpaddle/src/check/routes.rs
@@ -10,8 +10,8 @@
 //! assert_eq!((findings[0].field, findings[0].severity), (Field::Service, Severity::Error));
 //! ```
 //!
-//! All findings come from one pass. A value that contradicts another for certain is an error; one that only has no effect
-//! or may surprise is a warning. Fields are named by [`Field`], so that each format can print its own names.
+//! All findings come from one pass. A value that contradicts another for certain is an error; one that only has no
+//! effect or may surprise is a warning. Fields are named by [`Field`], so that each format can print its own names.
 
 mod change;
 
@@ -156,8 +156,8 @@
         self.add(Severity::Warning, entry, field, value, expected);
     }
 
-    /// Finds names that two routes or two services share: logs and settings could not tell them apart. An empty name stands
-    /// for one that could not be decoded, here and in references.
+    /// Finds names that two routes or two services share: logs and settings could not tell them apart. An empty name
+    /// stands for one that could not be decoded, here and in references.
     fn names(&mut self) {
         let configuration = self.configuration;
         let name = |entry| Some(configuration.name(entry)).filter(|name| !name.is_empty());
--- a/crates/poplarpaddle/src/direct/drain.rs
+++ b/crates/poplarpaddle/src/direct/drain.rs
@@ -3,10 +3,11 @@
 //! An operator drains a zone and takes it back later. The order is in force from the next opening on: openings that are
 //! queued, buffered or retransmitted by their callers leave the zone too. Established flows stay.
 //!
-//! If every usable host of a service is in a drained zone, its openings are placed as if no zone was drained. Hosts that
-//! are unreachable or do not answer count as usable here, because an order must not end when links fail. The exception is a
-//! balancer that is cut off from every zone with other hosts and from the store as well: it cannot know whether the order
-//! still holds, and its callers would get no answer at all. It uses drained zones until it reaches another zone or the store.
+//! If every usable host of a service is in a drained zone, its openings are placed as if no zone was drained. Hosts
+//! that are unreachable or do not answer count as usable here, because an order must not end when links fail. The
+//! exception is a balancer that is cut off from every zone with other hosts and from the store as well: it cannot know
+//! whether the order still holds, and its callers would get no answer at all. It uses drained zones until it reaches
+//! another zone or the store.
 //!
 //! The hosts of a zone may have become cold while it was drained. Their registrations and the end of the drain arrive
 //! independently of each other, so the hosts of a zone that has just returned are presumed to be cold.
@@ -33,8 +34,9 @@
 /// Time between two checks whether the store responds, while no host outside the drained zones can be reached.
 const STORE_CHECK_PAUSE: Duration = Duration::from_secs(1);
 
-/// Time for which a check without a response of the store counts. It lasts until the result of the next check while openings
-/// arrive. After a pause without openings, the state of the network is unknown again.
+/// Time for which the balancer counts as cut off after a check to which the store did not respond. It covers the time
+/// to the result of the next check while openings arrive. After a pause without openings, the state of the network is
+/// unknown again.
 const CUT_OFF_TIME: Duration = Duration::from_millis(1500);
 
 /// Maximum number of hosts that are drawn at random to find [`MAX_CANDIDATES`] usable ones.
@@ -53,7 +55,7 @@
     cold_starts: Map<String, Duration>,
     /// Services whose usable hosts are all in drained zones.
     exhausted: BTreeSet<String>,
-    /// Those of them that no event has been recorded for.
+    /// Services that were added to `exhausted` and that no event has been recorded for.
     unreported: Vec<String>,
     /// Time until which this balancer counts as cut off from the hosts outside the drained zones and from the store.
     cut_off_until: Time,
@@ -65,8 +67,8 @@
 }
 
 impl Drains {
-    /// Returns the state without drained zones and links. `is_known` is false if openings have to wait until the drained
-    /// zones are known.
+    /// Returns the state without drained zones and links. `is_known` is false if openings have to wait until the
+    /// drained zones are known.
     pub(super) fn new(is_known: bool) -> Self {
         Self {
             is_known,
@@ -114,7 +116,7 @@
         self.links[host.zone]
     }
 
-    /// Returns true when the zone of a host may be drained.
+    /// Returns true when at least one zone is drained.
     fn is_active(&self) -> bool {
         !self.zones.is_empty()
     }
@@ -132,7 +134,7 @@
         !now.reached(self.cut_off_until)
     }
 
-    /// Records that another zone can be reached. A check in progress then says nothing any more.
+    /// Records that another zone can be reached. The result of a check in progress is then ignored.
     pub(super) fn end_cut_off(&mut self) {
         self.cut_off_until = Time::default();
         self.awaits_store_check = false;
@@ -140,7 +142,7 @@
 
     /// Drains a zone or ends its drain. Returns false if that changes nothing.
     fn set(&mut self, zone: &str, drained: bool) -> bool {
-        // Every change gives another set of usable hosts, which is reported anew.
+        // Every change results in another set of usable hosts, so the services have to be evaluated and reported again.
         self.exhausted.clear();
         if drained { self.zones.insert(zone.to_owned()) } else { self.zones.remove(zone) }
     }
@@ -185,8 +187,8 @@
         self.update_ready();
     }
 
-    /// Returns true when the caller has to check whether the store responds, once for each request of a check. The result is
-    /// passed to [`Self::store_checked`].
+    /// Returns true when the caller has to check whether the store responds. Each check is requested once, and its
+    /// result is passed to [`Self::store_checked`].
     pub const fn take_store_check(&mut self) -> bool {
         let wants_check = std::mem::replace(&mut self.drains.wants_store_check, false);
         self.drains.awaits_store_check |= wants_check;
@@ -215,8 +217,8 @@
         }
     }
 
-    /// Returns the hosts of a service to compare: usable ones outside drained zones. Returns none if no zone is drained or
-    /// all usable hosts are in drained zones.
+    /// Returns the hosts of a service to compare: usable ones outside drained zones. Returns none if no zone is drained
+    /// or all usable hosts are in drained zones.
     pub(super) fn undrained_candidates(
         &mut self,
         now: Time,
--- a/crates/poplarpaddle/src/direct/engine.rs
+++ b/crates/poplarpaddle/src/direct/engine.rs
@@ -26,8 +26,8 @@
 pub(super) enum Affinity {
     /// The mark of each packet.
     Mark,
-    /// [`Entry::host`], because the opening may have reached other hosts as well. The marks of the caller's packets then
-    /// tell which host answered last, not which one has the connection.
+    /// [`Entry::host`], because the opening may have reached other hosts as well. The marks of the caller's packets
+    /// then tell which host answered last, not which one has the connection.
     Pinned,
 }
 
@@ -208,13 +208,14 @@
         self.update_ready();
     }
 
-    /// Allows established flows of the route at `address` to belong to `service` until `until`, because the route used that
-    /// service before this balancer started.
+    /// Allows established flows of the route at `address` to belong to `service` until `until`, because the route used
+    /// that service before this balancer started.
     pub fn allow_former_service(&mut self, address: Address, service: &str, until: Time) {
         self.routes.allow_former(address, service, until);
     }
 
-    /// Records that a message from a member in `zone` arrived, so the zone is reachable and this balancer is not cut off.
+    /// Records that a message from a member in `zone` arrived, so the zone is reachable and this balancer is not cut
+    /// off.
     pub fn zone_alive(&mut self, now: Time, zone: &str, outlet: &mut dyn Outlet) {
         self.warmup.record_contact(now);
         if let Some(index) = self.links.iter().position(|link| link.zone == zone) {
@@ -276,8 +277,8 @@
         links.chain(others).min().unwrap_or(Time::NEVER)
     }
 
-    /// Sets `ready` once hosts, routes and, if required, zone drains are known. The engine stays ready when a configuration
-    /// removes the last route.
+    /// Sets `ready` once hosts, routes and, if required, zone drains are known. The engine stays ready when a
+    /// configuration removes the last route.
     pub(super) fn update_ready(&mut self) {
         self.ready |= !self.routes.is_empty() && !self.hosts.is_empty() && self.drains.is_known();
     }
@@ -378,7 +379,7 @@
         }
         self.track_packet(now, index, packet, outlet);
         let Some(host) = self.hosts.get(index) else { return };
-        // The host repeats the mark, so the caller learns the right one.
+        // The host echoes the mark in its response, so the caller learns the right one.
         let is_pinned = self.flows.get(&packet.flow).is_some_and(Entry::is_pinned);
         let mark = is_pinned.then_some(host.mark);
         let hop = Hop { host: host.record.id, address: host.record.address, mark };
@@ -420,8 +421,8 @@
             return;
         };
         self.opening_answered(now, &entry, index, outlet);
-        // The caller acknowledges the first answer at once, so its first packet carries the mark of the host that has the
-        // connection. A later answer of another host changes the mark, but not the connection.
+        // The caller acknowledges the first answer at once, so its first packet carries the mark of the host that has
+        // the connection. A later answer of another host changes the mark, but not the connection.
         if entry.pending.take().is_some_and(|pending| pending.has_other_hosts()) {
             entry.affinity = Affinity::Pinned;
         }
@@ -431,7 +432,8 @@
         }
         if is_end {
             self.end_request(&mut entry);
-            // A closed flow still has packets to acknowledge and to repeat.
+            // The caller of a closed flow still sends acknowledgements and retransmissions, which must reach the pinned
+            // host.
             if packet.kind == Kind::Reset || !entry.is_pinned() {
                 return;
             }
--- a/crates/poplarpaddle/src/direct/host.rs
+++ b/crates/poplarpaddle/src/direct/host.rs
@@ -38,9 +38,11 @@
     pub(super) last_answer: Time,
     pub(super) reach: Reach,
     pub(super) suspicion: Suspicion,
-    /// Time until which the host counts as cold whatever its registration says, because its zone has returned from a drain.
+    /// Time until which the host counts as cold whatever its registration says, because its zone has returned from a
+    /// drain.
     pub(super) presumed_cold_until: Time,
-    /// When a changed registration shows that the host is warm, although its zone has returned from a drain.
+    /// Time from which a changed registration was written after the return of the host's zone, and so ends the
+    /// presumption that the host is cold.
     pub(super) warmth_known_from: Time,
     /// Time until which the host accepts new flows after its registration ended; none while it is registered.
     pub(super) grace: Option<Time>,
@@ -71,16 +73,17 @@
         self.grace.is_some_and(|until| now.reached(until))
     }
 
-    /// Returns true when this host has taken over the address of `other`. A registration under the same identifier may be a
-    /// damaged one of the same process, and an earlier one may be left over from a host that ended before `other` started.
+    /// Returns true when this host has taken over the address of `other`. A registration under the same identifier may
+    /// be a damaged one of the same process, and an earlier one may be left over from a host that ended before `other`
+    /// started.
     fn has_replaced(&self, other: &Self) -> bool {
         self.record.id != other.record.id && self.record.created > other.record.created
     }
 
-    /// Returns true when the host has ended for certain: it has left, and has accepted no connection since, or another host
-    /// has its address. A running host renews its registration and accepts connections. If `is_zone_down`, a failed check
-    /// shows nothing about the host. Nor does one from before the end of the registration: the host may have been cut off
-    /// for a while, and both may be due to that.
+    /// Returns true when the host has ended for certain: it has left, and has accepted no connection since, or another
+    /// host has its address. A running host renews its registration and accepts connections. If `is_zone_down`, a
+    /// failed check shows nothing about the host. Nor does one from before the end of the registration: the host may
+    /// have been cut off for a while, and both may be due to that.
     pub(super) fn is_gone(&self, now: Time, is_zone_down: bool) -> bool {
         let Some(left) = self.grace.filter(|until| now.reached(*until)) else { return false };
         self.is_replaced || (!is_zone_down && self.reach.is_unreachable_since(now, left))
@@ -170,9 +173,9 @@
         self.services.get(&host.record.service)?.response_time.bound()
     }
 
-    /// Returns the work in progress at the hosts of a service that `accepts_new` holds for, each of which takes `backlog`
-    /// requests beyond its slots; none before the first response, or if the sample has no such host. It is extrapolated from
-    /// the hosts in `sample`.
+    /// Returns the work in progress at those hosts of a service for which `accepts_new` is true, extrapolated from the
+    /// hosts in `sample`. Each host takes `backlog` requests beyond its slots. Returns none before the first response,
+    /// and if no host in `sample` accepts new flows.
     pub(super) fn load(
         &self,
         name: &str,
@@ -327,8 +330,8 @@
         self.sort_mark(mark);
     }
 
-    /// Records which of the hosts in `left`, whose registrations have ended, have lost their addresses to others. A host that
-    /// registers again under its identifier, for example in another zone, may be running still.
+    /// Records which of the hosts in `left`, whose registrations have ended, have lost their addresses to others. A
+    /// host that registers again under its identifier, for example in another zone, may be running still.
     pub(super) fn mark_replaced(&mut self, left: &[Index]) {
         let mut former: Map<SocketAddrV4, SmallVec<[Index; 1]>> = map::seeded(0);
         for index in left {
--- a/crates/poplarpaddle/src/direct/idle.rs
+++ b/crates/poplarpaddle/src/direct/idle.rs
@@ -1,8 +1,8 @@
 //! Idle flows, which no longer count as work.
 //!
-//! A long flow may pause between two requests for longer than the engine keeps its [`Entry`]. Here it takes a fraction of
-//! the memory, and the engine can still end it when its host has ended. Otherwise the caller's next request would wait in
-//! vain for its timeout.
+//! A long flow may pause between two requests for longer than the engine keeps its [`Entry`]. Here it takes a fraction
+//! of the memory, and the engine can still end it when its host has ended. Otherwise the caller's next request would
+//! wait in vain for its timeout.
 
 use std::time::Duration;
 
@@ -36,7 +36,8 @@
         self.flows.len()
     }
 
-    /// Adds a flow that has been without a packet for long. Ignores one without a request, which may not have opened.
+    /// Adds a flow that has been without a packet for long. Ignores a flow without a request, which may not be
+    /// established.
     pub(super) fn insert(&mut self, flow: Flow, entry: &Entry) {
         if entry.request.is_some() {
             self.flows.insert(flow, Idle { host: entry.host, basis: entry.basis() });
--- a/crates/poplarpaddle/src/direct/opening.rs
+++ b/crates/poplarpaddle/src/direct/opening.rs
@@ -29,7 +29,8 @@
     copies: u8,
     /// True if there was evidence already that the current host is gone when the opening was first sent to it.
     is_trial: bool,
-    /// True if the first packet here was a copy already, so that another balancer may have sent the opening to a host.
+    /// True if the first packet that arrived here was already a retransmission by the caller, so that another balancer
+    /// may have sent the opening to a host.
     is_copy: bool,
     /// Hosts that it was moved away from because they did not answer.
     tried: SmallVec<[Index; TRIED_INLINE]>,
@@ -95,9 +96,9 @@
         }
     }
 
-    /// Returns true when the hosts, none of which has capacity, have so much work that a request on this flow could not start
-    /// before its caller gives up. A copy of an opening, which callers count in its acknowledgement number, is always taken:
-    /// another balancer may have placed an earlier one, and a reset would break the flow.
+    /// Returns true when the hosts, none of which has capacity, have so much work that a request on this flow could not
+    /// start before its caller gives up. A copy of an opening, which callers count in its acknowledgement number, is
+    /// always taken: another balancer may have placed an earlier one, and a reset would break the flow.
     fn comes_too_late(&mut self, now: Time, opening: &Opening) -> bool {
         let Some(route) = self.routes.get(opening.flow.service) else { return false };
         if route.timeout_ms == 0 || opening.acknowledgement > 0 {
@@ -146,8 +147,8 @@
         self.send_opening(now, flow, entry, index, (Verdict::Placed, None), outlet);
     }
 
-    /// Places queued openings on hosts that have capacity, the most urgent first, as far as the other ranks have got their
-    /// shares. Refuses those whose service has no host any more.
+    /// Places queued openings on hosts that have capacity, the most urgent first, except that each rank keeps its
+    /// share. Refuses those whose service has no host any more.
     pub(super) fn serve_queue(&mut self, now: Time, outlet: &mut dyn Outlet) {
         let mut full_services: Vec<String> = Vec::new();
         while let Some(opening) = self.queue.next_except(&full_services) {
@@ -185,8 +186,8 @@
         }
     }
 
-    /// Places an opening that left the queue on the host `index`, or refuses it if there is no host or its route is gone. A
-    /// copy that only cold hosts could take is dropped, since their owners may have placed an earlier one.
+    /// Places an opening that left the queue on the host `index`, or refuses it if there is no host or its route is
+    /// gone. A copy that only cold hosts could take is dropped, since their owners may have placed an earlier one.
     fn leave_queue(&mut self, now: Time, opening: Opening, index: Option<Index>, outlet: &mut dyn Outlet) {
         let reason = match (self.routes.get(opening.flow.service), index) {
             (Some(_), Some(index)) => return self.send_first(now, opening, index, outlet),
--- a/crates/poplarpaddle/src/direct/queue.rs
+++ b/crates/poplarpaddle/src/direct/queue.rs
@@ -105,16 +105,16 @@
         opening
     }
 
-    /// Returns the opening that is placed next if its service has capacity: that of the most urgent rank, or of one whose
-    /// share has not been used. Ignores openings whose service is in `full_services`.
+    /// Returns the opening that is placed next if its service has capacity: that of the most urgent rank, or of one
+    /// whose share has not been used. Ignores openings whose service is in `full_services`.
     pub(super) fn next_except<'a>(&'a self, full_services: &'a [String]) -> Option<&'a Opening> {
         let contenders = self.contenders(full_services);
         let rank = waiting::choose(contenders.map(|(rank, class, _)| (rank, &class.share)))?;
         self.contenders(full_services).find(|(other, ..)| *other == rank).map(|(.., opening)| opening)
     }
 
-    /// Accounts for the opening that [`Self::next_except`] returned, which is about to be placed. The portion of a class
-    /// changes only if an opening of the same service waits in it.
+    /// Accounts for the opening that [`Self::next_except`] returned, which is about to be placed. The portion of a
+    /// class changes only if an opening of the same service waits in it.
     pub(super) fn record_start(&mut self, flow: &Flow, full_services: &[String]) {
         let Some(started) = self.keys.get(flow).copied() else { return };
         let opening = self.classes.get(&started.rank).and_then(|class| class.openings.get(&started.arrival));
@@ -131,8 +131,9 @@
         }
     }
 
-    /// Returns the portion of the capacity of `service` that openings of `rank` can expect, as [`Share::portion`] does. Without
-    /// openings of other ranks for the same service that is all of it, whatever the class got before.
+    /// Returns the portion of the capacity of `service` that openings of `rank` can expect, in the unit of
+    /// [`Share::portion`]. If no opening of another rank waits for the same service, that is all of the capacity,
+    /// whatever portion the class got before.
     pub(super) fn portion(&self, rank: u8, service: &str) -> u64 {
         let is_contested = self.classes.keys().any(|other| *other != rank && self.competes(*other, service));
         let class = self.classes.get(&rank).filter(|_| is_contested);
--- a/crates/poplarpaddle/src/direct/reach.rs
+++ b/crates/poplarpaddle/src/direct/reach.rs
@@ -7,15 +7,16 @@
 //!
 //! # Trade-offs
 //!
-//! A reset of a flow whose host is well does more harm than a late one of a flow whose host is gone. A failed check
+//! A reset of a flow whose host works does more harm than a late reset of a flow whose host is gone. A failed check
 //! therefore counts only if another host has answered an opening or request that was sent after the check had begun,
-//! and within the time that the check had. Otherwise the balancer's own link may be the cause: answers after that time
-//! show only that the link works again. A host is unreachable for three seconds at most, unless it fails a further check.
+//! and within the timeout of the check. Otherwise the balancer's own link may be the cause: answers after that time
+//! show only that the link works again. A host is unreachable for three seconds at most, unless it fails a further
+//! check.
 //!
-//! A request that must not run twice may have run, and a late answer is worth more to its caller than a reset. Flows with
-//! such requests are reset only when their host has ended for certain: its registration has ended as well, or another host
-//! is registered at its address. An idle flow loses nothing then, its caller opens the next one elsewhere, and a caller that
-//! waits learns at once that no answer comes.
+//! A request that must not run twice may have run, and a late answer is worth more to its caller than a reset. Flows
+//! with such requests are reset only when their host has ended for certain: its registration has ended as well, or
+//! another host is registered at its address. The reset of an idle flow loses no request, since its caller opens the
+//! next flow elsewhere, and a caller that waits learns at once that no answer comes.
 
 use std::time::Duration;
 
@@ -34,8 +35,8 @@
 /// Maximum number of checks in progress. The loss of a zone casts doubt on many hosts at once.
 const MAX_CHECKS: usize = 16;
 
-/// Time from the begin of a check for which its failure casts doubt on the host. A host that was only interrupted answers
-/// again soon.
+/// Time from the begin of a check for which its failure casts doubt on the host. A host that was only interrupted
+/// answers again soon.
 const DOUBT_TIME: Duration = Duration::from_secs(1);
 
 /// Time from the begin of a failed check for which the host counts as unreachable. It covers the longest pause between two
@@ -59,8 +60,9 @@
     state: State,
     /// When the latest check began.
     checked: Time,
-    /// When an opening or request was sent that another host answered while the latest check ran; none if there is none.
-    vouched: Option<Time>,
+    /// When the opening or request was sent that another host answered while the latest check ran; none without such an
+    /// answer.
+    other_answered: Option<Time>,
     /// Time until which the host counts as unreachable, [`Time::default()`] while it does not.
     unreachable_until: Time,
     next_check: Time,
@@ -72,7 +74,7 @@
         Self {
             state: State::Idle,
             checked: Time::default(),
-            vouched: None,
+            other_answered: None,
             unreachable_until: Time::default(),
             next_check: Time::default(),
             pause: INITIAL_PAUSE,
@@ -117,23 +119,24 @@
         (self.state == State::Checking || self.has_failed(now)) && last_answer >= self.checked
     }
 
-    /// Records that another host answered what was sent at `sent`. That shows that the balancer's own link worked during the
-    /// check only within `timeout`, the time that the check has.
-    fn vouch(&mut self, now: Time, sent: Time, timeout: Duration) {
+    /// Records that another host answered what was sent at `sent`. Only an answer within `timeout`, the timeout of the
+    /// check, shows that the balancer's own link worked during the check.
+    fn record_other_answer(&mut self, now: Time, sent: Time, timeout: Duration) {
         if sent >= self.checked && !now.reached(self.checked + timeout) {
-            self.vouched = Some(sent);
+            self.other_answered = Some(sent);
         }
     }
 
     /// Returns true while the check in progress, or the latest one if it failed, may still be confirmed.
     fn is_open(&self, now: Time, timeout: Duration) -> bool {
-        let may_be_vouched = self.vouched.is_some() || !now.reached(self.checked + timeout);
-        self.state == State::Checking || (self.has_failed(now) && may_be_vouched)
+        let may_be_confirmed = self.other_answered.is_some() || !now.reached(self.checked + timeout);
+        self.state == State::Checking || (self.has_failed(now) && may_be_confirmed)
     }
 
-    /// Returns when the answer was sent for that confirms the failure of the latest check; none if it is not confirmed.
+    /// Returns when the opening or request was sent whose answer confirms the failure of the latest check; none if the
+    /// failure is not confirmed.
     fn confirmation(&self, now: Time) -> Option<Time> {
-        self.vouched.filter(|_| self.has_failed(now))
+        self.other_answered.filter(|_| self.has_failed(now))
     }
 
     /// Returns true when the latest check failed a short time ago.
@@ -151,7 +154,7 @@
         self.next_check = now + self.pause;
         self.pause = (self.pause * 2).min(MAX_PAUSE);
         self.checked = now;
-        self.vouched = None;
+        self.other_answered = None;
         self.state = State::Checking;
     }
 }
@@ -236,19 +239,19 @@
         self.last_prompt_answer = self.last_prompt_answer.max(sent);
         for index in &self.open_checks {
             if let Some(host) = self.hosts.get_mut(*index) {
-                host.reach.vouch(now, sent, self.settings.check_timeout);
+                host.reach.record_other_answer(now, sent, self.settings.check_timeout);
             }
         }
         self.confirm_failed_checks(now, outlet);
     }
 
-    /// Makes the hosts unreachable whose checks failed while the own link works, and resets their flows.
+    /// Marks the hosts as unreachable whose checks failed while the balancer's own link worked, and resets their flows.
     fn confirm_failed_checks(&mut self, now: Time, outlet: &mut dyn Outlet) {
         let (hosts, timeout) = (&self.hosts, self.settings.check_timeout);
         self.open_checks.retain(|index| hosts.get(*index).is_some_and(|host| host.reach.is_open(now, timeout)));
         let confirmation = |index: &Index| Some((*index, hosts.get(*index)?.reach.confirmation(now)?));
         let confirmed: Vec<(Index, Time)> = self.open_checks.iter().filter_map(confirmation).collect();
-        for (index, vouched) in confirmed {
+        for (index, other_answered) in confirmed {
             let Some(host) = self.hosts.get_mut(index) else { continue };
             let since = host.reach.checked;
             let was_unreachable = host.reach.is_unreachable(now);
@@ -257,7 +260,7 @@
             if was_unreachable {
                 continue;
             }
-            let (age, lag) = (now.since(since).as_millis(), vouched.since(since).as_millis());
+            let (age, lag) = (now.since(since).as_millis(), other_answered.since(since).as_millis());
             let detail =
                 format!("the check that began {age} ms ago failed; another host answered what was sent {lag} ms after");
             outlet.record_event(now, "host.unreachable", &host.name, &detail);
@@ -279,9 +282,9 @@
         left.sort_unstable();
         left.dedup();
         self.hosts.mark_replaced(&left);
-        let (gone, running): (Vec<Index>, Vec<Index>) = left.iter().partition(|index| self.is_gone(now, **index));
+        let (gone, undecided): (Vec<Index>, Vec<Index>) = left.iter().partition(|index| self.is_gone(now, **index));
         self.reset_flows(now, &gone, outlet);
-        for index in running {
+        for index in undecided {
             self.doubt_host(now, index, outlet);
         }
     }
@@ -290,9 +293,10 @@
         self.hosts.get(index).is_some_and(|host| host.is_gone(now, self.links[host.zone].is_down()))
     }
 
-    /// Resets the established flows at unreachable hosts, which are sorted, as far as their requests may run twice, and all
-    /// others as well if the host has ended for certain: their requests get no answer any more. Flows that the routers may
-    /// have moved to another balancer are left out, because their callers' acknowledgement numbers are not known here.
+    /// Resets the established flows at unreachable hosts, which are sorted, as far as their requests may run twice, and
+    /// all others as well if the host has ended for certain: their requests get no answer any more. Flows that the
+    /// routers may have moved to another balancer are left out, because their callers' acknowledgement numbers are not
+    /// known here.
     fn reset_flows(&mut self, now: Time, hosts: &[Index], outlet: &mut dyn Outlet) {
         if hosts.is_empty() {
             return;
@@ -327,9 +331,9 @@
         outlet.record_event(now, "host.ended", &host.name, &detail);
     }
 
-    /// Handles a packet of an established flow to the host `index` as far as that host is in doubt. Returns true when the
-    /// packet was answered with a reset, because the host is unreachable and the request may run twice, or because the host
-    /// has ended for certain.
+    /// Handles a packet of an established flow to the host `index` as far as that host is in doubt. Returns true when
+    /// the packet was answered with a reset, because the host is unreachable and the request may run twice, or because
+    /// the host has ended for certain.
     pub(super) fn reset_if_unreachable(
         &mut self,
         now: Time,
--- a/crates/poplarpaddle/src/direct/select.rs
+++ b/crates/poplarpaddle/src/direct/select.rs
@@ -35,8 +35,9 @@
     /// True for hosts that do not answer or whose zone is unreachable.
     failing: bool,
     fitness: Fitness,
-    /// Requests in progress per slot, weighted by [`COLD_PERCENT`] on cold hosts. The new one counts unless this member alone
-    /// opens flows at the host: it sees all of that host's requests, and of those at other hosts only its part.
+    /// Requests in progress per slot, weighted by [`COLD_PERCENT`] on cold hosts. The new request is included unless
+    /// this member is the only one that opens flows at the host: then it sees all requests of that host, but only a
+    /// part of those at other hosts.
     load: u64,
     /// Random number that decides between hosts that are equal otherwise.
     tie_breaker: u32,
@@ -78,9 +79,9 @@
         Some((index, cost.fitness != Fitness::Full))
     }
 
-    /// Returns the one of the two best hosts that has fewer idle flows, if they are equal otherwise. The callers of these flows
-    /// will send further requests there. Of all equal hosts, two are drawn at random: if the one with the fewest flows always
-    /// won, a host that joins would get the next flow of every balancer.
+    /// Returns the one of the two best hosts that has fewer idle flows, if they are equal otherwise. The callers of
+    /// these flows will send further requests there. Of all equal hosts, two are drawn at random: if the one with the
+    /// fewest flows always won, a host that joins would get the next flow of every balancer.
     fn with_fewer_idle_flows(&self, best: (Cost, Index), second: Option<(Cost, Index)>) -> (Cost, Index) {
         let idle_flows = |index: Index| self.hosts.get(index).map_or(0, |host| host.idle_flows);
         let equal = second.filter(|(cost, _)| Cost { tie_breaker: best.0.tie_breaker, ..*cost } == best.0);
--- a/crates/poplarpaddle/src/direct/settings.rs
+++ b/crates/poplarpaddle/src/direct/settings.rs
@@ -16,8 +16,8 @@
     pub zone_drains: bool,
     /// Maximum number of flows with an entry.
     pub max_flows: usize,
-    /// Time without packets after which the entry of a flow is removed, and its request no longer counts. The engine still
-    /// knows for [`Settings::linger`] where the flow is open.
+    /// Time without packets after which the entry of a flow is removed, and its request no longer counts. The engine
+    /// still knows for [`Settings::linger`] where the flow is open.
     pub idle_timeout: Duration,
     /// Time for which a removed host, and a service removed from a route, keep their established flows.
     pub linger: Duration,
@@ -69,7 +69,7 @@
             // Callers retransmit an opening after 200 ms, and the retransmission may reach another balancer. Some
             // callers give up after 400 ms.
             queue_timeout: Duration::from_millis(180),
-            // Enough that each rank goes on, little enough that urgent openings hardly wait longer.
+            // Large enough that no rank starves, small enough that urgent openings hardly wait longer.
             queue_share: 5,
             max_attempts: 4,
             limit: limit::Settings::default(),
--- a/crates/poplarpaddle/src/direct/sweep.rs
+++ b/crates/poplarpaddle/src/direct/sweep.rs
@@ -104,8 +104,8 @@
         self.hosts.remove_expired(now);
     }
 
-    /// Ends the request of an idle flow and moves it to the table of idle flows. A pinned flow keeps its entry, since the
-    /// other hosts that got its opening repeat their answers for seconds, and its caller repeats their marks.
+    /// Ends the request of an idle flow and moves it to the table of idle flows. A pinned flow keeps its entry, since
+    /// the other hosts that got its opening repeat their answers for seconds, and its caller repeats their marks.
     fn remove_idle(&mut self, now: Time, flow: Flow) {
         let Some(entry) = self.remove_flow(&flow) else { return };
         if entry.is_pinned() && !now.reached(entry.last_packet + self.settings.linger) {
--- a/crates/poplarpaddle/src/direct/warmup.rs
+++ b/crates/poplarpaddle/src/direct/warmup.rs
@@ -1,23 +1,23 @@
 //! Bound on the openings that all balancers together send to a cold host.
 //!
 //! A service may bound the rate of openings at hosts that have just started. Balancers keep the bound without a message
-//! per opening: one member of the host's own zone, its owner, opens flows there, and all others leave the host out until
-//! it is warm. The owner has the highest random weight of (host, member) among the members that it sees.
+//! per opening: one member of the host's own zone, its owner, opens flows there, and all others leave the host out
+//! until it is warm. The owner has the highest random weight of (host, member) among the members that it sees.
 //!
 //! # Differing views
 //!
-//! An owner uses at most half of the bound, so two members that both believe to be the owner keep it together. To be no
-//! more than two, a member opens nothing at cold hosts
+//! An owner uses at most half of the bound, so two members that both believe to be the owner stay within it together.
+//! So that there are no more than two, a member opens nothing at cold hosts
 //!
-//! - until its view of the members has settled after its start and after a time without a message from other members, for
-//!   example because it was cut off or its process paused,
+//! - until its view of the members has settled after its start and after a time without a message from other members,
+//!   for example because it was cut off or its process paused,
 //! - while it leaves, or sees fewer than half of the members of its zone that it saw lately,
 //! - at a host that a member owned before which has just left its view.
 //!
 //! # Trade-offs
 //!
-//! Where no member may open, the room of a cold host is not used for the rest of its cold start. That is always within
-//! the bound. Hosts in a zone without balancers get their first flows when they are warm.
+//! Where no member may open, the capacity of a cold host is not used for the rest of its cold start. That is always
+//! within the bound. Hosts in a zone without balancers get their first flows when they are warm.
 
 use std::time::Duration;
 
@@ -32,8 +32,8 @@
 /// Window of the bound.
 const WINDOW: Duration = Duration::from_secs(1);
 
-/// Time for which a member that left the view keeps its hosts: the window, and the time in which two members learn of the
-/// same departure.
+/// Time for which a member that left the view keeps its hosts: the window, and the time that may pass between two
+/// members learning of the same departure.
 const HANDOVER: Duration = Duration::from_millis(1500);
 
 /// Time without a change of the view after which it has settled.
@@ -58,7 +58,8 @@
 /// Nanoseconds in 1,000 s, the unit of [`Service::cold_rate`].
 const RATE_UNIT: u64 = 1_000_000_000_000;
 
-/// Settings of the bound. A cold host gets at most `cold_rate` × `overrun_percent` / 100 + `slack` openings in any second.
+/// Settings of the bound. A cold host gets at most `cold_rate` × `overrun_percent` / 100 + `slack` openings in any
+/// second.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Settings {
     /// Percentage by which [`Service::cold_rate`] is multiplied.
@@ -239,9 +240,10 @@
         if !self.neighbors.is_empty() && now.since(self.last_contact) > CONTACT_TIMEOUT {
             return Some("no other member is heard");
         }
-        let remembered = self.departed.partition_point(|departed| now.reached(departed.at + MEMORY));
-        let missing = self.departed.len() - remembered;
-        // This member counts as well. Two halves may both be the owner, since each uses half of the bound.
+        let forgotten = self.departed.partition_point(|departed| now.reached(departed.at + MEMORY));
+        let missing = self.departed.len() - forgotten;
+        // This member counts as well. With exactly half of the members, both halves of a divided zone may have an
+        // owner, since each owner uses half of the bound.
         (missing > self.neighbors.len() + 1).then_some("fewer than half of the zone's members are seen")
     }
 
@@ -269,8 +271,8 @@
         departed.map(|departed| departed.at + HANDOVER).max().unwrap_or_default()
     }
 
-    /// Replaces the bounds of the services. A changed pace starts after a window, so that the openings before it count under
-    /// the bound before it.
+    /// Replaces the bounds of the services. A changed pace starts after a window, so that the openings before it count
+    /// under the bound before it.
     fn set_services(&mut self, now: Time, services: &[Service]) {
         let mut paces = map::seeded(0);
         for service in services.iter().filter(|service| service.cold_rate > 0) {
@@ -306,8 +308,8 @@
 }
 
 impl Engine {
-    /// Replaces the members of the own zone: this one and the others that may be alive. They share out the cold hosts of the
-    /// zone.
+    /// Replaces the members of the own zone: this one and the others that may be alive. They share out the cold hosts
+    /// of the zone.
     pub fn set_members(&mut self, now: Time, me: MemberId, neighbors: &[MemberId]) {
         self.warmup.set_members(now, me, neighbors);
     }
--- a/crates/poplarpaddle/src/feed.rs
+++ b/crates/poplarpaddle/src/feed.rs
@@ -206,9 +206,9 @@
         now.reached(collection.peer_confirmed + self.settings.takeover_age(self.rank()))
     }
 
-    /// Sets the digest of the state of `topic`, after which members only take each other's states for equal if the digests
-    /// are. A member that has read a snapshot knows neither what was added and removed before it, nor at which revision,
-    /// so its revisions do not show that another member still has such a value.
+    /// Sets the digest of the state of `topic`. Members that set it regard their states as equal only if the digests
+    /// are equal. Revisions alone do not show that: a member that has read a snapshot does not know which values were
+    /// removed before it, so it cannot tell by its revisions that another member still has one of them.
     pub const fn set_digest(&mut self, topic: Topic, digest: u64) {
         self.collections[topic as usize].digest = digest;
     }
--- a/crates/poplarpaddle/src/feed/settings.rs
+++ b/crates/poplarpaddle/src/feed/settings.rs
@@ -27,7 +27,7 @@
         self.bound.mul_f64(0.35)
     }
 
-    /// Returns the time for a peer to answer a pull of all whole collections. At the size that the system is
+    /// Returns the time for a peer to answer a pull of snapshots of all collections. At the size that the system is
     /// designed for, with a bound of 7 s, such a pull takes 4.2 s.
     #[must_use]
     pub fn snapshot_timeout(&self) -> Duration {
--- a/crates/poplarpaddle/src/fleet.rs
+++ b/crates/poplarpaddle/src/fleet.rs
@@ -21,8 +21,8 @@
 //!
 //! # Trade-offs
 //!
-//! The node writes nothing to the store but [`former`] services; members find each other only through seeds and gossip. A
-//! member that finds no other one still serves packets, but reads the store itself, which costs additional calls.
+//! The node writes nothing to the store but [`former`] services; members find each other only through seeds and gossip.
+//! A member that finds no other one still serves packets, but reads the store itself, which costs additional calls.
 
 mod apply;
 mod messages;
@@ -121,8 +121,8 @@
     RoutesChanged(Vec<Address>),
     /// The services in [`Node::general`] changed.
     ServicesChanged,
-    /// These zones were added to or removed from [`Node::zone_drains`]. The list is empty when the zone drains became known
-    /// and there is none.
+    /// These zones were added to or removed from [`Node::zone_drains`]. The list is empty when the zone drains became
+    /// known and there is none.
     ZoneDrainsChanged(Vec<String>),
     /// A message from a member of this zone arrived, so the zone is reachable.
     ZoneAlive(String),
--- a/crates/poplarpaddle/src/fleet/apply.rs
+++ b/crates/poplarpaddle/src/fleet/apply.rs
@@ -63,7 +63,7 @@
         for item in &mut changes.hosts.put {
             item.value.cold_until = now + item.value.cold_until.since(Time::default());
         }
-        // First, so that a fault in the other collections does not delay an order.
+        // Zone drains come first, so that an error in the other collections does not delay them.
         if self.feed.has_topic(Topic::ZoneDrains) {
             self.merge_zone_drains(now, changes.zone_drains)?;
         }
--- a/crates/poplarpaddle/src/former.rs
+++ b/crates/poplarpaddle/src/former.rs
@@ -2,9 +2,9 @@
 //!
 //! When a configuration moves a route to another service, established flows stay at their hosts. A balancer that was
 //! running at that time knows the former service of the route, and a balancer that starts later does not: it would drop
-//! the packets of these flows, because a mark that leads to a host of another service may be forged. A member that applies
-//! such a change therefore saves the former services in the store. A member that drops packets for this reason soon after
-//! its start loads them.
+//! the packets of these flows, because a mark that leads to a host of another service may be forged. A member that
+//! applies such a change therefore saves the former services in the store. A member that drops packets for this reason
+//! soon after its start loads them.
 //!
 //! ```
 //! use std::time::Duration;
@@ -20,9 +20,9 @@
 //!
 //! # Trade-offs
 //!
-//! The store is only called after a change that leaves a former service behind, and by members that started a short time
-//! ago and meet a flow of such a service. In return, the packets of that flow are dropped until the response arrives, and
-//! are recovered by the retransmissions of the caller.
+//! The store is only called after a change that leaves a former service behind, and by members that started a short
+//! time ago and meet a flow of such a service. In return, the packets of that flow are dropped until the response
+//! arrives, and are recovered by the retransmissions of the caller.
 
 use std::time::Duration;
 
--- a/crates/poplarpaddle/src/hedge.rs
+++ b/crates/poplarpaddle/src/hedge.rs
@@ -78,7 +78,7 @@
 }
 
 impl Room {
-    /// Returns true when the hosts have room for work that is not needed.
+    /// Returns true when the hosts have room for redundant work.
     #[must_use]
     pub const fn is_sufficient(&self) -> bool {
         self.waiting == 0 && self.free > 0 && self.free * 100 >= self.slots * MIN_FREE_PERCENT
@@ -117,7 +117,8 @@
         self.budget.deposit();
     }
 
-    /// Accounts for the host that accepted an opening as the second one, after `elapsed`.
+    /// Accounts for a host that accepted an opening after `elapsed`, later than the other host. It earns no part of a
+    /// hedge.
     pub fn record_late_accept(&mut self, elapsed: Duration) {
         self.times.add(elapsed);
     }
@@ -132,7 +133,7 @@
         Some(self.times.percentile(DELAY_PERCENTILE)?.max(usual))
     }
 
-    /// Takes one hedge out of the budget.
+    /// Takes one hedge out of the budget if the hosts have room for it.
     ///
     /// # Errors
     ///
--- a/crates/poplarpaddle/src/path/hedging.rs
+++ b/crates/poplarpaddle/src/path/hedging.rs
@@ -148,11 +148,11 @@
         let is_unanswered = |entry: &Entry| entry.stage == Stage::Pending && entry.started == started;
         let Some(entry) = self.table.get(slot).copied().filter(is_unanswered) else { return };
         let Ok(location) = self.locate(&entry.flow) else { return };
-        // A caller may be connected through the other balancer already.
+        // While views differ, the caller may be connected through another balancer already.
         if self.is_shared(now) || !self.is_hedged(&location, &entry.flow) || !entry.has(Flag::Held) {
             return;
         }
-        // The attempt may have lost an earlier connection of the same caller port.
+        // An attempt of an earlier connection from the same caller port may still be recorded.
         if self.hedges.attempts.contains_key(&entry.flow) {
             return;
         }
--- a/crates/poplarpaddle/src/path/silent.rs
+++ b/crates/poplarpaddle/src/path/silent.rs
@@ -10,9 +10,9 @@
 impl Engine {
     /// Returns true when the target did not answer the flow before the deadline although its host was up.
     pub(super) fn is_silent(&self, now: Time, location: &Location, entry: &Entry, packet: &View<'_>) -> bool {
-        // The answers of targets pass through the owner, so no other balancer can tell that a flow is silent. While views
-        // differ, another balancer may forward answers too. Only a retransmission of the first unanswered byte shows that
-        // the caller has received none.
+        // The answers of targets pass through the owner, so no other balancer can tell that a flow is silent. While
+        // views differ, another balancer may forward answers too. Only a retransmission of the first unanswered byte
+        // shows that the caller has received none.
         let is_owner = location.owner == Some(self.me);
         let is_due =
             entry.unanswered_since != Time::NEVER && now.reached(entry.unanswered_since + self.timings.answer_timeout);
@@ -20,22 +20,22 @@
         is_owner && is_due && is_retransmission && self.has_lost_connection(now, entry)
     }
 
-    /// Returns true when the host was up while the last copy of the flow's payload was sent to it, so that the connection
-    /// must be lost rather than the host.
+    /// Returns true when the host was up while the last copy of the flow's payload was sent to it, so that the
+    /// connection must be lost rather than the host.
     fn has_lost_connection(&self, now: Time, entry: &Entry) -> bool {
         self.has_answered_others(entry) || self.has_answered_health_checks(now, entry)
     }
 
-    /// Returns true when the host answered health checks before and after the last copy of the flow's payload was sent to
-    /// it. For a host without other flows there is no other evidence. A host that stopped at that time would have been
-    /// marked down by now.
+    /// Returns true when the host answered health checks before and after the last copy of the flow's payload was sent
+    /// to it. For a host without other flows there is no other evidence. A host that stopped at that time would have
+    /// been marked down by now.
     fn has_answered_health_checks(&self, now: Time, entry: &Entry) -> bool {
         let was_answering = self.answering_since.get(&entry.target).is_some_and(|since| *since <= entry.last_active);
         was_answering && now.reached(entry.last_active + self.timings.down_detection)
     }
 
-    /// Returns true when the host sent packets of other flows before and after the last copy of the flow's payload was sent
-    /// to it. A host that was only paused will still answer the flow; one that answered other flows has lost the
+    /// Returns true when the host sent packets of other flows before and after the last copy of the flow's payload was
+    /// sent to it. A host that was only paused will still answer the flow; one that answered other flows has lost the
     /// connection.
     fn has_answered_others(&self, entry: &Entry) -> bool {
         entry.has(Flag::Responsive)
@@ -44,8 +44,8 @@
 
     /// Resets a silent flow whose caller has not retransmitted since the deadline passed. Returns true when it did.
     ///
-    /// Callers double the time between retransmissions, so the next one may come long after the deadline. The caller must
-    /// have retransmitted at least once, because a single copy may have been lost.
+    /// Callers double the time between retransmissions, so the next one may come long after the deadline. The caller
+    /// must have retransmitted at least once, because a single copy may have been lost.
     pub(super) fn reset_silent(&mut self, now: Time, slot: Slot, outlet: &mut dyn Outlet) -> bool {
         let Some(entry) = self.table.get(slot).copied() else { return false };
         let is_due =
--- a/crates/poplarpaddle/src/replica.rs
+++ b/crates/poplarpaddle/src/replica.rs
@@ -130,8 +130,8 @@
         self.entries.iter().map(|(key, entry)| (key, &entry.value))
     }
 
-    /// Returns a digest of the keys and of the revisions of their last changes. Replicas with equal values have equal
-    /// digests.
+    /// Returns a digest of the keys and of the revisions of their last changes. Replicas with the same entries have
+    /// equal digests, in whatever order the entries arrived.
     #[must_use]
     pub fn digest(&self) -> u64 {
         let hashes = self.entries.iter().map(|(key, entry)| map::hash(entry.changed, key));
--- a/crates/poplarpaddle/src/waiting.rs
+++ b/crates/poplarpaddle/src/waiting.rs
@@ -1,9 +1,9 @@
 //! Decisions about work that waits for capacity: which class starts next, and how long new work will wait.
 //!
-//! Work waits in classes, the most urgent first. A class also has a [`Share`] of the starts that several classes compete
-//! for, so that a flood of urgent work delays the rest, but does not starve it. What waits, and where it may start, is up to
-//! the queue that uses this module: the [gate](crate::admission) of the own data path, or the queue of openings of the
-//! [direct](crate::direct) one.
+//! Work waits in classes, the most urgent first. A class also has a [`Share`] of the starts that several classes
+//! compete for, so that a flood of urgent work delays the rest, but does not starve it. What waits, and where it may
+//! start, is up to the queue that uses this module: the [gate](crate::admission) of the own data path, or the queue of
+//! openings of the [direct](crate::direct) one.
 //!
 //! ```
 //! use poplarpaddle::waiting::{self, Share};
