--- a/crates/poplarpaddle/src/check/routes.rs
+++ b/crates/poplarpaddle/src/check/routes.rs
@@ -263,7 +263,9 @@
 
     fn cold_start(&mut self, entry: Entry, service: &Service) {
         if service.cold_rate > 0 && service.cold_start_ms == 0 {
-            let expected = "above 0 with a bound on cold hosts, which otherwise depends on the hosts' own registrations".to_owned();
+            let expected =
+                "above 0 with a bound on cold hosts, which otherwise depends on the hosts' own registrations"
+                    .to_owned();
             self.warning(entry, Field::ColdStart, &0, expected);
         }
     }
--- a/crates/poplarpaddle/src/feed/settings.rs
+++ b/crates/poplarpaddle/src/feed/settings.rs
@@ -4,7 +4,7 @@
 
 use super::Topic;
 
-/// Settings of a [`Feed`].
+/// Settings of a [`Feed`](super::Feed).
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Settings {
     /// Time within which a change in the store has to take effect at every member that can reach the store.
