--- a/review/standin-2/src/cases.rs
+++ b/review/standin-2/src/cases.rs
@@ -12,6 +12,7 @@
     match case {
         "freeze" => freeze(edge, folder, trouble),
         "foreign" => foreign(edge, folder, trouble),
+        "moved" => moved(edge, folder, trouble),
         "name" => name(edge, folder, trouble),
         other => Err(format!("case {other:?} is unknown")),
     }
@@ -217,3 +218,90 @@
     text += &site.requests();
     text
 }
+
+/// One machine freezes, and its flows go on through others. Soon after it has woken, a host is cut off.
+fn moved(edge: PathBuf, folder: PathBuf, trouble: bool) -> Result<(String, bool), String> {
+    let mut site = Site::new(edge, folder, 2, 2)?;
+    begin(&mut site)?;
+    let start = Instant::now();
+    let frozen = 0;
+    let frozen_at = start + Duration::from_millis(4000);
+    let woken_at = frozen_at + Duration::from_millis(2500);
+    // Flows with a request every 0.7 s.
+    site.every = Some(Duration::from_millis(700));
+    site.bytes = 2000;
+    site.rate = 260.0;
+    site.run_until(start + Duration::from_millis(800));
+    site.every = None;
+    let regular = site.flows.len();
+    // Flows that ask for the largest photo of the site, and again while the machine is frozen.
+    site.second_at = Some(frozen_at);
+    site.bytes = 240_000;
+    site.keep = true;
+    site.rate = 40.0;
+    site.run_until(frozen_at - Duration::from_millis(200));
+    let long = site.flows.len();
+    site.second_at = None;
+    site.keep = false;
+    site.bytes = 2000;
+    site.rate = 60.0;
+    site.run_until(frozen_at);
+    if trouble {
+        site.signal(frozen, "STOP");
+    }
+    site.run_until(woken_at);
+    if trouble {
+        site.signal(frozen, "CONT");
+    }
+    site.run_until(woken_at + Duration::from_millis(700));
+    // The host with most of the flows that sent a request to the frozen machine.
+    let is_lost = |label: &str| label.starts_with("request");
+    let through = |flow: &crate::site::Flow| {
+        flow.sends.iter().any(|(at, node, label, _)| *node == frozen && *at >= frozen_at && is_lost(label))
+    };
+    let mut counts = vec![0; site.servers.len()];
+    for flow in site.flows[regular..long].iter().filter(|flow| through(flow)) {
+        if let Some((_, host)) = flow.opened {
+            counts[host] += 1;
+        }
+    }
+    let host = (0..counts.len()).max_by_key(|host| counts[*host]).unwrap_or(0);
+    if trouble {
+        site.cut_host(host, true)?;
+    }
+    site.run_until(woken_at + Duration::from_millis(3200));
+    if trouble {
+        site.cut_host(host, false)?;
+    }
+    site.run_until(woken_at + Duration::from_millis(4500));
+    site.rate = 0.0;
+    for flow in &mut site.flows {
+        flow.every = None;
+    }
+    site.run_until(woken_at + Duration::from_millis(4700) + site.budget);
+    let ended = site.ended();
+    site.stop();
+    let strays: Vec<(usize, String)> = (0..site.flows.len())
+        .filter_map(|index| {
+            let flow = &site.flows[index];
+            let (at, distance) = flow.strays.first()?;
+            flow.opened?;
+            Some((index, format!("at {:.3} s a reset of the system {distance} from the last ack", site.seconds(*at))))
+        })
+        .collect();
+    let verdict = if strays.is_empty() { "held" } else { "BROKEN" };
+    let mut text = format!(
+        "MIXED {verdict}: {} resets on open flows whose seq is more than 76,800 from the consumer's last ack; {} flows; altered {}, mixed {}, processes ended {ended:?}\n",
+        strays.len(),
+        site.flows.len(),
+        site.altered,
+        site.mixed,
+    );
+    text += &site.journal;
+    for (index, why) in &strays {
+        text += &format!("\nflow {index}: {why}\n{}", site.describe(*index));
+    }
+    text += "\n";
+    text += &site.requests();
+    Ok((text, !strays.is_empty()))
+}
--- a/review/standin-2/src/host.rs
+++ b/review/standin-2/src/host.rs
@@ -12,6 +12,9 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(200);
 const LAST_PAUSE: Duration = Duration::from_millis(1600);
 const MAX_REPEATS: u32 = 8;
+/// Packets in flight at most, and their data at most.
+const WINDOW: usize = 16;
+const MAX_DATA: usize = 1200;
 
 #[derive(Debug)]
 struct Sent {
@@ -29,6 +32,8 @@
     next_seq: u32,
     expected: u32,
     sent: Vec<Sent>,
+    /// Data that waits for room in flight.
+    waiting: VecDeque<Vec<u8>>,
 }
 
 /// What a host saw or did, for the judge.
@@ -44,6 +49,13 @@
     Altered,
 }
 
+/// A request: its id and the length of the body that it asks for.
+#[derive(Debug, Clone, Copy)]
+struct Work {
+    id: u64,
+    bytes: usize,
+}
+
 #[derive(Debug)]
 pub struct Host {
     pub id: u64,
@@ -51,8 +63,10 @@
     pub work: Duration,
     flows: HashMap<Key, Flow>,
     ended: HashSet<Key>,
-    queue: VecDeque<(Key, u64)>,
-    running: Vec<(Instant, Key, u64)>,
+    queue: VecDeque<(Key, Work)>,
+    running: Vec<(Instant, Key, Work)>,
+    /// True while the host is cut off from all machines.
+    pub is_cut: bool,
     random: u32,
     pub out: Vec<Packet>,
     pub seen: Vec<Seen>,
@@ -68,6 +82,7 @@
             ended: HashSet::new(),
             queue: VecDeque::new(),
             running: Vec::new(),
+            is_cut: false,
             random: seed | 1,
             out: Vec::new(),
             seen: Vec::new(),
@@ -75,6 +90,9 @@
     }
 
     pub fn datagram(&mut self, now: Instant, bytes: &[u8]) {
+        if self.is_cut {
+            return;
+        }
         let Some((head, rest)) = bytes.split_first_chunk::<8>() else { return };
         let id = u64::from_be_bytes(*head);
         let Some((packet, sum)) = Packet::decode(rest) else { return self.seen.push(Seen::Altered) };
@@ -93,8 +111,8 @@
     pub fn tick(&mut self, now: Instant) {
         let (done, running): (Vec<_>, Vec<_>) = self.running.drain(..).partition(|(end, ..)| *end <= now);
         self.running = running;
-        for (_, key, id) in done {
-            self.respond(now, key, id);
+        for (_, key, work) in done {
+            self.respond(now, key, work);
         }
         self.start(now);
         let mut given_up = Vec::new();
@@ -130,7 +148,7 @@
                 repeats: 0,
             };
             let next_seq = seq.wrapping_add(1);
-            let flow = Flow { is_open: false, echo: packet.echo, seq, next_seq, expected, sent: vec![sent] };
+            let flow = Flow { is_open: false, echo: packet.echo, seq, next_seq, expected, sent: vec![sent], waiting: VecDeque::new() };
             self.flows.insert(key, flow);
         }
         let Some(flow) = self.flows.get_mut(&key).filter(|flow| !flow.is_open) else { return };
@@ -173,8 +191,8 @@
             wants_ack = true;
             if packet.seq == flow.expected {
                 flow.expected = flow.expected.wrapping_add(packet.data.len() as u32);
-                if let Some(id) = attempt_id(&packet.data) {
-                    self.queue.push_back((key, id));
+                if let Some(work) = work(&packet.data) {
+                    self.queue.push_back((key, work));
                 }
             }
         }
@@ -188,28 +206,40 @@
             let (seq, ack, echo) = (flow.next_seq, flow.expected, flow.echo);
             self.out.push(reply(key, ACK, echo, seq, ack, Vec::new()));
         }
-        let _ = now;
+        self.fill(now, key);
     }
 
     fn start(&mut self, now: Instant) {
         while self.running.len() < self.slots
-            && let Some((key, id)) = self.queue.pop_front()
+            && let Some((key, work)) = self.queue.pop_front()
         {
-            self.seen.push(Seen::Ran(id));
-            self.running.push((now + self.work, key, id));
+            self.seen.push(Seen::Ran(work.id));
+            self.running.push((now + self.work, key, work));
         }
     }
 
-    fn respond(&mut self, now: Instant, key: Key, id: u64) {
+    fn respond(&mut self, now: Instant, key: Key, work: Work) {
         let Some(flow) = self.flows.get_mut(&key) else { return };
-        let body = format!("done {id} {}", "x".repeat(500));
+        let Work { id, bytes } = work;
+        let body = format!("done {id} {}", "x".repeat(bytes));
         let seal = seal(id);
         let text =
             format!("HTTP/1.1 200 OK\r\nX-Server-Seal: {seal}\r\nContent-Length: {}\r\n\r\n{body}", body.len());
-        let packet = reply(key, ACK, flow.echo, flow.next_seq, flow.expected, text.into_bytes());
-        flow.next_seq = flow.next_seq.wrapping_add(packet.data.len() as u32);
-        self.out.push(packet.clone());
-        flow.sent.push(Sent { packet, due: now + FIRST_PAUSE, pause: FIRST_PAUSE, repeats: 0 });
+        flow.waiting.extend(text.as_bytes().chunks(MAX_DATA).map(<[u8]>::to_vec));
+        self.fill(now, key);
+    }
+
+    /// Sends data that waits as far as there is room in flight.
+    fn fill(&mut self, now: Instant, key: Key) {
+        let Some(flow) = self.flows.get_mut(&key) else { return };
+        while flow.sent.len() < WINDOW
+            && let Some(data) = flow.waiting.pop_front()
+        {
+            let packet = reply(key, ACK, flow.echo, flow.next_seq, flow.expected, data);
+            flow.next_seq = flow.next_seq.wrapping_add(packet.data.len() as u32);
+            self.out.push(packet.clone());
+            flow.sent.push(Sent { packet, due: now + FIRST_PAUSE, pause: FIRST_PAUSE, repeats: 0 });
+        }
     }
 }
 
@@ -218,9 +248,11 @@
     format!("{:016x}", id.wrapping_mul(0x9e37_79b9_7f4a_7c15).rotate_left(17) ^ 0x5ea1)
 }
 
-fn attempt_id(data: &[u8]) -> Option<u64> {
+fn work(data: &[u8]) -> Option<Work> {
     let text = std::str::from_utf8(data).ok()?;
-    text.lines().find_map(|line| line.strip_prefix("X-Attempt-Id: "))?.trim().parse().ok()
+    let id = text.lines().find_map(|line| line.strip_prefix("X-Attempt-Id: "))?.trim().parse().ok()?;
+    let path = text.strip_prefix("GET /mould/")?;
+    Some(Work { id, bytes: path.split(' ').next()?.parse().ok()? })
 }
 
 fn length(packet: &Packet) -> u32 {
--- a/review/standin-2/src/site.rs
+++ b/review/standin-2/src/site.rs
@@ -41,7 +41,9 @@
     pub address: SocketAddrV4,
     pub service: &'static str,
     pub state: &'static str,
-    pub cpu: UdpSocket,
+    socket: UdpSocket,
+    /// Accepts health probes; none while the host is cut off, which refuses them.
+    listener: Option<TcpListener>,
     /// What its registration says now; none while it does not write.
     pub writes: bool,
     beat: u64,
@@ -90,6 +92,16 @@
     unacked: Vec<Unacked>,
     pub requests: Vec<Request>,
     pub second_at: Option<Instant>,
+    /// Pause between an answer and the next request; none if there is one request, or a second one at `second_at`.
+    pub every: Option<Duration>,
+    /// True if the consumer keeps the flow open after its last answer.
+    pub keep: bool,
+    /// Length of the bodies that its requests ask for.
+    pub bytes: usize,
+    /// Part of the answer that has arrived.
+    answer: Vec<u8>,
+    /// Resets of the system with a `seq` that no reset has on an open flow: when, and how far from the last `ack`.
+    pub strays: Vec<(Instant, u32)>,
     /// The host that had the end of the handshake, and when.
     pub opened: Option<(Instant, usize)>,
     pub arrivals: Vec<(Instant, usize, bool)>,
@@ -119,6 +131,12 @@
     /// When the second requests of flows that start now are sent; none for flows with one request.
     pub second_at: Option<Instant>,
     pub budget: Duration,
+    /// Pause between the requests of flows that start now; none for flows with one or two.
+    pub every: Option<Duration>,
+    /// True if flows that start now are kept open after their last answer.
+    pub keep: bool,
+    /// Length of the bodies that flows that start now ask for.
+    pub bytes: usize,
     next_request: u64,
     next_port: u16,
     random: u64,
@@ -156,11 +174,7 @@
             let socket = UdpSocket::bind(address).map_err(|error| fail("host", error))?;
             socket.set_nonblocking(true).map_err(|error| fail("host", error))?;
             let listener = TcpListener::bind(address).map_err(|error| fail("host", error))?;
-            std::thread::spawn(move || {
-                for stream in listener.incoming().flatten() {
-                    std::thread::spawn(move || drop(health(stream)));
-                }
-            });
+            listener.set_nonblocking(true).map_err(|error| fail("host", error))?;
             let id = 0x7f3a_0000 + (random & 0xffff) * 256 + number as u64 + 1;
             servers.push(Server {
                 host: Host::new(id, 2, Duration::from_millis(22), (random as u32).wrapping_add(number as u32 * 7919)),
@@ -169,7 +183,8 @@
                 address,
                 service: "pour-slot",
                 state: "ready",
-                cpu: socket,
+                socket,
+                listener: Some(listener),
                 writes: true,
                 beat: 0,
                 next_beat: start,
@@ -220,6 +235,9 @@
             last_spawn: start,
             second_at: None,
             budget: Duration::from_secs(5),
+            every: None,
+            keep: false,
+            bytes: 500,
             next_request: 1,
             next_port: 30_000,
             random,
@@ -317,7 +335,10 @@
         let mut buffer = [0; 2048];
         let mut busy = false;
         for index in 0..self.servers.len() {
-            while let Ok((length, _)) = self.servers[index].cpu.recv_from(&mut buffer) {
+            while let Some(Ok((stream, _))) = self.servers[index].listener.as_ref().map(TcpListener::accept) {
+                std::thread::spawn(move || drop(health(stream)));
+            }
+            while let Ok((length, _)) = self.servers[index].socket.recv_from(&mut buffer) {
                 busy = true;
                 self.servers[index].host.datagram(Instant::now(), &buffer[..length]);
             }
@@ -365,7 +386,7 @@
         }
         for packet in out {
             let to = SocketAddrV4::new(*packet.destination.ip(), self.port);
-            let _ = self.servers[index].cpu.send_to(&packet.encode(), to);
+            let _ = self.servers[index].socket.send_to(&packet.encode(), to);
         }
     }
 
@@ -401,6 +422,20 @@
         }
     }
 
+    /// Cuts a host off from all machines (refusing), or ends the cut.
+    pub fn cut_host(&mut self, index: usize, is_cut: bool) -> Result<(), String> {
+        let server = &mut self.servers[index];
+        server.host.is_cut = is_cut;
+        server.listener = None;
+        if !is_cut {
+            let listener = TcpListener::bind(server.address).map_err(|error| format!("host: {error}"))?;
+            listener.set_nonblocking(true).map_err(|error| format!("host: {error}"))?;
+            server.listener = Some(listener);
+        }
+        self.note(&format!("host {index} {}", if is_cut { "is cut off from all machines" } else { "is reached again" }));
+        Ok(())
+    }
+
     pub fn start_flow(&mut self) -> usize {
         let now = Instant::now();
         let zone = (self.draw() % 3) as usize;
@@ -423,6 +458,11 @@
             unacked: Vec::new(),
             requests: Vec::new(),
             second_at: self.second_at.map(|at| at + jitter),
+            every: self.every,
+            keep: self.keep,
+            bytes: self.bytes,
+            answer: Vec::new(),
+            strays: Vec::new(),
             opened: None,
             arrivals: Vec::new(),
             sends: Vec::new(),
@@ -533,22 +573,30 @@
         }
         if packet.seq == flow.peer_next {
             flow.peer_next = flow.peer_next.wrapping_add(packet.data.len() as u32);
-            let text = String::from_utf8_lossy(&packet.data).into_owned();
-            let waiting = flow.requests.iter_mut().find(|request| request.fate == Fate::Waiting);
-            match waiting {
-                Some(request) => {
-                    let id = request.id;
-                    let is_right = text.contains(&format!("X-Server-Seal: {}\r\n", seal(id)))
-                        && text.contains(&format!("\r\n\r\ndone {id} "));
-                    request.fate = if is_right { Fate::Answered(now) } else { Fate::Mixed };
-                    self.mixed += u64::from(!is_right);
+            flow.answer.extend_from_slice(&packet.data);
+            if let Some(text) = complete(&flow.answer) {
+                flow.answer.clear();
+                match flow.requests.iter_mut().find(|request| request.fate == Fate::Waiting) {
+                    Some(request) => {
+                        let id = request.id;
+                        let is_right = text.contains(&format!("X-Server-Seal: {}\r\n", seal(id)))
+                            && text.contains(&format!("\r\n\r\ndone {id} "));
+                        request.fate = if is_right { Fate::Answered(now) } else { Fate::Mixed };
+                        self.mixed += u64::from(!is_right);
+                    }
+                    None => self.mixed += 1,
                 }
-                None => self.mixed += 1,
             }
         }
         self.ack(index);
         let flow = &self.flows[index];
-        if flow.second_at.is_none() && flow.requests.iter().all(|request| request.fate != Fate::Waiting) {
+        let is_idle = flow.requests.iter().all(|request| request.fate != Fate::Waiting);
+        if let Some(every) = flow.every.filter(|_| is_idle && flow.second_at.is_none()) {
+            self.flows[index].second_at = Some(now + every);
+            return;
+        }
+        let is_over = flow.second_at.is_none() && !flow.keep;
+        if is_over && is_idle {
             self.close(index);
         }
     }
@@ -556,7 +604,9 @@
     fn receive_reset(&mut self, now: Instant, index: usize, packet: &Packet, own: bool) {
         let flow = &mut self.flows[index];
         if flow.is_open && own && flow.peer_next.wrapping_sub(packet.seq).min(packet.seq.wrapping_sub(flow.peer_next)) > RESET_WINDOW {
-            flow.notes.push((now, format!("reset by the system with seq {:08x}, outside the window", packet.seq)));
+            let distance = flow.peer_next.wrapping_sub(packet.seq).min(packet.seq.wrapping_sub(flow.peer_next));
+            flow.strays.push((now, distance));
+            flow.notes.push((now, format!("reset by the system with seq {:08x}, {distance} from the last ack", packet.seq)));
             return;
         }
         let by = if own { "the system" } else { "a host" };
@@ -585,7 +635,8 @@
 
     fn send_request(&mut self, index: usize, request: usize) {
         let id = self.flows[index].requests[request].id;
-        let text = format!("GET /mould HTTP/1.1\r\nHost: pour\r\nX-Attempt-Id: {id}\r\n\r\n");
+        let bytes = self.flows[index].bytes;
+        let text = format!("GET /mould/{bytes} HTTP/1.1\r\nHost: pour\r\nX-Attempt-Id: {id}\r\n\r\n");
         let flow = &mut self.flows[index];
         let (echo, seq, ack) = (flow.echo, flow.next_seq, flow.peer_next);
         flow.next_seq = flow.next_seq.wrapping_add(text.len() as u32);
@@ -769,8 +820,17 @@
     Ok(&head == b"HTTP/1.1 200")
 }
 
+/// Returns the text of an answer once all of it has arrived.
+fn complete(answer: &[u8]) -> Option<String> {
+    let end = answer.windows(4).position(|window| window == b"\r\n\r\n")? + 4;
+    let head = std::str::from_utf8(&answer[..end]).ok()?;
+    let length: usize = head.lines().find_map(|line| line.strip_prefix("Content-Length: "))?.parse().ok()?;
+    (answer.len() >= end + length).then(|| String::from_utf8_lossy(answer).into_owned())
+}
+
 /// Answers a health probe.
 fn health(mut stream: TcpStream) -> std::io::Result<()> {
+    stream.set_nonblocking(false)?;
     stream.set_read_timeout(Some(Duration::from_secs(5)))?;
     let mut buffer = [0; 1024];
     while stream.read(&mut buffer)? > 0 {
