--- a/review/standin-2/src/cases.rs
+++ b/review/standin-2/src/cases.rs
@@ -137,7 +137,9 @@
     site.run_until(beat + Duration::from_millis(5));
     if trouble {
         site.store.set("servers", &name, "{\"service\":\"pour-slot\"}");
-        site.note(&format!("another writer: entry {name} (host {victim}) without address, zone, version, slots, state"));
+        site.note(&format!(
+            "another writer: entry {name} (host {victim}) without address, zone, version, slots, state"
+        ));
     }
     site.run_until(written_at + Duration::from_millis(4500));
     site.rate = 0.0;
@@ -188,7 +190,10 @@
     let mut text = format!(
         "RECOVER {}: {} of {} requests served that were sent later than 12 s after the machines were back; before the final fault {} of {}; processes ended {ended:?}\n",
         if broken { "BROKEN" } else { "held" },
-        after.0, after.1, before.0, before.1
+        after.0,
+        after.1,
+        before.0,
+        before.1
     );
     text += &site.journal;
     text += "\n";
--- a/review/standin-2/src/host.rs
+++ b/review/standin-2/src/host.rs
@@ -104,7 +104,11 @@
         if sum != Sum::Right || (packet.has(SYN) && packet.has(ACK)) {
             return self.seen.push(Seen::Altered);
         }
-        if packet.has(SYN) { self.accept(now, key, &packet) } else { self.packet(now, key, packet) }
+        if packet.has(SYN) {
+            self.accept(now, key, &packet)
+        } else {
+            self.packet(now, key, packet)
+        }
         self.start(now);
     }
 
@@ -148,7 +152,15 @@
                 repeats: 0,
             };
             let next_seq = seq.wrapping_add(1);
-            let flow = Flow { is_open: false, echo: packet.echo, seq, next_seq, expected, sent: vec![sent], waiting: VecDeque::new() };
+            let flow = Flow {
+                is_open: false,
+                echo: packet.echo,
+                seq,
+                next_seq,
+                expected,
+                sent: vec![sent],
+                waiting: VecDeque::new(),
+            };
             self.flows.insert(key, flow);
         }
         let Some(flow) = self.flows.get_mut(&key).filter(|flow| !flow.is_open) else { return };
@@ -223,8 +235,7 @@
         let Work { id, bytes } = work;
         let body = format!("done {id} {}", "x".repeat(bytes));
         let seal = seal(id);
-        let text =
-            format!("HTTP/1.1 200 OK\r\nX-Server-Seal: {seal}\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+        let text = format!("HTTP/1.1 200 OK\r\nX-Server-Seal: {seal}\r\nContent-Length: {}\r\n\r\n{body}", body.len());
         flow.waiting.extend(text.as_bytes().chunks(MAX_DATA).map(<[u8]>::to_vec));
         self.fill(now, key);
     }
--- a/review/standin-2/src/site.rs
+++ b/review/standin-2/src/site.rs
@@ -111,8 +111,6 @@
 
 pub struct Site {
     pub start: Instant,
-    #[allow(dead_code)]
-    pub base: u8,
     port: u16,
     pub nodes: Vec<Node>,
     pub servers: Vec<Server>,
@@ -124,6 +122,8 @@
     by_request: HashMap<u64, (usize, usize)>,
     pub route: SocketAddrV4,
     edge: PathBuf,
+    /// File with the ids of the processes that were started.
+    pids: PathBuf,
     /// New flows a second.
     pub rate: f64,
     owed: f64,
@@ -158,7 +158,8 @@
             let base = 10 + (random >> 40) as u8 % 220;
             let port = 20_000 + (random >> 48) as u16 % 8_000;
             let ip = Ipv4Addr::new(127, base, 1, 1);
-            let is_free = (0..8).all(|at| TcpListener::bind((ip, port + at)).is_ok()) && UdpSocket::bind((ip, port)).is_ok();
+            let is_free =
+                (0..8).all(|at| TcpListener::bind((ip, port + at)).is_ok()) && UdpSocket::bind((ip, port)).is_ok();
             if is_free && TcpListener::bind((ip, 9464)).is_ok() {
                 chosen = Some((base, port));
                 break;
@@ -210,7 +211,8 @@
                 child: None,
                 misses: Arc::clone(&misses),
             };
-            std::fs::write(&node.settings, settings(&node, base, port, store_address)).map_err(|e| fail("settings", e))?;
+            std::fs::write(&node.settings, settings(&node, base, port, store_address))
+                .map_err(|e| fail("settings", e))?;
             let ready = SocketAddr::from((ip, port + 1));
             std::thread::spawn(move || check_readiness(ready, &misses));
             nodes.push(node);
@@ -218,7 +220,6 @@
         let route = SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 8443);
         let mut site = Self {
             start,
-            base,
             port,
             nodes,
             servers,
@@ -230,6 +231,7 @@
             by_request: HashMap::new(),
             route,
             edge,
+            pids: folder.join("pids"),
             rate: 0.0,
             owed: 0.0,
             last_spawn: start,
@@ -291,6 +293,8 @@
             .map_err(|error| format!("cannot start {}: {error}", self.edge.display()))?;
         let (pid, ip) = (child.id(), node.ip);
         node.child = Some(child);
+        let pids = std::fs::OpenOptions::new().create(true).append(true).open(&self.pids);
+        let _ = pids.and_then(|mut file| writeln!(file, "{pid}"));
         self.note(&format!("edge-{index} ({ip}) started, process {pid}"));
         Ok(())
     }
@@ -406,7 +410,13 @@
             server.beat += 1;
             let spec = format!(
                 "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\"slots\":{},\"state\":\"{}\",\"cold_left_ms\":0,\"seq\":{},\"born\":{}}}",
-                server.service, server.address, ZONES[server.zone], server.host.slots, server.state, server.beat, server.born
+                server.service,
+                server.address,
+                ZONES[server.zone],
+                server.host.slots,
+                server.state,
+                server.beat,
+                server.born
             );
             self.store.set("servers", &server.name, &spec);
         }
@@ -432,7 +442,10 @@
             listener.set_nonblocking(true).map_err(|error| format!("host: {error}"))?;
             server.listener = Some(listener);
         }
-        self.note(&format!("host {index} {}", if is_cut { "is cut off from all machines" } else { "is reached again" }));
+        self.note(&format!(
+            "host {index} {}",
+            if is_cut { "is cut off from all machines" } else { "is reached again" }
+        ));
         Ok(())
     }
 
@@ -603,10 +616,14 @@
 
     fn receive_reset(&mut self, now: Instant, index: usize, packet: &Packet, own: bool) {
         let flow = &mut self.flows[index];
-        if flow.is_open && own && flow.peer_next.wrapping_sub(packet.seq).min(packet.seq.wrapping_sub(flow.peer_next)) > RESET_WINDOW {
+        if flow.is_open
+            && own
+            && flow.peer_next.wrapping_sub(packet.seq).min(packet.seq.wrapping_sub(flow.peer_next)) > RESET_WINDOW
+        {
             let distance = flow.peer_next.wrapping_sub(packet.seq).min(packet.seq.wrapping_sub(flow.peer_next));
             flow.strays.push((now, distance));
-            flow.notes.push((now, format!("reset by the system with seq {:08x}, {distance} from the last ack", packet.seq)));
+            flow.notes
+                .push((now, format!("reset by the system with seq {:08x}, {distance} from the last ack", packet.seq)));
             return;
         }
         let by = if own { "the system" } else { "a host" };
@@ -727,10 +744,20 @@
             }
         }
         lines.sort_by_key(|(at, _)| *at);
-        let mut text = format!("flow {index} from {} ({}), opened at {:?}\n", flow.key.0, ZONES[flow.zone],
-            flow.opened.map(|(at, host)| format!("host {host}, {:.3} s", self.seconds(at))));
+        let mut text = format!(
+            "flow {index} from {} ({}), opened at {:?}\n",
+            flow.key.0,
+            ZONES[flow.zone],
+            flow.opened.map(|(at, host)| format!("host {host}, {:.3} s", self.seconds(at)))
+        );
         for request in &flow.requests {
-            let _ = writeln!(text, "  request {} sent {:.3} s: {}", request.id, self.seconds(request.sent), self.fate(request.fate));
+            let _ = writeln!(
+                text,
+                "  request {} sent {:.3} s: {}",
+                request.id,
+                self.seconds(request.sent),
+                self.fate(request.fate)
+            );
         }
         for (at, line) in lines {
             let _ = writeln!(text, "    {:8.3} s  {line}", self.seconds(at));
@@ -753,8 +780,14 @@
         for (index, flow) in self.flows.iter().enumerate() {
             for request in &flow.requests {
                 let ran: Vec<String> = request.ran.iter().map(|(_, host)| host.to_string()).collect();
-                let _ = writeln!(text, "request {} flow {index} sent {:.3} s, {}, run at host [{}]", request.id,
-                    self.seconds(request.sent), self.fate(request.fate), ran.join(" "));
+                let _ = writeln!(
+                    text,
+                    "request {} flow {index} sent {:.3} s, {}, run at host [{}]",
+                    request.id,
+                    self.seconds(request.sent),
+                    self.fate(request.fate),
+                    ran.join(" ")
+                );
             }
         }
         text
@@ -793,7 +826,11 @@
 flow_disruption_ms = 2000\nflow_max_s = 60\n\
 [platform]\naddress = \"{store}\"\nencap = \"objects\"\nwrites_per_s = 400\nreads_per_s = 2000\nhistory_s = 20\n\
 value_bytes = 1048576\nmin_ttl_ms = 1000\n",
-        port + 4, port + 7, seeds.join(","), port + 1, port + 3
+        port + 4,
+        port + 7,
+        seeds.join(","),
+        port + 1,
+        port + 3
     )
 }
 
--- a/review/standin-2/src/store.rs
+++ b/review/standin-2/src/store.rs
@@ -64,8 +64,6 @@
         self.inner.1.notify_all();
     }
 
-
-
     fn serve(&self, mut stream: TcpStream) -> std::io::Result<()> {
         stream.set_read_timeout(Some(Duration::from_secs(5)))?;
         let mut head = Vec::new();
