--- a/review/standin-2/src/cases.rs
+++ b/review/standin-2/src/cases.rs
@@ -13,6 +13,7 @@
         "freeze" => freeze(edge, folder, trouble),
         "foreign" => foreign(edge, folder, trouble),
         "moved" => moved(edge, folder, trouble),
+        "drain" => drain(edge, folder, trouble),
         "name" => name(edge, folder, trouble),
         other => Err(format!("case {other:?} is unknown")),
     }
@@ -224,6 +225,62 @@
     text
 }
 
+/// The entry of [`name`], and an outage of the store. Later a host drains.
+fn drain(edge: PathBuf, folder: PathBuf, trouble: bool) -> Result<(String, bool), String> {
+    let mut site = Site::new(edge, folder, 2, 2)?;
+    begin(&mut site)?;
+    let start = Instant::now();
+    site.rate = 60.0;
+    site.run_until(start + Duration::from_millis(1000));
+    if trouble {
+        site.store.set("servers", "backup-\\ud83d", &format!("\"{}\"", "#".repeat(1_040_000)));
+        site.note("another writer: one entry of 1,040,000 bytes whose name ends within a character");
+    }
+    site.run_until(start + Duration::from_millis(2000));
+    if trouble {
+        site.store.set_silent(true);
+        site.note("the store is down (silent)");
+    }
+    site.run_until(start + Duration::from_millis(5000));
+    if trouble {
+        site.store.set_silent(false);
+        site.note("the store is back");
+    }
+    // The store has been stable for a second more than it needs.
+    site.run_until(start + Duration::from_millis(5000) + STABILITY + Duration::from_millis(1000));
+    let host = 0;
+    let confirmed = site.drain(host);
+    site.run_until(confirmed + Duration::from_secs(9));
+    site.rate = 0.0;
+    site.run_until(confirmed + Duration::from_secs(11));
+    let ended = site.ended();
+    site.stop();
+    let bound = confirmed + Duration::from_millis(3000);
+    let mut late = Vec::new();
+    for (index, flow) in site.flows.iter().enumerate().filter(|(_, flow)| flow.started > bound) {
+        if let Some((at, ..)) = flow.arrivals.iter().find(|(_, to, is_opening)| *to == host && *is_opening) {
+            let after = flow.started.duration_since(confirmed).as_secs_f64();
+            late.push((
+                index,
+                format!("opening sent {after:.3} s after the confirmation, at the host {:.3} s", site.seconds(*at)),
+            ));
+        }
+    }
+    let verdict = if late.is_empty() { "held" } else { "BROKEN" };
+    let mut text = format!(
+        "DRAIN {verdict}: {} openings sent later than 3 s after the confirmation reached the host that drains; {} flows; processes ended {ended:?}\n",
+        late.len(),
+        site.flows.len(),
+    );
+    text += &site.journal;
+    for (index, why) in &late {
+        text += &format!("\nflow {index}: {why}\n{}", site.describe(*index));
+    }
+    text += "\n";
+    text += &site.requests();
+    Ok((text, !late.is_empty()))
+}
+
 /// One machine freezes, and its flows go on through others. Soon after it has woken, a host is cut off.
 fn moved(edge: PathBuf, folder: PathBuf, trouble: bool) -> Result<(String, bool), String> {
     let mut site = Site::new(edge, folder, 2, 2)?;
--- a/review/standin-2/src/site.rs
+++ b/review/standin-2/src/site.rs
@@ -402,6 +402,9 @@
     /// Hosts write their registrations.
     fn beat(&mut self) {
         let now = Instant::now();
+        if self.store.is_silent() {
+            return;
+        }
         for server in &mut self.servers {
             if !server.writes || now < server.next_beat {
                 continue;
@@ -422,6 +425,15 @@
         }
     }
 
+    /// A host reports `draining`. Returns when the store has accepted that.
+    pub fn drain(&mut self, index: usize) -> Instant {
+        self.servers[index].state = "draining";
+        self.servers[index].next_beat = Instant::now();
+        self.beat();
+        self.note(&format!("host {index} reports draining, confirmed by the store"));
+        Instant::now()
+    }
+
     fn spawn(&mut self) {
         let now = Instant::now();
         self.owed += now.duration_since(self.last_spawn).as_secs_f64() * self.rate;
--- a/review/standin-2/src/store.rs
+++ b/review/standin-2/src/store.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::io::{Read as _, Write as _};
 use std::net::{SocketAddrV4, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
 
@@ -27,12 +28,13 @@
 #[derive(Debug, Clone)]
 pub struct Store {
     inner: Arc<(Mutex<Inner>, Condvar)>,
+    is_silent: Arc<AtomicBool>,
 }
 
 impl Store {
     pub fn start(address: SocketAddrV4) -> std::io::Result<Self> {
         let inner = Inner { revision: 100, ..Inner::default() };
-        let store = Self { inner: Arc::new((Mutex::new(inner), Condvar::new())) };
+        let store = Self { inner: Arc::new((Mutex::new(inner), Condvar::new())), is_silent: Arc::default() };
         let listener = TcpListener::bind(address)?;
         let serving = store.clone();
         std::thread::spawn(move || {
@@ -44,6 +46,15 @@
         Ok(store)
     }
 
+    /// Begins or ends an outage, in which calls get no answer and waiting watches are lost.
+    pub fn set_silent(&self, is_silent: bool) {
+        self.is_silent.store(is_silent, Ordering::Relaxed);
+    }
+
+    pub fn is_silent(&self) -> bool {
+        self.is_silent.load(Ordering::Relaxed)
+    }
+
     /// Writes an object. `name` is the name as a JSON string token without its quotes, as its writer sent it.
     pub fn set(&self, kind: &str, name: &str, spec: &str) {
         let mut inner = self.inner.0.lock().unwrap();
@@ -75,10 +86,16 @@
             }
             head.extend_from_slice(&chunk[..count]);
         }
+        let was_silent = self.is_silent();
         let text = String::from_utf8_lossy(&head).into_owned();
         let mut words = text.split_whitespace();
         let (method, target) = (words.next().unwrap_or_default(), words.next().unwrap_or_default());
         let (status, body) = self.answer(method, target);
+        if was_silent || self.is_silent() {
+            // A channel on which a response is lost returns nothing further.
+            std::thread::sleep(Duration::from_secs(10));
+            return Ok(());
+        }
         let head = format!(
             "HTTP/1.1 {status}\r\nContent-Type: application/json\r\nContent-Length: {}\r\nConnection: close\r\n\r\n",
             body.len()
