--- a/review/standin-2/src/site.rs
+++ b/review/standin-2/src/site.rs
@@ -217,7 +217,7 @@
             std::thread::spawn(move || check_readiness(ready, &misses));
             nodes.push(node);
         }
-        let route = SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 8443);
+        let route = SocketAddrV4::new(Ipv4Addr::new(127, base, 99, 1), 8443);
         let mut site = Self {
             start,
             port,
