Show in the logs which history the store and the balancers are in

The logs of a store that came back from a copy could not tell whether revisions of two histories were compared or a lower version was rejected. store.history_gone now has the epoch of the store and the revision that was watched, and store.older says that a response was dropped because its revision is lower than that of the state.

--- a/crates/poplarpaddle/src/fleet/apply.rs
+++ b/crates/poplarpaddle/src/fleet/apply.rs
@@ -14,6 +14,7 @@
 impl Node {
     /// Applies a response of the store.
     pub(super) fn apply(&mut self, now: Time, topic: Topic, response: Response) -> Result<Outcome> {
+        self.report_older(now, topic, &response);
         match response {
             Response::Hosts { delta, faults } => {
                 self.report_faults(now, "registration.unreadable", faults);
@@ -39,13 +40,12 @@
                 Topic::Routes => self.routes.advance(as_of),
                 Topic::ZoneDrains => self.zone_drains.advance(as_of),
             },
-            Response::HistoryGone => {
-                self.record_event(
-                    now,
-                    "store.history_gone",
-                    &topic.to_string(),
-                    "reading a snapshot of the collection".to_owned(),
+            Response::HistoryGone { epoch } => {
+                let detail = format!(
+                    "the store is in epoch {epoch} and lacks the history after revision {}; reading a snapshot",
+                    self.feed.as_of(topic)
                 );
+                self.record_event(now, "store.history_gone", &topic.to_string(), detail);
                 return Ok(Outcome::HistoryGone);
             }
         }
@@ -87,6 +87,23 @@
         }
     }
 
+    /// Records an event if a response is older than the state of its topic, so that it has no effect.
+    fn report_older(&mut self, now: Time, topic: Topic, response: &Response) {
+        let as_of = match response {
+            Response::Hosts { delta, .. } => delta.to,
+            Response::ZoneDrains { delta, .. } => delta.to,
+            Response::Routes { as_of, .. } | Response::Unreadable { as_of, .. } | Response::Unchanged { as_of } => {
+                *as_of
+            }
+            Response::HistoryGone { .. } => return,
+        };
+        let known = self.feed.as_of(topic);
+        if as_of < known {
+            let detail = format!("the response is at revision {as_of}, the state at {known}");
+            self.record_event(now, "store.older", &topic.to_string(), detail);
+        }
+    }
+
     fn merge_hosts(&mut self, now: Time, delta: HostDelta) -> Result<()> {
         let changed = self.hosts.merge(delta)?;
         if !changed.is_empty() {
--- a/crates/poplarpaddle/src/fleet/store.rs
+++ b/crates/poplarpaddle/src/fleet/store.rs
@@ -46,8 +46,11 @@
         /// Revision of the store.
         as_of: u64,
     },
-    /// The store no longer has the changes after the revision of the watch.
-    HistoryGone,
+    /// The store does not have the changes after the revision of the watch.
+    HistoryGone {
+        /// Epoch of the store, which rises each time that it is restored from a copy; 0 if it does not tell.
+        epoch: u64,
+    },
 }
 
 /// Error in an entry of a collection, or in a service of a configuration. It concerns no other one.
--- a/crates/poplarpaddle/tests/fleet/world.rs
+++ b/crates/poplarpaddle/tests/fleet/world.rs
@@ -649,7 +649,7 @@
     /// Returns the changes after a revision, or none when there are none.
     fn changes(&self, topic: Topic, since: u64) -> Option<Response> {
         if since + 1 < self.floor {
-            return Some(Response::HistoryGone);
+            return Some(Response::HistoryGone { epoch: 0 });
         }
         match topic {
             Topic::ZoneDrains => {
