--- a/crates/poplarpaddle/tests/fleet/main.rs
+++ b/crates/poplarpaddle/tests/fleet/main.rs
@@ -8,5 +8,6 @@
 mod malformed;
 mod outliers;
 mod random;
+mod restored;
 mod spread;
 mod world;
--- a/crates/poplarpaddle/tests/fleet/world.rs
+++ b/crates/poplarpaddle/tests/fleet/world.rs
@@ -88,9 +88,11 @@
 type Routes = Vec<(Address, Route)>;
 
 /// The simulated store.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub struct Store {
     pub revision: u64,
+    /// Number of times that the store was restored from a copy.
+    pub epoch: u64,
     hosts: BTreeMap<String, (Host, u64)>,
     removed: BTreeMap<String, u64>,
     drains: BTreeMap<String, u64>,
@@ -366,6 +368,32 @@
         }
     }
 
+    /// Takes the store away for `millis`, after which it returns with the content and the revisions of `copy`.
+    pub fn restore(&mut self, copy: &Store, millis: u64) {
+        self.set_store_access(Access::Refused);
+        for watch in std::mem::take(&mut self.watches) {
+            let Watch { node, run_id, topic, .. } = watch;
+            let response = Err(Error::new(Kind::Unavailable, "the watch was interrupted"));
+            self.schedule(1, Event::Store { node, run_id, topic, response });
+        }
+        self.run(millis);
+        self.store = Store { epoch: self.store.epoch + 1, ..copy.clone() };
+        self.set_store_access(Access::Reachable);
+    }
+
+    /// Sets how the store responds to the calls of all nodes.
+    pub fn set_store_access(&mut self, access: Access) {
+        for instance in &mut self.instances {
+            instance.store_access = access;
+        }
+    }
+
+    /// Returns the versions of the configurations in force at the nodes that run.
+    pub fn versions(&self) -> Vec<u64> {
+        let nodes = self.instances.iter().filter_map(|instance| instance.node.as_ref());
+        nodes.map(|node| node.general().version).collect()
+    }
+
     pub fn run(&mut self, millis: u64) {
         let until = Time::from_millis(self.now.as_millis() + millis);
         loop {
@@ -648,8 +676,8 @@
 
     /// Returns the changes after a revision, or none when there are none.
     fn changes(&self, topic: Topic, since: u64) -> Option<Response> {
-        if since + 1 < self.floor {
-            return Some(Response::HistoryGone { epoch: 0 });
+        if since + 1 < self.floor || since > self.revision {
+            return Some(Response::HistoryGone { epoch: self.epoch });
         }
         match topic {
             Topic::ZoneDrains => {
