--- a/crates/poplarpaddle-balancer/src/direct/server.rs
+++ b/crates/poplarpaddle-balancer/src/direct/server.rs
@@ -8,6 +8,7 @@
 use axum::response::{IntoResponse, Response};
 use axum::routing::get;
 use poplarpaddle::fleet::Revisions;
+use poplarpaddle::revision::Revision;
 use poplarpaddle_io::peer;
 use serde::Deserialize;
 use tokio::sync::{mpsc, oneshot};
@@ -23,15 +24,43 @@
     pub(super) telemetry: Telemetry,
 }
 
-/// Query parameters of `GET /peer/parcel`: the revisions that the peer has.
-#[derive(Debug, Clone, Copy, Default, Deserialize)]
-struct Params {
-    #[serde(default)]
+/// Query parameters of `GET /peer/parcel`: the revisions that the peer has, 0 for none.
+#[derive(Debug, Clone, Copy, Default, Deserialize, derive_more::Display)]
+#[display(
+    "hosts={hosts}&hosts_epoch={hosts_epoch}&routes={routes}&zone_drains={zone_drains}&\
+     zone_drains_epoch={zone_drains_epoch}"
+)]
+#[serde(default)]
+pub(super) struct Since {
     hosts: u64,
-    #[serde(default)]
+    hosts_epoch: u64,
+    /// Version of the configuration.
     routes: u64,
-    #[serde(default)]
     zone_drains: u64,
+    zone_drains_epoch: u64,
+}
+
+impl From<Revisions> for Since {
+    fn from(revisions: Revisions) -> Self {
+        let Revisions { hosts, routes, zone_drains } = revisions;
+        Self {
+            hosts: hosts.number,
+            hosts_epoch: hosts.epoch,
+            routes: routes.number,
+            zone_drains: zone_drains.number,
+            zone_drains_epoch: zone_drains.epoch,
+        }
+    }
+}
+
+impl From<Since> for Revisions {
+    fn from(since: Since) -> Self {
+        Self {
+            hosts: Revision { epoch: since.hosts_epoch, number: since.hosts },
+            routes: Revision::from(since.routes),
+            zone_drains: Revision { epoch: since.zone_drains_epoch, number: since.zone_drains },
+        }
+    }
 }
 
 /// Returns the HTTP routes for peers.
@@ -48,11 +77,10 @@
         .with_state(context)
 }
 
-async fn changes(State(context): State<Context>, Query(params): Query<Params>) -> Response {
+async fn changes(State(context): State<Context>, Query(since): Query<Since>) -> Response {
     let (sender, receiver) = oneshot::channel();
     let stopping = || (StatusCode::SERVICE_UNAVAILABLE, "the balancer is shutting down").into_response();
-    let since = Revisions { hosts: params.hosts, routes: params.routes, zone_drains: params.zone_drains };
-    if context.inputs.send(Input::Changes { since, reply: sender }).is_err() {
+    if context.inputs.send(Input::Changes { since: since.into(), reply: sender }).is_err() {
         return stopping();
     }
     match receiver.await {
--- a/crates/poplarpaddle-balancer/src/direct/task.rs
+++ b/crates/poplarpaddle-balancer/src/direct/task.rs
@@ -11,6 +11,7 @@
 use poplarpaddle::fleet::{Action, Node, Response, Revisions, Store};
 use poplarpaddle::former;
 use poplarpaddle::path::MemberId;
+use poplarpaddle::revision::Revision;
 use poplarpaddle::time::Time;
 use poplarpaddle::wire::Transfer;
 use poplarpaddle_io::clock::Clock;
@@ -23,6 +24,7 @@
 use super::Readiness;
 use super::journal::Journal;
 use super::outlet::Sender;
+use super::server::Since;
 use super::telemetry::{Snapshot, Telemetry};
 
 /// Maximum number of datagrams read from a socket before other work is handled.
@@ -97,6 +99,8 @@
     zone: String,
     ready: bool,
     config_version: u64,
+    /// Number that rises each time that the store is restored from a copy.
+    store_epoch: u64,
     hosts: usize,
     routes: usize,
     members: usize,
@@ -384,6 +388,7 @@
             hosts: self.node.hosts().len() as u64,
             members: self.node.membership().reachable().len() as u64,
             drained_zones: self.node.zone_drains().len() as u64,
+            store_epoch: self.node.store_epoch(),
         });
     }
 
@@ -421,7 +426,7 @@
         });
     }
 
-    fn watch(&self, topic: Topic, revision: u64, until: Time) {
+    fn watch(&self, topic: Topic, revision: Revision, until: Time) {
         let (store, outcomes, telemetry, clock) =
             (Arc::clone(&self.store), self.outcomes.clone(), self.telemetry.clone(), self.clock);
         tokio::spawn(async move {
@@ -438,9 +443,7 @@
             (self.peers.clone(), self.outcomes.clone(), self.telemetry.clone(), self.clock);
         tokio::spawn(async move {
             let started = clock.now();
-            let Revisions { hosts, routes, zone_drains } = since;
-            let drains = if zone_drains > 0 { format!("&zone_drains={zone_drains}") } else { String::new() };
-            let path = format!("/peer/parcel?hosts={hosts}&routes={routes}{drains}");
+            let path = format!("/peer/parcel?{}", Since::from(since));
             let bytes = client.fetch_up_to(TRANSFER_LIMIT, peer, &path, until).await;
             let transfer = bytes.and_then(|bytes| Transfer::decode(&bytes));
             telemetry.record_call("pull", outcome_label(&transfer), clock.now().since(started));
@@ -489,6 +492,7 @@
             zone: me.zone.clone(),
             ready: self.readiness.is_ready(),
             config_version: self.node.general().version,
+            store_epoch: self.node.store_epoch(),
             hosts: self.node.hosts().len(),
             routes: self.node.routes().len(),
             members: self.node.membership().reachable().len(),
--- a/crates/poplarpaddle-balancer/src/direct/telemetry.rs
+++ b/crates/poplarpaddle-balancer/src/direct/telemetry.rs
@@ -34,6 +34,8 @@
     pub(super) hosts: u64,
     pub(super) members: u64,
     pub(super) drained_zones: u64,
+    /// Number that rises each time that the store is restored from a copy.
+    pub(super) store_epoch: u64,
 }
 
 /// Telemetry shared by all tasks of the daemon.
@@ -75,7 +77,9 @@
         let read = self.reader();
         let _gauge = meter
             .u64_observable_gauge("poplarpaddle.state")
-            .with_description("Version of the configuration, hosts, members, drained zones and flows known now")
+            .with_description(
+                "Version of the configuration, hosts, members, drained zones, epoch of the store and flows known now",
+            )
             .with_callback(move |observer| {
                 let latest = read();
                 let values = [
@@ -83,6 +87,7 @@
                     ("hosts", latest.hosts),
                     ("members", latest.members),
                     ("drained_zones", latest.drained_zones),
+                    ("store_epoch", latest.store_epoch),
                     ("flows", latest.engine.flows),
                     ("idle_flows", latest.engine.idle_flows),
                     ("cold_hosts", latest.engine.cold_hosts),
--- a/crates/poplarpaddle/examples/registry.rs
+++ b/crates/poplarpaddle/examples/registry.rs
@@ -13,6 +13,7 @@
 use poplarpaddle::path::MemberId;
 use poplarpaddle::registry::{General, Host, Route, State};
 use poplarpaddle::replica::{Delta, Item};
+use poplarpaddle::revision::Revision;
 use poplarpaddle::time::Time;
 use poplarpaddle::wire;
 
@@ -36,7 +37,7 @@
     node.store_answered(now, Topic::Hosts, Ok(Response::Hosts { delta: all_hosts(hosts), faults: Vec::new() }));
     let content =
         Some((General { version: 1, idle_ms: 15_000, ..General::default() }, (0..routes).map(route).collect()));
-    node.store_answered(now, Topic::Routes, Ok(Response::Routes { as_of: 2, content, faults: Vec::new() }));
+    node.store_answered(now, Topic::Routes, Ok(Response::Routes { as_of: 2.into(), content, faults: Vec::new() }));
     for (name, host) in node.hosts().iter() {
         engine.set_host(now, name, Some(host), now);
     }
@@ -47,16 +48,16 @@
     let read_ms = start.elapsed().as_millis();
     let resident = resident_mb() - before;
     let item = Item { value: Host { state: State::Draining, ..host(0) }, ..item(0, 3) };
-    let delta = Delta { base: 2, to: 3, put: vec![item], removed: Vec::new() };
+    let delta = Delta { base: 2.into(), to: 3.into(), put: vec![item], removed: Vec::new() };
     node.store_answered(now, Topic::Hosts, Ok(Response::Hosts { delta, faults: Vec::new() }));
     let mut changed: Vec<_> = (0..routes).map(route).collect();
     changed[0].1.timeout_ms = 9;
     let content = Some((General { version: 2, idle_ms: 15_000, ..General::default() }, changed));
-    node.store_answered(now, Topic::Routes, Ok(Response::Routes { as_of: 4, content, faults: Vec::new() }));
-    let one_host =
-        node.changes_since(now, Revisions { hosts: 2, routes: 4, zone_drains: 0 }).unwrap().encode().unwrap().len();
-    let one_route =
-        node.changes_since(now, Revisions { hosts: 4, routes: 2, zone_drains: 0 }).unwrap().encode().unwrap().len();
+    node.store_answered(now, Topic::Routes, Ok(Response::Routes { as_of: 4.into(), content, faults: Vec::new() }));
+    let since =
+        |hosts: u64, version: u64| Revisions { hosts: hosts.into(), routes: version.into(), ..Revisions::default() };
+    let one_host = node.changes_since(now, since(2, 2)).unwrap().encode().unwrap().len();
+    let one_route = node.changes_since(now, since(4, 1)).unwrap().encode().unwrap().len();
     let start = Instant::now();
     let whole = node.changes_since(now, Revisions::default()).unwrap().encode().unwrap().len();
     let pull_ms = start.elapsed().as_millis();
@@ -85,11 +86,16 @@
 }
 
 fn all_hosts(count: u32) -> Delta<String, Host> {
-    Delta { base: 0, to: 2, put: (0..count).map(|number| item(number, 1)).collect(), removed: Vec::new() }
+    Delta {
+        base: Revision::NONE,
+        to: 2.into(),
+        put: (0..count).map(|number| item(number, 1)).collect(),
+        removed: Vec::new(),
+    }
 }
 
 fn item(number: u32, changed: u64) -> Item<String, Host> {
-    Item { key: format!("i-{:010x}", u64::from(number) + 1), value: host(number), changed }
+    Item { key: format!("i-{:010x}", u64::from(number) + 1), value: host(number), changed: changed.into() }
 }
 
 fn host(number: u32) -> Host {
@@ -101,8 +107,8 @@
         slots: 3,
         state: State::Ready,
         cold_until: Time::default(),
-        created: 1,
         born: 1,
+        sequence: 1,
     }
 }
 
--- a/crates/poplarpaddle/src/direct/host.rs
+++ b/crates/poplarpaddle/src/direct/host.rs
@@ -74,10 +74,10 @@
     }
 
     /// Returns true when this host has taken over the address of `other`. A registration under the same identifier may
-    /// be a damaged one of the same process, and an earlier one may be left over from a host that ended before `other`
-    /// started.
+    /// be a damaged one of the same process, and one of an earlier start may be left over from a host that ended before
+    /// `other` started.
     fn has_replaced(&self, other: &Self) -> bool {
-        self.record.id != other.record.id && self.record.created > other.record.created
+        self.record.id != other.record.id && self.record.started_after(&other.record)
     }
 
     /// Returns true when the host has ended for certain: it has left, and has accepted no connection since, or another
@@ -252,7 +252,7 @@
         }
     }
 
-    /// Returns the hosts with a mark: registered ones first, each group in the order of creation.
+    /// Returns the hosts with a mark: registered ones first, each group in the order in which the hosts started.
     pub(super) fn with_mark(&self, mark: Mark) -> &[Index] {
         self.marks.get(&mark).map_or(&[], |hosts| hosts.as_slice())
     }
@@ -377,7 +377,7 @@
     fn sort_mark(&mut self, mark: Mark) {
         let hosts = &self.hosts;
         let sort_key =
-            |index: &Index| hosts.get(index).map(|host| (!host.is_registered(), host.record.created, host.record.id));
+            |index: &Index| hosts.get(index).map(|host| (!host.is_registered(), host.record.born, host.record.id));
         if let Some(sharing) = self.marks.get_mut(&mark) {
             sharing.sort_by_key(sort_key);
         }
--- a/crates/poplarpaddle/src/feed.rs
+++ b/crates/poplarpaddle/src/feed.rs
@@ -30,10 +30,12 @@
 pub use announcement::{Announcement, Position, Topic};
 pub use settings::Settings;
 
+use std::cmp::Ordering;
 use std::time::Duration;
 
 use crate::map;
 use crate::path::MemberId;
+use crate::revision::Revision;
 use crate::time::Time;
 
 /// Maximum number of children of a member in the tree along which announcements are forwarded.
@@ -58,7 +60,7 @@
         /// The collection.
         topic: Topic,
         /// Revision of the store that this member's state corresponds to.
-        revision: u64,
+        revision: Revision,
         /// When the store has to respond if there is no change.
         until: Time,
     },
@@ -78,10 +80,10 @@
 pub enum Outcome {
     /// The state was current when the response arrived.
     Confirmed {
-        /// Revision of the last change.
-        revision: u64,
+        /// Revision of the last change; of the routes, the version of the configuration.
+        revision: Revision,
         /// Revision of the store.
-        as_of: u64,
+        as_of: Revision,
     },
     /// The store no longer has the changes after the revision of the watch.
     HistoryGone,
@@ -101,8 +103,8 @@
 /// Replication state of the collection of one topic.
 #[derive(Debug, Clone, Copy)]
 struct Collection {
-    revision: u64,
-    as_of: u64,
+    revision: Revision,
+    as_of: Revision,
     digest: u64,
     /// When the store last confirmed the state, to this member or to another one.
     confirmed: Time,
@@ -114,6 +116,42 @@
     reread: bool,
 }
 
+/// What the position of another member says about its state, compared with the own one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Comparison {
+    /// It has, or may have, changes that this member lacks.
+    Ahead,
+    /// It includes the last change that this member has, and no later one.
+    Equal,
+    /// It is older, or too different to say.
+    Other,
+}
+
+impl Collection {
+    /// Compares the state of another member at `position` with this one.
+    fn compare(&self, topic: Topic, position: &Position) -> Comparison {
+        if self.as_of.is_none() {
+            return Comparison::Ahead;
+        }
+        // A store that was restored from a copy may have an older configuration for a while, so its revisions do not
+        // tell which of two members has the later one.
+        if topic == Topic::Routes {
+            return match position.revision.cmp(&self.revision) {
+                Ordering::Greater => Comparison::Ahead,
+                Ordering::Equal => Comparison::Equal,
+                Ordering::Less => Comparison::Other,
+            };
+        }
+        if position.revision > self.as_of {
+            return Comparison::Ahead;
+        }
+        if position.digest != self.digest {
+            return if position.as_of > self.as_of { Comparison::Ahead } else { Comparison::Other };
+        }
+        if position.as_of >= self.revision { Comparison::Equal } else { Comparison::Other }
+    }
+}
+
 /// One member's part in reading the store and forwarding announcements.
 #[derive(Debug)]
 pub struct Feed {
@@ -134,8 +172,8 @@
     #[must_use]
     pub fn new(settings: Settings, me: MemberId) -> Self {
         let collection = Collection {
-            revision: 0,
-            as_of: 0,
+            revision: Revision::NONE,
+            as_of: Revision::NONE,
             digest: 0,
             confirmed: Time::default(),
             peer_confirmed: Time::default(),
@@ -195,7 +233,7 @@
 
     /// Returns the highest revision of the store at which the state of `topic` is known to be current.
     #[must_use]
-    pub const fn as_of(&self, topic: Topic) -> u64 {
+    pub const fn as_of(&self, topic: Topic) -> Revision {
         self.collections[topic as usize].as_of
     }
 
@@ -281,23 +319,18 @@
             let position = &announcement.positions[*topic as usize];
             let collection = &mut self.collections[*topic as usize];
             let confirmed = Time::from_nanos(now.as_nanos().saturating_sub(u64::from(position.age_ms) * 1_000_000));
-            if position.as_of == 0 || position.age_ms == u32::MAX {
-                continue;
-            }
-            if position.revision > collection.as_of || collection.as_of == 0 {
-                behind = true;
-                continue;
-            }
-            if position.digest != collection.digest {
-                behind |= position.as_of > collection.as_of;
+            if position.as_of.is_none() || position.age_ms == u32::MAX {
                 continue;
             }
-            // The sender's state includes the last change that this member has, and no later one.
-            if position.as_of >= collection.revision {
-                collection.as_of = collection.as_of.max(position.as_of);
-                fresher |= confirmed > collection.confirmed + self.settings.watch_timeout() / 4;
-                collection.confirmed = collection.confirmed.max(confirmed);
-                collection.peer_confirmed = collection.peer_confirmed.max(confirmed);
+            match collection.compare(*topic, position) {
+                Comparison::Ahead => behind = true,
+                Comparison::Equal => {
+                    collection.as_of = collection.as_of.max(position.as_of);
+                    fresher |= confirmed > collection.confirmed + self.settings.watch_timeout() / 4;
+                    collection.confirmed = collection.confirmed.max(confirmed);
+                    collection.peer_confirmed = collection.peer_confirmed.max(confirmed);
+                }
+                Comparison::Other => {}
             }
         }
         if behind {
@@ -346,7 +379,7 @@
     /// Pulls from a member, unless a pull is in progress.
     fn pull(&mut self, now: Time, from: MemberId) {
         if self.pull.is_none() {
-            let has_no_state = self.replicated().any(|collection| collection.as_of == 0);
+            let has_no_state = self.replicated().any(|collection| collection.as_of.is_none());
             let until = now + if has_no_state { self.settings.snapshot_timeout() } else { PULL_TIMEOUT };
             self.pull = Some((from, until));
             self.actions.push(Action::Pull { member: from, until });
@@ -377,7 +410,7 @@
             return;
         }
         collection.call = Call::InFlight;
-        let action = if collection.as_of == 0 || collection.reread {
+        let action = if collection.as_of.is_none() || collection.reread {
             Action::Read(topic)
         } else {
             Action::Watch { topic, revision: collection.as_of, until: now + self.settings.watch_timeout() }
--- a/crates/poplarpaddle/src/feed/announcement.rs
+++ b/crates/poplarpaddle/src/feed/announcement.rs
@@ -3,6 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::path::MemberId;
+use crate::revision::Revision;
 
 /// Collection in the store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize, derive_more::Display)]
@@ -29,10 +30,10 @@
 /// Revisions of one topic that a member has.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub struct Position {
-    /// Revision of the last change.
-    pub revision: u64,
+    /// Revision of the last change; of the routes, the version of the configuration.
+    pub revision: Revision,
     /// Highest revision of the store at which the state is known to be current.
-    pub as_of: u64,
+    pub as_of: Revision,
     /// Time since the store confirmed that the state was current, in milliseconds; `u32::MAX` if it never did. A
     /// relative time requires no synchronized clocks.
     pub age_ms: u32,
--- a/crates/poplarpaddle/src/fleet.rs
+++ b/crates/poplarpaddle/src/fleet.rs
@@ -27,6 +27,7 @@
 mod apply;
 mod messages;
 mod outlier;
+mod restore;
 mod store;
 
 use std::net::SocketAddr;
@@ -41,12 +42,14 @@
 use crate::membership::{self, Membership};
 use crate::path::MemberId;
 use crate::registry::{Address, General, Hosts, Routes, ZoneDrains};
+use crate::revision::Revision;
 use crate::time::Time;
 use crate::wire::{Record, State, TRANSFER_VERSION, Transfer};
 
 use messages::Requests;
 pub use outlier::MAX_OUTLIERS;
 use outlier::Outliers;
+use restore::Restoration;
 pub use store::{Fault, Pending, Response, Store};
 
 /// Time budget per host or route in a snapshot. An entry has about 66 bytes, so this limits snapshots to 10 Mbit/s.
@@ -77,15 +80,15 @@
     }
 }
 
-/// Revisions of the collections that a node has; 0 for those that it lacks.
+/// Revisions of the collections that a node has; none for those that it lacks.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct Revisions {
     /// Revision of the hosts.
-    pub hosts: u64,
-    /// Revision of the routes.
-    pub routes: u64,
+    pub hosts: Revision,
+    /// Version of the configuration.
+    pub routes: Revision,
     /// Revision of the zone drains.
-    pub zone_drains: u64,
+    pub zone_drains: Revision,
 }
 
 /// Action that a [`Node`] requests from its caller.
@@ -100,7 +103,7 @@
         /// The collection.
         topic: Topic,
         /// Revision of the store that this node's state corresponds to.
-        revision: u64,
+        revision: Revision,
         /// When the store has to respond if there is no change.
         until: Time,
     },
@@ -153,13 +156,14 @@
     /// True for each topic whose last call to the store failed.
     store_lost: [bool; 3],
     /// Revisions of the errors in entries that were reported, by the name of the entry and the text.
-    reported: Map<(String, String), u64>,
+    reported: Map<(String, String), Revision>,
     /// Reachable members including this one, in the order of identifiers.
     members: Vec<MemberId>,
     /// The other members in the own zone that are alive or suspect, in the order of identifiers.
     neighbors: Vec<MemberId>,
     /// Revision of the membership that `members` and `neighbors` were derived from.
     membership_revision: u64,
+    restoration: Restoration,
     /// Time at which all snapshots sent so far have been transferred at the permitted rate.
     transferring_until: Time,
     actions: Vec<Action>,
@@ -185,6 +189,7 @@
             store_lost: [false; 3],
             reported: map::seeded(0),
             membership_revision: 0,
+            restoration: Restoration::default(),
             transferring_until: Time::default(),
             actions: Vec::new(),
         }
@@ -232,11 +237,17 @@
         &self.feed
     }
 
+    /// Returns the epoch of the store, which rises each time that it is restored from a copy; 0 if it is not known.
+    #[must_use]
+    pub fn store_epoch(&self) -> u64 {
+        self.restoration.epoch()
+    }
+
     /// Returns true once all collections that this node replicates are known.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        let knows_zone_drains = self.zone_drains.as_of() > 0 || !self.feed.has_topic(Topic::ZoneDrains);
-        self.hosts.as_of() > 0 && self.general.version > 0 && knows_zone_drains
+        let knows_zone_drains = !self.zone_drains.as_of().is_none() || !self.feed.has_topic(Topic::ZoneDrains);
+        !self.hosts.as_of().is_none() && self.general.version > 0 && knows_zone_drains
     }
 
     /// Returns the actions requested since the last call.
@@ -250,6 +261,7 @@
             self.membership.send_failed(now, to);
         }
         self.membership.tick(now);
+        self.settle(now);
         self.dispatch(now);
     }
 
@@ -257,7 +269,8 @@
     #[must_use]
     pub fn deadline(&self) -> Time {
         let messages = self.requests.deadline().min(self.outliers.deadline());
-        self.membership.deadline().min(self.feed.deadline()).min(self.former.deadline()).min(messages)
+        let own = self.restoration.deadline().min(self.former.deadline()).min(messages);
+        self.membership.deadline().min(self.feed.deadline()).min(own)
     }
 
     /// Replaces the seed addresses through which this node finds other members.
@@ -388,8 +401,8 @@
     /// Updates the feed and collects the actions of the membership and the feed. Called after each input.
     fn dispatch(&mut self, now: Time) {
         self.refresh_members();
+        self.detect_restoration(now);
         self.hosts.advance(self.feed.as_of(Topic::Hosts));
-        self.routes.advance(self.feed.as_of(Topic::Routes));
         self.zone_drains.advance(self.feed.as_of(Topic::ZoneDrains));
         self.feed.tick(now, &self.members);
         self.send_gossip(now);
--- a/crates/poplarpaddle/src/fleet/store.rs
+++ b/crates/poplarpaddle/src/fleet/store.rs
@@ -6,6 +6,7 @@
 use crate::feed::Topic;
 use crate::former;
 use crate::registry::{Address, General, HostDelta, Route, ZoneDrainDelta};
+use crate::revision::Revision;
 use crate::time::Time;
 
 /// Response of the store to a read or watch of a topic.
@@ -21,7 +22,7 @@
     /// The configuration, or none when the operator has not written one yet.
     Routes {
         /// Revision of the store.
-        as_of: u64,
+        as_of: Revision,
         /// General settings and routes of the configuration.
         content: Option<(General, Vec<(Address, Route)>)>,
         /// Errors in single services of the configuration.
@@ -30,7 +31,7 @@
     /// The configuration is invalid.
     Unreadable {
         /// Revision of the store.
-        as_of: u64,
+        as_of: Revision,
         /// Error message with the field, its value, and the allowed values.
         text: String,
     },
@@ -44,7 +45,7 @@
     /// The collection has not changed up to a revision of the store.
     Unchanged {
         /// Revision of the store.
-        as_of: u64,
+        as_of: Revision,
     },
     /// The store does not have the changes after the revision of the watch.
     HistoryGone {
@@ -53,13 +54,26 @@
     },
 }
 
+impl Response {
+    /// Returns the revision of the store at the time of the response; none if the response does not tell.
+    #[must_use]
+    pub const fn as_of(&self) -> Option<Revision> {
+        match self {
+            Self::Hosts { delta, .. } => Some(delta.to),
+            Self::ZoneDrains { delta, .. } => Some(delta.to),
+            Self::Routes { as_of, .. } | Self::Unreadable { as_of, .. } | Self::Unchanged { as_of } => Some(*as_of),
+            Self::HistoryGone { .. } => None,
+        }
+    }
+}
+
 /// Error in an entry of a collection, or in a service of a configuration. It concerns no other one.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Fault {
     /// Name of the entry or service.
     pub name: String,
     /// Revision of the entry or configuration.
-    pub revision: u64,
+    pub revision: Revision,
     /// Error message with the field, its value, and the allowed values.
     pub text: String,
 }
@@ -73,8 +87,9 @@
     fn read(&self, topic: Topic, deadline: Time) -> Pending<'_>;
 
     /// Watches a collection for changes after `revision`. The store responds at the time `until` if there is no change.
-    /// The caller ignores responses after `deadline`.
-    fn watch(&self, topic: Topic, revision: u64, until: Time, deadline: Time) -> Pending<'_>;
+    /// The caller ignores responses after `deadline`. The response is [`Response::HistoryGone`] if the store is in
+    /// another epoch than `revision`.
+    fn watch(&self, topic: Topic, revision: Revision, until: Time, deadline: Time) -> Pending<'_>;
 
     /// Adds entries to the former services in the store. Entries whose time is over are removed.
     fn save_former(&self, entries: Vec<former::Entry>, deadline: Time) -> Pending<'_, ()>;
--- a/crates/poplarpaddle/src/former.rs
+++ b/crates/poplarpaddle/src/former.rs
@@ -131,6 +131,11 @@
         self.merge(entries);
     }
 
+    /// Has the entries saved again, after the store was restored from a copy that may lack them.
+    pub fn restore(&mut self) {
+        self.is_unsaved |= !self.entries.is_empty();
+    }
+
     /// Records that the latest change was read from the store by this member, and not pulled from another one.
     pub const fn set_source(&mut self) {
         self.is_source |= self.is_unsaved;
--- a/crates/poplarpaddle/src/lib.rs
+++ b/crates/poplarpaddle/src/lib.rs
@@ -51,6 +51,7 @@
 pub mod registry;
 pub mod replica;
 pub mod retry;
+pub mod revision;
 pub mod store;
 pub mod time;
 pub mod view;
--- a/crates/poplarpaddle/src/mark.rs
+++ b/crates/poplarpaddle/src/mark.rs
@@ -16,7 +16,7 @@
 //! # Trade-offs
 //!
 //! A mark has 32 bits and a host identifier up to 64, so two hosts can share a mark; among 73,000 hosts one such pair
-//! is likely. Of two registered hosts with the same mark, the one created first owns it, and the other gets no new
+//! is likely. Of two registered hosts with the same mark, the one that started first owns it, and the other gets no new
 //! flows until the first is gone. Every balancer derives this from the same registry, so balancers need not coordinate.
 
 use serde::{Deserialize, Serialize};
--- a/crates/poplarpaddle/src/registry.rs
+++ b/crates/poplarpaddle/src/registry.rs
@@ -48,11 +48,26 @@
     pub state: State,
     /// Time until which the host is slower than usual because it has just started.
     pub cold_until: Time,
-    /// Revision of the store at which the registration was created; decides which of two hosts with the same mark owns
-    /// it.
-    pub created: u64,
-    /// Start of the host's process, in Unix milliseconds, 0 if unknown. A restarted process has lost all flows.
+    /// Start of the host's process, in Unix milliseconds, 0 if unknown. A restarted process has lost all flows. Decides
+    /// which of two hosts with the same mark owns it.
     pub born: u64,
+    /// Number of the registration, which grows with each one that the process writes.
+    pub sequence: u64,
+}
+
+impl Host {
+    /// Returns true when the process of this host started later than that of `other`, as far as both are known.
+    #[must_use]
+    pub const fn started_after(&self, other: &Self) -> bool {
+        other.born > 0 && self.born > other.born
+    }
+
+    /// Returns true when the host wrote this registration after `other`, or when both are the same one. Unlike their
+    /// revisions, this does not depend on the history of the store.
+    #[must_use]
+    pub const fn is_written_since(&self, other: &Self) -> bool {
+        self.started_after(other) || (self.born > 0 && self.born == other.born && self.sequence >= other.sequence)
+    }
 }
 
 /// Configured route from an address to one or more services.
--- a/crates/poplarpaddle/src/replica.rs
+++ b/crates/poplarpaddle/src/replica.rs
@@ -8,12 +8,18 @@
 //! use poplarpaddle::replica::{Delta, Item, Replica};
 //!
 //! let mut replica: Replica<String, u32> = Replica::default();
-//! let put = vec![Item { key: "a".to_owned(), value: 1, changed: 4 }];
-//! let changed = replica.merge(Delta { base: 0, to: 7, put, removed: vec![] }).unwrap();
+//! let put = vec![Item { key: "a".to_owned(), value: 1, changed: 4.into() }];
+//! let changed = replica.merge(Delta { base: 0.into(), to: 7.into(), put, removed: vec![] }).unwrap();
 //! assert_eq!(changed, ["a"]);
-//! assert_eq!((replica.revision(), replica.as_of()), (4, 7));
+//! assert_eq!((replica.revision(), replica.as_of()), (4.into(), 7.into()));
 //! ```
 //!
+//! # Stores that were restored from a copy
+//!
+//! The first snapshot of a new epoch is older than the state, until the writers have written again what was lost. Up to
+//! a call of [`Replica::settle`], the replica therefore keeps the values that the snapshot lacks, and leaves out those
+//! that had been removed. Of a value that the snapshot contains, it keeps the version that its writer wrote last.
+//!
 //! # Trade-offs
 //!
 //! A replica remembers removed keys, so that a peer that is slightly behind gets a small delta. The number of these
@@ -26,6 +32,7 @@
 
 use crate::error::{Error, Kind, Result};
 use crate::map::{self, Map, Set};
+use crate::revision::Revision;
 
 /// Maximum number of removed keys that a replica remembers.
 const MAX_REMOVED: usize = 1024;
@@ -38,7 +45,7 @@
     /// The value.
     pub value: V,
     /// Revision of the last change of the value.
-    pub changed: u64,
+    pub changed: Revision,
 }
 
 /// A removed key.
@@ -47,16 +54,16 @@
     /// The key.
     pub key: K,
     /// Revision at which the key is known to be absent; it may have been removed earlier.
-    pub at: u64,
+    pub at: Revision,
 }
 
 /// Changes of a collection from one revision to another.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Delta<K, V> {
-    /// Revision at which the changes start; 0 means that the delta is a snapshot of the whole collection.
-    pub base: u64,
+    /// Revision at which the changes start; none means that the delta is a snapshot of the whole collection.
+    pub base: Revision,
     /// Revision of the store that the collection has after the changes.
-    pub to: u64,
+    pub to: Revision,
     /// Added and changed values.
     pub put: Vec<Item<K, V>>,
     /// Removed keys; empty in a snapshot.
@@ -66,44 +73,53 @@
 #[derive(Debug, Clone)]
 struct Entry<V> {
     value: V,
-    changed: u64,
+    changed: Revision,
 }
 
 /// Replica of a collection at one revision.
 #[derive(Debug, Clone)]
 pub struct Replica<K, V> {
-    as_of: u64,
-    revision: u64,
+    as_of: Revision,
+    revision: Revision,
     /// Lowest revision for which [`Self::delta`] returns changes; for lower ones it returns a snapshot.
-    floor: u64,
+    floor: Revision,
     entries: Map<K, Entry<V>>,
-    removed: BTreeMap<K, u64>,
+    removed: BTreeMap<K, Revision>,
+    /// Values in the first snapshot of the epoch that had been removed in an earlier one, until [`Self::settle`].
+    held: BTreeMap<K, Entry<V>>,
 }
 
 impl<K, V> Default for Replica<K, V> {
     fn default() -> Self {
-        Self { as_of: 0, revision: 0, floor: 0, entries: map::seeded(0), removed: BTreeMap::new() }
+        Self {
+            as_of: Revision::NONE,
+            revision: Revision::NONE,
+            floor: Revision::NONE,
+            entries: map::seeded(0),
+            removed: BTreeMap::new(),
+            held: BTreeMap::new(),
+        }
     }
 }
 
 impl<K: Clone + Ord + Hash, V: Clone> Replica<K, V> {
-    /// Returns the revision of the last change, 0 before the first one.
+    /// Returns the revision of the last change, none before the first one.
     ///
     /// Two replicas may assign different revisions to the same removal, because the store only reveals the range of
     /// revisions in which it happened.
     #[must_use]
-    pub const fn revision(&self) -> u64 {
+    pub const fn revision(&self) -> Revision {
         self.revision
     }
 
-    /// Returns the highest revision of the store at which this state is known to be current, 0 before the first delta.
+    /// Returns the highest revision of the store at which this state is known to be current, none before the first delta.
     #[must_use]
-    pub const fn as_of(&self) -> u64 {
+    pub const fn as_of(&self) -> Revision {
         self.as_of
     }
 
     /// Records that the collection has not changed up to revision `as_of` of the store.
-    pub fn advance(&mut self, as_of: u64) {
+    pub fn advance(&mut self, as_of: Revision) {
         self.as_of = self.as_of.max(as_of);
     }
 
@@ -134,36 +150,46 @@
     /// equal digests, in whatever order the entries arrived.
     #[must_use]
     pub fn digest(&self) -> u64 {
-        let hashes = self.entries.iter().map(|(key, entry)| map::hash(entry.changed, key));
+        let entries = self.entries.iter().chain(&self.held);
+        let hashes = entries.map(|(key, entry)| map::hash(entry.changed.number, &(entry.changed.epoch, key)));
         hashes.fold(0, u64::wrapping_add)
     }
 
-    /// Raises [`Self::revision`] to `revision`, after a change of state that belongs to the collection but is stored
-    /// outside the replica.
-    pub fn touch(&mut self, revision: u64) {
-        self.revision = self.revision.max(revision);
-    }
-
     /// Applies a delta and returns the keys that changed, sorted. A delta that is not newer than the state has no
     /// effect.
     ///
     /// # Errors
     ///
-    /// [`Kind::Stale`] when the delta starts after [`Self::as_of`], so that changes in between would be lost.
+    /// [`Kind::Stale`] when changes between [`Self::as_of`] and the delta would be lost: the delta starts later, or in
+    /// another epoch.
     pub fn merge(&mut self, delta: Delta<K, V>) -> Result<Vec<K>> {
+        self.merge_with(delta, |_known, _listed| false)
+    }
+
+    /// Applies a delta like [`Self::merge`]. If it is the first snapshot of an epoch, a known value stays although the
+    /// snapshot contains another one if `is_newer` is true for the two, the known one first.
+    ///
+    /// # Errors
+    ///
+    /// As those of [`Self::merge`].
+    pub fn merge_with(&mut self, delta: Delta<K, V>, is_newer: impl Fn(&V, &V) -> bool) -> Result<Vec<K>> {
         if delta.to <= self.as_of {
             return Ok(Vec::new());
         }
-        if delta.base > self.as_of {
+        let is_other_epoch = !delta.base.is_none() && delta.base.epoch != delta.to.epoch;
+        if delta.base > self.as_of || is_other_epoch {
             let text = format!("delta starts at revision {}, but the state is at revision {}", delta.base, self.as_of);
             return Err(Error::new(Kind::Stale, text));
         }
+        if !self.as_of.is_none() && delta.to.epoch > self.as_of.epoch {
+            return self.start_epoch(delta, is_newer);
+        }
         let mut changed = Vec::new();
-        if delta.base == 0 {
+        if delta.base.is_none() {
             self.remove_unlisted(&delta, &mut changed);
             // Removals before the first snapshot are unknown. Later snapshots are compared with the previous state,
             // which reveals the removals in between.
-            self.floor = if self.as_of == 0 { delta.to } else { self.floor };
+            self.floor = if self.as_of.is_none() { delta.to } else { self.floor };
         }
         for removal in delta.removed {
             self.remove(removal, &mut changed);
@@ -178,22 +204,51 @@
         Ok(changed)
     }
 
+    /// Returns true when there are values of which it is not known whether the restored store has them for good, until
+    /// [`Self::settle`] is called.
+    #[must_use]
+    pub fn is_unsettled(&self) -> bool {
+        !self.held.is_empty() || self.entries.values().any(|entry| entry.changed.epoch < self.as_of.epoch)
+    }
+
+    /// Takes over the state of the current epoch as it is: removes the values that the store has not had in it, and adds
+    /// those that it still has although they had been removed before. Returns the keys that changed, sorted.
+    pub fn settle(&mut self) -> Vec<K> {
+        let (epoch, at) = (self.as_of.epoch, self.as_of);
+        self.removed.retain(|_, removed_at| removed_at.epoch == epoch);
+        let mut changed = Vec::new();
+        let lost = self.entries.iter().filter(|(_, entry)| entry.changed.epoch < epoch);
+        let lost: Vec<K> = lost.map(|(key, _)| key.clone()).collect();
+        for key in lost {
+            self.remove(Removed { key, at }, &mut changed);
+        }
+        let mut held = std::mem::take(&mut self.held);
+        // What another member kept from an earlier epoch is lost as well.
+        held.retain(|_, entry| entry.changed.epoch == epoch);
+        for (key, Entry { value, changed: revision }) in held {
+            self.put(Item { key, value, changed: revision }, &mut changed);
+        }
+        changed.sort_unstable();
+        changed
+    }
+
     /// Returns true when [`Self::delta`] for `since` returns a snapshot.
     #[must_use]
-    pub const fn needs_snapshot(&self, since: u64) -> bool {
-        since == 0 || since < self.floor
+    pub fn needs_snapshot(&self, since: Revision) -> bool {
+        since.is_none() || since < self.floor
     }
 
     /// Returns the changes after revision `since`, or a snapshot when they are no longer known.
     #[must_use]
-    pub fn delta(&self, since: u64) -> Delta<K, V> {
-        let base = if self.needs_snapshot(since) { 0 } else { since };
-        let put = self.entries.iter().filter(|(_, entry)| entry.changed > base);
+    pub fn delta(&self, since: Revision) -> Delta<K, V> {
+        let base = if self.needs_snapshot(since) { Revision::NONE } else { since };
+        // Another member may have no reason to hold a value back.
+        let put = self.entries.iter().chain(&self.held).filter(|(_, entry)| entry.changed > base);
         let mut put: Vec<_> = put
             .map(|(key, entry)| Item { key: key.clone(), value: entry.value.clone(), changed: entry.changed })
             .collect();
         put.sort_unstable_by(|one, other| one.key.cmp(&other.key));
-        let removed = self.removed.iter().filter(|(_, at)| base > 0 && **at > base);
+        let removed = self.removed.iter().filter(|(_, at)| !base.is_none() && **at > base);
         let removed = removed.map(|(key, at)| Removed { key: key.clone(), at: *at }).collect();
         Delta { base, to: self.as_of, put, removed }
     }
@@ -201,7 +256,7 @@
     /// Returns the snapshot that sets the collection to `values` at revision `to`. Values that are equal to the current
     /// ones keep the revision of their last change.
     #[must_use]
-    pub fn snapshot_of(&self, to: u64, values: Vec<(K, V)>) -> Delta<K, V>
+    pub fn snapshot_of(&self, to: Revision, values: Vec<(K, V)>) -> Delta<K, V>
     where
         V: PartialEq,
     {
@@ -209,14 +264,40 @@
             let same = self.entries.get(&key).filter(|entry| entry.value == value);
             Item { changed: same.map_or(to, |entry| entry.changed), key, value }
         });
-        Delta { base: 0, to, put: put.collect(), removed: Vec::new() }
+        Delta { base: Revision::NONE, to, put: put.collect(), removed: Vec::new() }
+    }
+
+    /// Applies the first snapshot of an epoch. `is_newer` compares a known value with that of the snapshot.
+    fn start_epoch(&mut self, snapshot: Delta<K, V>, is_newer: impl Fn(&V, &V) -> bool) -> Result<Vec<K>> {
+        if !snapshot.base.is_none() {
+            let text = format!("delta starts at revision {} of another epoch than {}", snapshot.base, self.as_of);
+            return Err(Error::new(Kind::Stale, text));
+        }
+        let mut changed = Vec::new();
+        for Item { key, value, changed: revision } in snapshot.put {
+            match self.entries.get_mut(&key) {
+                Some(known) if is_newer(&known.value, &value) => known.changed = known.changed.max(revision),
+                None if self.removed.contains_key(&key) => {
+                    self.held.insert(key, Entry { value, changed: revision });
+                }
+                _ => self.put(Item { key, value, changed: revision }, &mut changed),
+            }
+        }
+        self.as_of = snapshot.to;
+        self.revision = snapshot.to;
+        self.floor = snapshot.to;
+        changed.sort_unstable();
+        Ok(changed)
     }
 
     /// Removes the keys that a snapshot does not contain.
     fn remove_unlisted(&mut self, delta: &Delta<K, V>, changed: &mut Vec<K>) {
         let mut listed: Set<&K> = Set::with_hasher(map::state(0));
         listed.extend(delta.put.iter().map(|item| &item.key));
-        let unlisted: Vec<K> = self.entries.keys().filter(|key| !listed.contains(key)).cloned().collect();
+        // Values of earlier epochs stay until the writers have had time to write them again.
+        let in_epoch = self.entries.iter().filter(|(_, entry)| entry.changed.epoch == delta.to.epoch);
+        let unlisted = in_epoch.chain(&self.held).filter(|(key, _)| !listed.contains(key));
+        let unlisted: Vec<K> = unlisted.map(|(key, _)| key.clone()).collect();
         for key in unlisted {
             self.remove(Removed { key, at: delta.to }, changed);
         }
@@ -227,8 +308,12 @@
         if is_newer {
             return;
         }
-        if self.entries.remove(&removal.key).is_some() {
+        let was_held = self.held.remove(&removal.key).is_some();
+        let was_known = self.entries.remove(&removal.key).is_some();
+        if was_known {
             changed.push(removal.key.clone());
+        }
+        if was_known || was_held {
             self.revision = self.revision.max(removal.at);
         }
         self.removed.insert(removal.key, removal.at);
@@ -237,10 +322,12 @@
     fn put(&mut self, item: Item<K, V>, changed: &mut Vec<K>) {
         let is_known = self.entries.get(&item.key).is_some_and(|entry| entry.changed >= item.changed);
         let is_removed = self.removed.get(&item.key).is_some_and(|at| *at >= item.changed);
-        if is_known || is_removed {
+        let is_held = self.held.get(&item.key).is_some_and(|entry| entry.changed >= item.changed);
+        if is_known || is_removed || is_held {
             return;
         }
         self.removed.remove(&item.key);
+        self.held.remove(&item.key);
         self.revision = self.revision.max(item.changed);
         changed.push(item.key.clone());
         self.entries.insert(item.key, Entry { value: item.value, changed: item.changed });
--- a/crates/poplarpaddle/src/wire.rs
+++ b/crates/poplarpaddle/src/wire.rs
@@ -21,10 +21,10 @@
 pub const VERSION: u8 = 1;
 
 /// Version of [`Datagram`]. Datagrams of another version are rejected.
-pub const DATAGRAM_VERSION: u8 = 3;
+pub const DATAGRAM_VERSION: u8 = 4;
 
 /// Version of [`Transfer`]. Transfers of another version are rejected.
-pub const TRANSFER_VERSION: u8 = 2;
+pub const TRANSFER_VERSION: u8 = 3;
 
 /// Length of the checksum of a datagram, in bytes.
 const CHECKSUM_LENGTH: usize = 4;
--- a/crates/poplarpaddle/tests/direct/routing.rs
+++ b/crates/poplarpaddle/tests/direct/routing.rs
@@ -140,8 +140,8 @@
         let mut harness = Harness::new(1);
         harness.route(443, Some(&route("bookings")));
         for id in order {
-            let created = if id == older { 5 } else { 9 };
-            harness.register(&Host { created, ..host(id, "bookings", "a") });
+            let born = if id == older { 5 } else { 9 };
+            harness.register(&Host { born, ..host(id, "bookings", "a") });
         }
         for caller in 1..20 {
             assert_eq!(harness.establish(flow(caller, 443)).0, older);
--- a/crates/poplarpaddle/tests/direct/support.rs
+++ b/crates/poplarpaddle/tests/direct/support.rs
@@ -98,8 +98,8 @@
         slots: 100,
         state: State::Ready,
         cold_until: Time::default(),
-        created: id,
-        born: 1,
+        born: id,
+        sequence: 1,
     }
 }
 
--- a/crates/poplarpaddle/tests/direct/unreachable.rs
+++ b/crates/poplarpaddle/tests/direct/unreachable.rs
@@ -242,10 +242,10 @@
         let (_, _, running) = two_flows(&mut harness, ONCE, 1);
         let former = host(running.0, "crewdocs", ZONES[usize::try_from(running.0 / 100).unwrap()]);
         if is_older {
-            harness.register(&Host { id: HostId(299), created: 0, ..former });
+            harness.register(&Host { id: HostId(299), born: 1, ..former });
             harness.deregister(running.0);
         } else {
-            harness.register(&Host { created: 1_000, ..former });
+            harness.register(&Host { born: 1_000, ..former });
         }
         for _ in 0..4 {
             harness.advance(500);
--- a/crates/poplarpaddle/tests/fleet/drains.rs
+++ b/crates/poplarpaddle/tests/fleet/drains.rs
@@ -4,6 +4,7 @@
 use poplarpaddle::fleet::{Fault, Response};
 use poplarpaddle::registry::{General, ZoneDrain, ZoneDrainDelta};
 use poplarpaddle::replica::{Delta, Item};
+use poplarpaddle::revision::Revision;
 
 use super::world::{Access, Simulation};
 
@@ -22,8 +23,9 @@
 }
 
 fn snapshot(to: u64, zones: &[(&str, u64)]) -> ZoneDrainDelta {
-    let item = |(zone, changed): &(&str, u64)| Item { key: zone.to_string(), value: ZoneDrain, changed: *changed };
-    Delta { base: 0, to, put: zones.iter().map(item).collect(), removed: Vec::new() }
+    let item =
+        |(zone, changed): &(&str, u64)| Item { key: zone.to_string(), value: ZoneDrain, changed: (*changed).into() };
+    Delta { base: Revision::NONE, to: to.into(), put: zones.iter().map(item).collect(), removed: Vec::new() }
 }
 
 #[test]
@@ -102,7 +104,10 @@
 /// A member that took openings before it knows the drains would place some in a drained zone.
 #[test]
 fn a_member_is_ready_only_once_it_knows_the_drains() {
-    let hosts = || Response::Hosts { delta: Delta { base: 0, to: 5, put: vec![], removed: vec![] }, faults: vec![] };
+    let hosts = || Response::Hosts {
+        delta: Delta { base: Revision::NONE, to: 5.into(), put: vec![], removed: vec![] },
+        faults: vec![],
+    };
     let general = General { version: 7, ..Default::default() };
     let drains = || Response::ZoneDrains { delta: snapshot(5, &[]), faults: vec![] };
     for (topics, needs_drains) in [(Topic::ALL.as_slice(), true), (Settings::default().topics, false)] {
@@ -115,7 +120,7 @@
             node.store_answered(
                 now,
                 Topic::Routes,
-                Ok(Response::Routes { as_of: 5, content: Some((general.clone(), vec![])), faults: Vec::new() }),
+                Ok(Response::Routes { as_of: 5.into(), content: Some((general.clone(), vec![])), faults: Vec::new() }),
             );
         });
         assert_eq!(simulation.node(0).is_ready(), !needs_drains);
@@ -180,7 +185,7 @@
 fn an_invalid_entry_is_reported_once_and_costs_only_itself() {
     let mut simulation = running(&[1]);
     let revision = simulation.store.revision;
-    let fault = Fault { name: String::new(), revision: revision + 1, text: "the name is empty".into() };
+    let fault = Fault { name: String::new(), revision: (revision + 1).into(), text: "the name is empty".into() };
     for to in [revision + 2, revision + 3] {
         let delta = snapshot(to, &[("b", revision + 1)]);
         let response = Response::ZoneDrains { delta, faults: vec![fault.clone()] };
--- a/crates/poplarpaddle/tests/fleet/ledger.rs
+++ b/crates/poplarpaddle/tests/fleet/ledger.rs
@@ -2,14 +2,15 @@
 
 use poplarpaddle::error::Kind;
 use poplarpaddle::replica::{Delta, Item, Removed, Replica};
+use poplarpaddle::revision::Revision;
 use proptest::prelude::*;
 
 fn item(key: u8, value: u32, changed: u64) -> Item<u8, u32> {
-    Item { key, value, changed }
+    Item { key, value, changed: changed.into() }
 }
 
 fn snapshot(to: u64, put: Vec<Item<u8, u32>>) -> Delta<u8, u32> {
-    Delta { base: 0, to, put, removed: Vec::new() }
+    Delta { base: Revision::NONE, to: to.into(), put, removed: Vec::new() }
 }
 
 fn content(replica: &Replica<u8, u32>) -> Vec<(u8, u32)> {
@@ -32,7 +33,7 @@
 fn a_delta_that_starts_later_is_refused() {
     let mut replica = Replica::default();
     replica.merge(snapshot(9, vec![item(1, 10, 9)])).unwrap();
-    let gap = Delta { base: 11, to: 12, put: vec![], removed: vec![] };
+    let gap = Delta { base: 11.into(), to: 12.into(), put: vec![], removed: vec![] };
     assert_eq!(replica.merge(gap).unwrap_err().kind(), Kind::Stale);
 }
 
@@ -42,8 +43,8 @@
     let mut replica = Replica::default();
     replica.merge(snapshot(9, vec![item(1, 10, 3), item(2, 20, 9)])).unwrap();
     assert_eq!(replica.merge(snapshot(11, vec![item(2, 20, 9)])).unwrap(), [1]);
-    let delta = replica.delta(9);
-    assert_eq!(delta.removed, [Removed { key: 1, at: 11 }]);
+    let delta = replica.delta(9.into());
+    assert_eq!(delta.removed, [Removed { key: 1, at: 11.into() }]);
 }
 
 /// A delta that overlaps with the current state must not restore a removed key.
@@ -51,10 +52,12 @@
 fn a_removed_key_comes_back_only_with_a_later_change() {
     let mut replica = Replica::default();
     replica.merge(snapshot(5, vec![item(1, 10, 3)])).unwrap();
-    replica.merge(Delta { base: 5, to: 8, put: vec![], removed: vec![Removed { key: 1, at: 8 }] }).unwrap();
-    replica.merge(Delta { base: 5, to: 9, put: vec![item(1, 10, 3)], removed: vec![] }).unwrap();
+    replica
+        .merge(Delta { base: 5.into(), to: 8.into(), put: vec![], removed: vec![Removed { key: 1, at: 8.into() }] })
+        .unwrap();
+    replica.merge(Delta { base: 5.into(), to: 9.into(), put: vec![item(1, 10, 3)], removed: vec![] }).unwrap();
     assert!(replica.is_empty());
-    replica.merge(Delta { base: 9, to: 10, put: vec![item(1, 11, 10)], removed: vec![] }).unwrap();
+    replica.merge(Delta { base: 9.into(), to: 10.into(), put: vec![item(1, 11, 10)], removed: vec![] }).unwrap();
     assert_eq!(content(&replica), [(1, 11)]);
 }
 
@@ -63,11 +66,11 @@
 #[test]
 fn a_snapshot_of_new_values_changes_only_values_that_differ() {
     let mut replica = Replica::default();
-    let first = replica.snapshot_of(5, vec![(1, 10), (2, 20)]);
+    let first = replica.snapshot_of(5.into(), vec![(1, 10), (2, 20)]);
     replica.merge(first).unwrap();
-    let second = replica.snapshot_of(8, vec![(1, 10), (2, 21), (3, 30)]);
+    let second = replica.snapshot_of(8.into(), vec![(1, 10), (2, 21), (3, 30)]);
     assert_eq!(replica.merge(second).unwrap(), [2, 3]);
-    let keys: Vec<u8> = replica.delta(5).put.iter().map(|item| item.key).collect();
+    let keys: Vec<u8> = replica.delta(5.into()).put.iter().map(|item| item.key).collect();
     assert_eq!(keys, [2, 3]);
 }
 
@@ -108,14 +111,14 @@
                     revision += 1;
                     store.insert(key, (value, revision));
                     let base = reader.as_of();
-                    reader.merge(Delta { base, to: revision, put: vec![item(key, value, revision)], removed: vec![] }).unwrap();
+                    reader.merge(Delta { base, to: revision.into(), put: vec![item(key, value, revision)], removed: vec![] }).unwrap();
                 }
                 Step::Remove(key) => {
                     revision += 1;
                     if store.remove(&key).is_some() {
                         let base = reader.as_of();
-                        let removed = vec![Removed { key, at: revision }];
-                        reader.merge(Delta { base, to: revision, put: vec![], removed }).unwrap();
+                        let removed = vec![Removed { key, at: revision.into() }];
+                        reader.merge(Delta { base, to: revision.into(), put: vec![], removed }).unwrap();
                     }
                 }
                 Step::Pull => drop(follower.merge(reader.delta(follower.as_of())).unwrap()),
--- a/crates/poplarpaddle/tests/fleet/malformed.rs
+++ b/crates/poplarpaddle/tests/fleet/malformed.rs
@@ -103,7 +103,7 @@
     let mut simulation = Simulation::running(&[2]);
     let mut news = simulation.node(1).feed().announcement(simulation.now, MemberId(9));
     for position in &mut news.positions {
-        position.as_of = 1 << 40;
+        position.as_of = (1 << 40).into();
     }
     for body in [Body::Announce(MemberId(9)), Body::Ping(MemberId(9)), Body::Pong(MemberId(9))] {
         let bytes = Datagram { version: DATAGRAM_VERSION, number: 0, news, body }.encode().unwrap();
--- a/crates/poplarpaddle/tests/fleet/random.rs
+++ b/crates/poplarpaddle/tests/fleet/random.rs
@@ -15,14 +15,14 @@
 /// Time after the end of the failures during which the bound does not apply.
 const RECOVERY_MS: u64 = 4000;
 
-fn seeds() -> std::ops::Range<u64> {
+pub fn seeds() -> std::ops::Range<u64> {
     let Ok(text) = std::env::var("POPLARPADDLE_SEEDS") else { return 0..12 };
     let (from, to) = text.split_once("..").expect("POPLARPADDLE_SEEDS is FROM..TO");
     from.parse().expect("a number")..to.parse().expect("a number")
 }
 
 /// Applies a random failure to the fleet. The simulation asserts that no version decreases.
-fn inject_failure(simulation: &mut Simulation, random: &mut Pcg64Mcg) {
+pub fn inject_failure(simulation: &mut Simulation, random: &mut Pcg64Mcg) {
     let count = simulation.instances.len();
     let node = random.random_range(0..count);
     match random.random_range(0..9) {
@@ -49,7 +49,7 @@
 }
 
 /// Ends all failures and starts the nodes that do not run.
-fn recover(simulation: &mut Simulation) {
+pub fn recover(simulation: &mut Simulation) {
     simulation.heal();
     for instance in &mut simulation.instances {
         instance.store_access = Access::Reachable;
@@ -119,7 +119,7 @@
 }
 
 /// Drains a random zone or takes it back.
-fn order(simulation: &mut Simulation, random: &mut Pcg64Mcg) {
+pub fn order(simulation: &mut Simulation, random: &mut Pcg64Mcg) {
     let zone = ["a", "b", "c"][random.random_range(0..3)];
     if simulation.drained_zones().contains(zone) {
         simulation.return_zone(zone);
--- a/crates/poplarpaddle/tests/fleet/spread.rs
+++ b/crates/poplarpaddle/tests/fleet/spread.rs
@@ -261,8 +261,10 @@
     let (bound, start) = (Duration::from_millis(BOUND_MS), Time::from_millis(10_000));
     let mut feed = Feed::new(feed::Settings { bound, ..Default::default() }, MemberId(9));
     feed.tick(start, &[MemberId(1), MemberId(2), MemberId(9)]);
-    let announcement =
-        Announcement { root: MemberId(1), positions: [Position { revision: 5, as_of: 5, age_ms: 10, digest: 0 }; 3] };
+    let announcement = Announcement {
+        root: MemberId(1),
+        positions: [Position { revision: 5.into(), as_of: 5.into(), age_ms: 10, digest: 0 }; 3],
+    };
     let next_pull = |feed: &mut Feed| {
         let mut actions = feed.actions().into_iter();
         actions
@@ -321,12 +323,12 @@
 fn each_error_in_a_service_is_reported_once_per_revision() {
     let mut simulation = Simulation::running(&[1]);
     let revision = simulation.store.revision + 1;
-    let fault = |text: &str| Fault { name: "bookings".into(), revision, text: text.into() };
+    let fault = |text: &str| Fault { name: "bookings".into(), revision: revision.into(), text: text.into() };
     let faults = vec![fault("cold_start_s -1"), fault("cold_per_s \"many\"")];
     let mut reported = Vec::new();
     for as_of in [revision, revision + 1] {
         let content = Some((General { version: 8, ..Default::default() }, Vec::new()));
-        let response = Response::Routes { as_of, content, faults: faults.clone() };
+        let response = Response::Routes { as_of: as_of.into(), content, faults: faults.clone() };
         simulation.with(0, |node, now| {
             node.store_answered(now, Topic::Routes, Ok(response));
             for action in node.actions() {
@@ -338,6 +340,6 @@
             }
         });
     }
-    let expected = ["cold_start_s -1", "cold_per_s \"many\""].map(|text| format!("revision {revision}: {text}"));
+    let expected = ["cold_start_s -1", "cold_per_s \"many\""].map(|text| format!("revision 0.{revision}: {text}"));
     assert_eq!(reported, expected);
 }
--- a/crates/poplarpaddle/tests/fleet/world.rs
+++ b/crates/poplarpaddle/tests/fleet/world.rs
@@ -14,6 +14,7 @@
 use poplarpaddle::path::MemberId;
 use poplarpaddle::registry::{Address, General, Host, Route, Service, State as HostState, ZoneDrain, ZoneDrainDelta};
 use poplarpaddle::replica::{Delta, Item, Removed};
+use poplarpaddle::revision::Revision;
 use poplarpaddle::time::Time;
 use poplarpaddle::wire::{Record, State, Transfer};
 
@@ -82,7 +83,7 @@
     run_id: u64,
     call: u64,
     topic: Topic,
-    revision: u64,
+    revision: Revision,
 }
 
 type Routes = Vec<(Address, Route)>;
@@ -155,6 +156,8 @@
     payloads: BTreeMap<u64, Event>,
     next: u64,
     watches: Vec<Watch>,
+    /// Number of registrations that hosts have written.
+    registrations: u64,
 }
 
 pub fn host(number: u64, state: HostState) -> Host {
@@ -166,8 +169,8 @@
         slots: 3,
         state,
         cold_until: Time::default(),
-        created: 1,
         born: 1,
+        sequence: 1,
     }
 }
 
@@ -213,6 +216,7 @@
             payloads: BTreeMap::new(),
             next: 0,
             watches: Vec::new(),
+            registrations: 0,
         }
     }
 
@@ -324,10 +328,15 @@
     }
 
     pub fn put_host(&mut self, number: u64, state: HostState) {
+        self.registrations += 1;
+        self.put_registration(number, Host { sequence: self.registrations, ..host(number, state) });
+    }
+
+    pub fn put_registration(&mut self, number: u64, registration: Host) {
         self.store.revision += 1;
         let name = format!("i-{number:x}");
         self.store.removed.remove(&name);
-        self.store.hosts.insert(name, (host(number, state), self.store.revision));
+        self.store.hosts.insert(name, (registration, self.store.revision));
         self.notify_watches(Topic::Hosts);
     }
 
@@ -450,7 +459,7 @@
                     let Watch { topic, revision, .. } = self.watches.remove(position);
                     // Changes that the store could not send while it was unreachable are still unknown to the node.
                     let changes = self.store.changes(topic, revision);
-                    let response = changes.unwrap_or(Response::Unchanged { as_of: self.store.revision });
+                    let response = changes.unwrap_or(Response::Unchanged { as_of: self.store.as_of() });
                     self.with_node(node, run_id, |node| node.store_answered(now, topic, Ok(response)));
                 }
             }
@@ -503,7 +512,7 @@
                 let (wait, changes) = match reachable.map(|other| &mut self.instances[other]) {
                     Some(Instance { node: Some(node), snapshots, .. }) => {
                         let changes = node.changes_since(now, since);
-                        *snapshots += u64::from(changes.as_ref().is_ok_and(|changes| changes.hosts.base == 0));
+                        *snapshots += u64::from(changes.as_ref().is_ok_and(|changes| changes.hosts.base.is_none()));
                         (
                             2 * HOP_MS,
                             changes.map(|changes| Box::new(Transfer::decode(&changes.encode().unwrap()).unwrap())),
@@ -585,7 +594,7 @@
         self.schedule(wait, Event::Store { node, run_id, topic, response });
     }
 
-    fn watch(&mut self, node: usize, run_id: u64, topic: Topic, revision: u64, until: Time) {
+    fn watch(&mut self, node: usize, run_id: u64, topic: Topic, revision: Revision, until: Time) {
         self.instances[node].store_calls += 1;
         self.instances[node].topics_called.insert(topic.to_string());
         if self.instances[node].store_access == Access::Refused {
@@ -652,31 +661,65 @@
                 let put = self.hosts.iter().map(|(name, (host, changed))| Item {
                     key: name.clone(),
                     value: host.clone(),
-                    changed: *changed,
+                    changed: self.at(*changed),
                 });
-                let delta = Delta { base: 0, to: self.revision, put: put.collect(), removed: Vec::new() };
+                let delta = Delta { base: Revision::NONE, to: self.as_of(), put: put.collect(), removed: Vec::new() };
                 Response::Hosts { delta, faults: Vec::new() }
             }
             Topic::Routes => {
                 let content = self.config.clone().map(|(general, routes, _)| (general, routes));
-                Response::Routes { as_of: self.revision, content, faults: Vec::new() }
+                Response::Routes { as_of: self.as_of(), content, faults: Vec::new() }
             }
             Topic::ZoneDrains => Response::ZoneDrains { delta: self.drains_since(0), faults: Vec::new() },
         }
     }
 
+    /// Returns the version and the ports of the configuration.
+    pub fn published(&self) -> Option<(u64, Vec<u16>)> {
+        let (general, routes, _) = self.config.as_ref()?;
+        Some((general.version, routes.iter().map(|(address, _)| address.port()).collect()))
+    }
+
+    /// Returns a registered host.
+    pub fn host(&self, number: u64) -> Option<&Host> {
+        self.hosts.get(&format!("i-{number:x}")).map(|(host, _)| host)
+    }
+
+    /// Returns all registered hosts by name.
+    pub fn hosts(&self) -> BTreeMap<String, Host> {
+        self.hosts.iter().map(|(name, (host, _))| (name.clone(), host.clone())).collect()
+    }
+
+    pub fn is_drained(&self, zone: &str) -> bool {
+        self.drains.contains_key(zone)
+    }
+
+    /// Returns the revision with a number in the current epoch.
+    pub fn at(&self, number: u64) -> Revision {
+        Revision { epoch: self.epoch, number }
+    }
+
+    /// Returns the current revision.
+    pub fn as_of(&self) -> Revision {
+        self.at(self.revision)
+    }
+
     /// Returns the changes of the zone drains after the revision `base`.
     fn drains_since(&self, base: u64) -> ZoneDrainDelta {
         let put = self.drains.iter().filter(|(_, changed)| **changed > base);
-        let put = put.map(|(zone, changed)| Item { key: zone.clone(), value: ZoneDrain, changed: *changed }).collect();
+        let put = put
+            .map(|(zone, changed)| Item { key: zone.clone(), value: ZoneDrain, changed: self.at(*changed) })
+            .collect();
         let removed = self.ended_drains.iter().filter(|(_, at)| base > 0 && **at > base);
-        let removed = removed.map(|(zone, at)| Removed { key: zone.clone(), at: *at }).collect();
-        Delta { base, to: self.revision, put, removed }
+        let removed = removed.map(|(zone, at)| Removed { key: zone.clone(), at: self.at(*at) }).collect();
+        let base = if base > 0 { self.at(base) } else { Revision::NONE };
+        Delta { base, to: self.as_of(), put, removed }
     }
 
     /// Returns the changes after a revision, or none when there are none.
-    fn changes(&self, topic: Topic, since: u64) -> Option<Response> {
-        if since + 1 < self.floor || since > self.revision {
+    fn changes(&self, topic: Topic, since: Revision) -> Option<Response> {
+        let Revision { epoch, number: since } = since;
+        if epoch != self.epoch || since + 1 < self.floor || since > self.revision {
             return Some(Response::HistoryGone { epoch: self.epoch });
         }
         match topic {
@@ -692,12 +735,16 @@
             Topic::Hosts => {
                 let put = self.hosts.iter().filter(|(_, (_, changed))| *changed > since);
                 let put: Vec<_> = put
-                    .map(|(name, (host, changed))| Item { key: name.clone(), value: host.clone(), changed: *changed })
+                    .map(|(name, (host, changed))| Item {
+                        key: name.clone(),
+                        value: host.clone(),
+                        changed: self.at(*changed),
+                    })
                     .collect();
                 let removed = self.removed.iter().filter(|(_, at)| **at > since);
-                let removed: Vec<_> = removed.map(|(key, at)| Removed { key: key.clone(), at: *at }).collect();
+                let removed: Vec<_> = removed.map(|(key, at)| Removed { key: key.clone(), at: self.at(*at) }).collect();
                 let has_changes = !put.is_empty() || !removed.is_empty();
-                let delta = Delta { base: since, to: self.revision, put, removed };
+                let delta = Delta { base: self.at(since), to: self.as_of(), put, removed };
                 has_changes.then_some(Response::Hosts { delta, faults: Vec::new() })
             }
         }
