Compare the hosts of members by a digest

What callers saw: after a member had missed the removal of a host, its flows went to that host for good.

Zone drains had a digest for this reason, hosts did not.

Change: the replica keeps the digest of its entries up to date, and members compare it for hosts too.

Evidence: spread::a_member_that_missed_a_removal_is_not_confirmed_by_one_that_never_knew_the_host failed before and passes now.

--- a/crates/poplarpaddle/src/feed/announcement.rs
+++ b/crates/poplarpaddle/src/feed/announcement.rs
@@ -37,7 +37,7 @@
     /// Time since the store confirmed that the state was current, in milliseconds; `u32::MAX` if it never did. A
     /// relative time requires no synchronized clocks.
     pub age_ms: u32,
-    /// Digest of the state; 0 for topics whose states are compared by their revisions alone.
+    /// Digest of the state; 0 for the routes, which are compared by the version alone.
     pub digest: u64,
 }
 
--- a/crates/poplarpaddle/src/fleet/apply.rs
+++ b/crates/poplarpaddle/src/fleet/apply.rs
@@ -113,6 +113,7 @@
 
     /// Passes changes of the hosts to the data path.
     pub(super) fn hosts_changed(&mut self, now: Time, changed: Vec<String>) {
+        self.feed.set_digest(Topic::Hosts, self.hosts.digest());
         if !changed.is_empty() {
             let detail = format!("revision {}: {}", self.hosts.revision(), changed.join(" "));
             self.record_event(now, "hosts.changed", &changed.len().to_string(), detail);
--- a/crates/poplarpaddle/src/replica.rs
+++ b/crates/poplarpaddle/src/replica.rs
@@ -85,6 +85,8 @@
     floor: Revision,
     entries: Map<K, Entry<V>>,
     removed: BTreeMap<K, Revision>,
+    /// Sum of the hashes of `entries` and `held`.
+    digest: u64,
     /// Values in the first snapshot of the epoch that had been removed in an earlier one, until [`Self::settle`].
     held: BTreeMap<K, Entry<V>>,
 }
@@ -97,6 +99,7 @@
             floor: Revision::NONE,
             entries: map::seeded(0),
             removed: BTreeMap::new(),
+            digest: 0,
             held: BTreeMap::new(),
         }
     }
@@ -149,10 +152,8 @@
     /// Returns a digest of the keys and of the revisions of their last changes. Replicas with the same entries have
     /// equal digests, in whatever order the entries arrived.
     #[must_use]
-    pub fn digest(&self) -> u64 {
-        let entries = self.entries.iter().chain(&self.held);
-        let hashes = entries.map(|(key, entry)| map::hash(entry.changed.number, &(entry.changed.epoch, key)));
-        hashes.fold(0, u64::wrapping_add)
+    pub const fn digest(&self) -> u64 {
+        self.digest
     }
 
     /// Applies a delta and returns the keys that changed, sorted. A delta that is not newer than the state has no
@@ -223,6 +224,9 @@
             self.remove(Removed { key, at }, &mut changed);
         }
         let mut held = std::mem::take(&mut self.held);
+        for (key, entry) in &held {
+            self.digest = self.digest.wrapping_sub(hash(key, entry.changed));
+        }
         // What another member kept from an earlier epoch is lost as well.
         held.retain(|_, entry| entry.changed.epoch == epoch);
         for (key, Entry { value, changed: revision }) in held {
@@ -276,8 +280,13 @@
         let mut changed = Vec::new();
         for Item { key, value, changed: revision } in snapshot.put {
             match self.entries.get_mut(&key) {
-                Some(known) if is_newer(&known.value, &value) => known.changed = known.changed.max(revision),
+                Some(known) if is_newer(&known.value, &value) => {
+                    self.digest = self.digest.wrapping_sub(hash(&key, known.changed));
+                    known.changed = known.changed.max(revision);
+                    self.digest = self.digest.wrapping_add(hash(&key, known.changed));
+                }
                 None if self.removed.contains_key(&key) => {
+                    self.digest = self.digest.wrapping_add(hash(&key, revision));
                     self.held.insert(key, Entry { value, changed: revision });
                 }
                 _ => self.put(Item { key, value, changed: revision }, &mut changed),
@@ -308,12 +317,13 @@
         if is_newer {
             return;
         }
-        let was_held = self.held.remove(&removal.key).is_some();
-        let was_known = self.entries.remove(&removal.key).is_some();
-        if was_known {
+        let held = self.held.remove(&removal.key);
+        let known = self.entries.remove(&removal.key);
+        if known.is_some() {
             changed.push(removal.key.clone());
         }
-        if was_known || was_held {
+        for entry in known.into_iter().chain(held) {
+            self.digest = self.digest.wrapping_sub(hash(&removal.key, entry.changed));
             self.revision = self.revision.max(removal.at);
         }
         self.removed.insert(removal.key, removal.at);
@@ -327,10 +337,14 @@
             return;
         }
         self.removed.remove(&item.key);
-        self.held.remove(&item.key);
         self.revision = self.revision.max(item.changed);
         changed.push(item.key.clone());
-        self.entries.insert(item.key, Entry { value: item.value, changed: item.changed });
+        let held = self.held.remove(&item.key);
+        self.digest = self.digest.wrapping_add(hash(&item.key, item.changed));
+        let known = self.entries.insert(item.key.clone(), Entry { value: item.value, changed: item.changed });
+        for entry in known.into_iter().chain(held) {
+            self.digest = self.digest.wrapping_sub(hash(&item.key, entry.changed));
+        }
     }
 
     /// Drops the oldest removed keys beyond [`MAX_REMOVED`].
@@ -343,3 +357,8 @@
         }
     }
 }
+
+/// Returns the hash of a key and of the revision of its last change.
+fn hash<K: Hash>(key: &K, changed: Revision) -> u64 {
+    map::hash(changed.number, &(changed.epoch, key))
+}
--- a/crates/poplarpaddle/tests/fleet/spread.rs
+++ b/crates/poplarpaddle/tests/fleet/spread.rs
@@ -343,3 +343,18 @@
     let expected = ["cold_start_s -1", "cold_per_s \"many\""].map(|text| format!("revision 0.{revision}: {text}"));
     assert_eq!(reported, expected);
 }
+
+/// A member that starts after a host has left never knew it. Its announcements confirmed the state of a member that had
+/// missed the removal, which then kept the host for good.
+#[test]
+fn a_member_that_missed_a_removal_is_not_confirmed_by_one_that_never_knew_the_host() {
+    let mut simulation = Simulation::running(&[1, 1]);
+    simulation.kill(1);
+    simulation.run(5000);
+    simulation.instances[0].store_access = Access::Silent;
+    simulation.remove_host(3);
+    simulation.publish(8, &[443]);
+    simulation.start(1);
+    simulation.run(BOUND_MS);
+    assert!(!simulation.instances[0].hosts.contains_key("i-3"), "{:?}", simulation.instances[0].hosts);
+}
