Restore the stand-in's store from a copy in the run of separate processes

The stand-in of the platform's store can be copied and restored, sends its epoch in each response, and has what the operator and the hosts wrote since the copy written again. scripts/platform.sh plays this while requests run and checks that the last configuration is in force at every balancer.

--- a/crates/poplarpaddle-standins/src/bin/standin-site.rs
+++ b/crates/poplarpaddle-standins/src/bin/standin-site.rs
@@ -19,7 +19,8 @@
     flag("seed", "N: random seed (1)"),
     flag(
         "fault",
-        "KIND:AT_MS:FOR_MS: busy, throttle, silent, slow, lost, compact, crash, drain or configure; may be repeated",
+        "KIND:AT_MS:FOR_MS: busy, throttle, silent, slow, lost, compact, copy, restore, crash, drain or configure; may be \
+         repeated",
     ),
 ];
 
@@ -65,6 +66,8 @@
         "slow" => FaultKind::Store(Behavior::Slow(Duration::from_millis(240))),
         "lost" => FaultKind::Store(Behavior::LosingResponses),
         "compact" => FaultKind::Compact,
+        "copy" => FaultKind::Copy,
+        "restore" => FaultKind::Restore,
         "crash" => FaultKind::Crash,
         "drain" => FaultKind::Drain,
         "configure" => FaultKind::Configure,
--- a/crates/poplarpaddle-standins/src/site/entry.rs
+++ b/crates/poplarpaddle-standins/src/site/entry.rs
@@ -3,7 +3,7 @@
 use rand::RngExt as _;
 use serde_json::json;
 
-use super::run::{Server, Site};
+use super::run::Site;
 
 /// Names of the two services.
 pub(super) const SERVICES: [&str; 2] = ["bookings", "crewdocs"];
@@ -24,18 +24,21 @@
         self.store.set("config", "main", spec);
     }
 
-    pub(super) fn register_hosts(&self) {
+    pub(super) fn register_hosts(&mut self) {
         // Other writers leave entries that do not describe a host. They must not affect the valid ones.
         self.store.set("servers", "i-bad", json!({"service": 7}));
         self.store.set("servers", "list", json!([1, 2, 3]));
-        for server in &self.hosts {
-            self.write_registration(server, "ready");
+        for index in 0..self.hosts.len() {
+            self.write_registration(index, "ready");
         }
     }
 
-    pub(super) fn write_registration(&self, server: &Server, state: &str) {
+    pub(super) fn write_registration(&mut self, index: usize, state: &str) {
+        self.registrations += 1;
+        let server = &self.hosts[index];
         let spec = json!({"service": SERVICES[server.service], "address": server.address.to_string(),
-            "zone": server.zone, "version": "v1", "slots": 3, "state": state, "cold_left_ms": 0, "seq": 4, "born": 1});
+            "zone": server.zone, "version": "v1", "slots": 3, "state": state, "cold_left_ms": 0,
+            "seq": self.registrations, "born": 1});
         self.store.set("servers", &server.name, spec);
     }
 }
--- a/crates/poplarpaddle-standins/src/site/fault.rs
+++ b/crates/poplarpaddle-standins/src/site/fault.rs
@@ -7,6 +7,9 @@
 use super::run::{Server, Site};
 use super::store::Behavior;
 
+/// Prefix of the kinds of objects that the system under test creates in the store.
+const OWN_KINDS: &str = "poplarpaddle";
+
 impl Site {
     /// Starts the faults whose time has come and ends the active ones whose duration has passed.
     pub(super) fn apply_faults(
@@ -21,13 +24,15 @@
             match fault.kind {
                 FaultKind::Store(behavior) => self.store.set_behavior(behavior),
                 FaultKind::Compact => self.store.compact(),
+                FaultKind::Copy => self.store.copy(),
+                FaultKind::Restore => self.store.set_behavior(Behavior::Unavailable),
                 FaultKind::Crash => {
                     self.hosts[index].host.crash();
                     self.acceptors[index].abort();
                 }
                 FaultKind::Drain => {
                     self.hosts[index].draining = Some(now);
-                    self.write_registration(&self.hosts[index], "draining");
+                    self.write_registration(index, "draining");
                 }
                 FaultKind::Configure => self.write_config(),
             }
@@ -41,7 +46,11 @@
                     self.hosts[index].host.alive = false;
                     self.acceptors[index].abort();
                 }
-                FaultKind::Compact | FaultKind::Configure => {}
+                FaultKind::Restore => {
+                    self.store.set_behavior(Behavior::Normal);
+                    self.store.restore(OWN_KINDS);
+                }
+                FaultKind::Compact | FaultKind::Copy | FaultKind::Configure => {}
             }
         }
     }
--- a/crates/poplarpaddle-standins/src/site/plan.rs
+++ b/crates/poplarpaddle-standins/src/site/plan.rs
@@ -15,6 +15,10 @@
     Store(Behavior),
     /// The store drops its history of changes.
     Compact,
+    /// A copy of the store is taken.
+    Copy,
+    /// The store rejects calls, and is restored from the latest copy when the fault ends.
+    Restore,
     /// A host crashes. Its registration is removed when the fault ends.
     Crash,
     /// A host reports that it drains. It leaves when the fault ends.
@@ -30,7 +34,7 @@
     pub kind: FaultKind,
     /// Start of the fault, relative to the start of traffic.
     pub at: Duration,
-    /// Duration of the fault. Ignored for [`FaultKind::Compact`] and [`FaultKind::Configure`].
+    /// Duration of the fault. Ignored for [`FaultKind::Compact`], [`FaultKind::Copy`] and [`FaultKind::Configure`].
     pub duration: Duration,
 }
 
@@ -82,6 +86,8 @@
     pub reset_by_system: u64,
     /// SYNs that reached a draining host after the drain grace period.
     pub drained_late: u64,
+    /// Version of the last configuration that the operator wrote.
+    pub config_version: u64,
     /// Number of calls to the store, and how many of them were refused.
     pub store_calls: (u64, u64),
     /// Median and 99th percentile of the response time, in milliseconds.
--- a/crates/poplarpaddle-standins/src/site/run.rs
+++ b/crates/poplarpaddle-standins/src/site/run.rs
@@ -53,6 +53,8 @@
     next_port: u16,
     /// Version of the configuration in the store.
     pub(super) version: u64,
+    /// Number of registrations that hosts have written.
+    pub(super) registrations: u64,
     /// Response times in milliseconds.
     response_times: Vec<u64>,
     report: Report,
@@ -172,6 +174,7 @@
             next_id: 1,
             next_port: 1024,
             version: 7,
+            registrations: 0,
             response_times: Vec::new(),
             report: Report::default(),
             plan,
@@ -378,6 +381,7 @@
         };
         self.report.times_ms = (percentile(50), percentile(99));
         self.report.store_calls = self.store.calls();
+        self.report.config_version = self.version;
         self.report
     }
 }
--- a/crates/poplarpaddle-standins/src/site/store.rs
+++ b/crates/poplarpaddle-standins/src/site/store.rs
@@ -5,7 +5,8 @@
 use std::time::{Duration, Instant};
 
 use axum::extract::{Path, Query, State};
-use axum::http::StatusCode;
+use axum::http::{HeaderName, HeaderValue, StatusCode};
+use axum::middleware::map_response_with_state;
 use axum::response::{IntoResponse, Response};
 use axum::routing::get;
 use axum::{Json, Router};
@@ -13,6 +14,9 @@
 use serde_json::{Value, json};
 use tokio::sync::watch;
 
+/// Header with the number of the epoch, which rises each time that the store is restored from a copy.
+const EPOCH_HEADER: HeaderName = HeaderName::from_static("store-era");
+
 /// Number of objects per page of a list.
 const PAGE: usize = 50;
 
@@ -76,13 +80,25 @@
     deleted: bool,
 }
 
-#[derive(Debug, Default)]
-struct Inner {
+/// Content of the store at one revision.
+#[derive(Debug, Clone, Default)]
+struct Content {
     revision: u64,
     objects: BTreeMap<(String, String), Object>,
     changes: Vec<(u64, Change)>,
     /// Changes up to this revision were compacted away.
     compacted: u64,
+}
+
+#[derive(Debug, Default, derive_more::Deref, derive_more::DerefMut)]
+struct Inner {
+    #[deref]
+    #[deref_mut]
+    content: Content,
+    /// Content from which the store can be restored.
+    copy: Content,
+    /// Number of times that the store was restored.
+    epoch: u64,
     behavior: Behavior,
     calls: u64,
     refused: u64,
@@ -115,7 +131,8 @@
     /// Returns an empty store that rejects calls beyond `max_calls_per_s` per second.
     #[must_use]
     pub fn new(max_calls_per_s: u64) -> Self {
-        let inner = Inner { revision: 100, compacted: 100, ..Default::default() };
+        let content = Content { revision: 100, compacted: 100, ..Default::default() };
+        let inner = Inner { copy: content.clone(), content, ..Default::default() };
         Self { inner: Arc::new(Mutex::new(inner)), revision: watch::Sender::new(100), max_calls_per_s }
     }
 
@@ -135,6 +152,31 @@
         self.revision.send_replace(revision);
     }
 
+    /// Takes a copy of the content, which replaces the one before.
+    pub fn copy(&self) {
+        let mut inner = self.lock();
+        inner.copy = inner.content.clone();
+    }
+
+    /// Goes back to the content of the copy, and writes again what others than the system under test, whose kinds begin
+    /// with `own`, have written since.
+    pub fn restore(&self, own: &str) {
+        let mut inner = self.lock();
+        let copy = inner.copy.clone();
+        let lost = std::mem::replace(&mut inner.content, copy.clone());
+        inner.epoch += 1;
+        let revision = inner.revision;
+        drop(inner);
+        self.revision.send_replace(revision);
+        let foreign = |(kind, _): &&(String, String)| !kind.starts_with(own);
+        for (kind, name) in copy.objects.keys().filter(foreign).filter(|key| !lost.objects.contains_key(*key)) {
+            self.remove(kind, name);
+        }
+        for key in lost.objects.keys().filter(foreign) {
+            self.set(&key.0, &key.1, lost.objects[key].spec.clone());
+        }
+    }
+
     /// Returns the number of calls so far, and how many of them were refused.
     #[must_use]
     pub fn calls(&self) -> (u64, u64) {
@@ -172,6 +214,7 @@
             .route("/poplarpaddle/objects/{kind}", get(list).post(create))
             .route("/poplarpaddle/objects/{kind}/{name}", get(read).put(replace).delete(delete))
             .with_state(self.clone())
+            .layer(map_response_with_state(self.clone(), add_epoch))
     }
 
     fn apply(&self, mut inner: MutexGuard<'_, Inner>, kind: &str, object: Object, deleted: bool) {
@@ -229,7 +272,7 @@
 
     fn events(&self, kind: &str, since: u64) -> Option<(Vec<Value>, u64)> {
         let inner = self.lock();
-        if since < inner.compacted {
+        if since < inner.compacted || since > inner.revision {
             return None;
         }
         let new = inner.changes.iter().filter(|(revision, change)| *revision > since && change.kind == kind);
@@ -238,6 +281,12 @@
     }
 }
 
+async fn add_epoch(State(store): State<Store>, mut response: Response) -> Response {
+    let epoch = store.lock().epoch;
+    response.headers_mut().insert(EPOCH_HEADER, HeaderValue::from(epoch));
+    response
+}
+
 async fn list(State(store): State<Store>, Path(kind): Path<String>, Query(options): Query<Options>) -> Response {
     if let Some(response) = store.admit().await {
         return response;
--- a/crates/poplarpaddle-standins/tests/site.rs
+++ b/crates/poplarpaddle-standins/tests/site.rs
@@ -170,6 +170,30 @@
     assert_eq!(get(&format!("{url}/servers?watch={as_of}&wait_ms=20")).await.0, 410);
 }
 
+/// Guards against a restored store that keeps what was written after the copy, or tells nothing of its new epoch.
+#[tokio::test]
+async fn a_restored_store_gives_out_revisions_again() {
+    let store = Store::new(10_000);
+    let url = serve(&store).await;
+    let client = reqwest::Client::new();
+    store.set("config", "main", json!({"version": 1}));
+    store.copy();
+    let own = json!({"meta": {"name": "one"}, "spec": 1});
+    assert!(client.post(format!("{url}/own")).json(&own).send().await.unwrap().status().is_success());
+    store.set("config", "main", json!({"version": 2}));
+    store.set("servers", "i-1", json!({}));
+    let before = get(&format!("{url}/config")).await.1["as_of"].as_u64().unwrap();
+    store.restore("own");
+    let response = reqwest::get(format!("{url}/config")).await.unwrap();
+    assert_eq!(response.headers()["store-era"], "1");
+    let page: Value = response.json().await.unwrap();
+    assert_eq!(page["items"][0]["spec"]["version"], 2, "the operator has written it again");
+    assert!(page["as_of"].as_u64().unwrap() < before);
+    assert_eq!(get(&format!("{url}/servers/i-1")).await.0, 200);
+    assert_eq!(get(&format!("{url}/own/one")).await.0, 404, "nobody else writes it again");
+    assert_eq!(get(&format!("{url}/config?watch={before}&wait_ms=20")).await.0, 410);
+}
+
 /// Guards against a store that accepts stale writes, or that loses a write together with its response.
 #[tokio::test]
 async fn writes_are_conditional_and_their_responses_can_be_lost() {
--- a/scripts/platform.sh
+++ b/scripts/platform.sh
@@ -2,15 +2,15 @@
 # Runs the balancer for the operators' platform against a stand-in of that platform, in separate processes on loopback:
 # one process for the store, routers, hosts and consumers, and six balancers in three zones. While requests run, a balancer
 # is killed and started again, another one is stopped and started again, a host crashes, one drains, the store is busy for
-# a while, and the configuration changes. The last line of output is the result as a JSON object. The exit code is not 0
-# if a guarantee was violated.
+# a while and later comes back from a copy, and the configuration changes. The last line of output is the result as a JSON
+# object. The exit code is not 0 if a guarantee was violated or the last configuration is not in force everywhere.
 set -euo pipefail
 
 usage() {
     echo "usage: $0 [--seed N] [--base-port PORT] [--duration-ms MS] [--hash steady|mod] [--keep] [--no-build]"
 }
 
-seed=1 base=31000 duration_ms=9000 hash=steady keep=false build=true
+seed=1 base=31000 duration_ms=14000 hash=steady keep=false build=true
 while (($# > 0)); do
     case $1 in
     --seed) seed=$2 && shift 2 ;;
@@ -67,6 +67,14 @@
     pids[$1]=$!
 }
 
+# Prints the status of balancer $1.
+status() {
+    exec {connection}<>"/dev/tcp/127.1.0.$1/$((base + 10))"
+    printf 'GET /status HTTP/1.1\r\nhost: balancer\r\nconnection: close\r\n\r\n' >&"$connection"
+    cat <&"$connection"
+    exec {connection}>&-
+}
+
 # Waits until process $1 has exited, and ignores its exit code.
 wait_for_exit() {
     wait "${pids[$1]}" || true
@@ -82,7 +90,8 @@
 done
 "$bin/standin-site" --balancers "$count" --base-port "$base" --seed "$seed" --duration-ms "$duration_ms" --hash "$hash" \
     --fault configure:1500:0 --fault drain:2000:4500 --fault crash:3000:3600 --fault busy:4500:1500 \
-    --fault compact:6500:0 --fault configure:7000:0 >"$folder/report.json" 2>"$folder/site.log" &
+    --fault compact:6500:0 --fault configure:7000:0 --fault copy:7500:0 --fault configure:8000:0 --fault configure:8200:0 \
+    --fault restore:8500:1000 --fault configure:10500:0 >"$folder/report.json" 2>"$folder/site.log" &
 site=$!
 pids[site]=$site
 sleep 3
@@ -98,6 +107,14 @@
 wait "$site" || status=$?
 unset "pids[site]"
 cat "$folder/site.log" >&2
+version=$(tail -n 1 "$folder/report.json" | sed -E 's/.*"config_version":([0-9]+).*/\1/')
+for number in $(seq "$count"); do
+    in_force=$(status "$number" | sed -nE 's/.*"config_version":([0-9]+).*/\1/p')
+    if [[ $in_force != "$version" ]]; then
+        echo "balancer $number has version ${in_force:-none} of the configuration, the store $version" >&2
+        status=1
+    fi
+done
 tail -n 1 "$folder/report.json"
 if ((status == 0)); then ok=true; fi
 exit "$status"
