--- a/crates/poplarpaddle/examples/registry.rs
+++ b/crates/poplarpaddle/examples/registry.rs
@@ -48,7 +48,7 @@
     let read_ms = start.elapsed().as_millis();
     let resident = resident_mb() - before;
     let item = Item { value: Host { state: State::Draining, ..host(0) }, ..item(0, 3) };
-    let delta = Delta { base: 2.into(), to: 3.into(), put: vec![item], removed: Vec::new() };
+    let delta = Delta { base: 2.into(), to: 3.into(), put: vec![item], removed: Vec::new(), gaps: vec![] };
     node.store_answered(now, Topic::Hosts, Ok(Response::Hosts { delta, faults: Vec::new() }));
     let mut changed: Vec<_> = (0..routes).map(route).collect();
     changed[0].1.timeout_ms = 9;
@@ -91,6 +91,7 @@
         to: 2.into(),
         put: (0..count).map(|number| item(number, 1)).collect(),
         removed: Vec::new(),
+        gaps: Vec::new(),
     }
 }
 
--- a/crates/poplarpaddle/src/replica.rs
+++ b/crates/poplarpaddle/src/replica.rs
@@ -9,7 +9,7 @@
 //!
 //! let mut replica: Replica<String, u32> = Replica::default();
 //! let put = vec![Item { key: "a".to_owned(), value: 1, changed: 4.into() }];
-//! let changed = replica.merge(Delta { base: 0.into(), to: 7.into(), put, removed: vec![] }).unwrap();
+//! let changed = replica.merge(Delta { base: 0.into(), to: 7.into(), put, removed: vec![], gaps: vec![] }).unwrap();
 //! assert_eq!(changed, ["a"]);
 //! assert_eq!((replica.revision(), replica.as_of()), (4.into(), 7.into()));
 //! ```
@@ -25,7 +25,7 @@
 //! A replica remembers removed keys, so that a peer that is slightly behind gets a small delta. The number of these
 //! keys is bounded; a peer that is further behind gets a snapshot of the whole collection.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::hash::Hash;
 
 use serde::{Deserialize, Serialize};
@@ -37,6 +37,9 @@
 /// Maximum number of removed keys that a replica remembers.
 const MAX_REMOVED: usize = 1024;
 
+/// Maximum number of [`Gap`]s that a replica remembers.
+const MAX_GAPS: usize = 16;
+
 /// A value with its key and revision.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Item<K, V> {
@@ -68,6 +71,17 @@
     pub put: Vec<Item<K, V>>,
     /// Removed keys; empty in a snapshot.
     pub removed: Vec<Removed<K>>,
+    /// Ranges after `base` that the sender has skipped; empty in a snapshot, and if the changes come from the store.
+    pub gaps: Vec<Gap>,
+}
+
+/// Range of revisions that a snapshot has skipped. A value that was added and removed within it is not known.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Gap {
+    /// Last revision before the range.
+    pub after: Revision,
+    /// Revision of the snapshot.
+    pub until: Revision,
 }
 
 #[derive(Debug, Clone)]
@@ -83,6 +97,7 @@
     revision: Revision,
     /// Lowest revision for which [`Self::delta`] returns changes; for lower ones it returns a snapshot.
     floor: Revision,
+    gaps: VecDeque<Gap>,
     entries: Map<K, Entry<V>>,
     removed: BTreeMap<K, Revision>,
     /// Sum of the hashes of `entries` and `held`.
@@ -97,6 +112,7 @@
             as_of: Revision::NONE,
             revision: Revision::NONE,
             floor: Revision::NONE,
+            gaps: VecDeque::new(),
             entries: map::seeded(0),
             removed: BTreeMap::new(),
             digest: 0,
@@ -188,9 +204,13 @@
         let mut changed = Vec::new();
         if delta.base.is_none() {
             self.remove_unlisted(&delta, &mut changed);
-            // Removals before the first snapshot are unknown. Later snapshots are compared with the previous state,
-            // which reveals the removals in between.
-            self.floor = if self.as_of.is_none() { delta.to } else { self.floor };
+            self.skip_to(delta.to);
+        }
+        for gap in &delta.gaps {
+            let gap = Gap { after: gap.after.max(self.as_of), until: gap.until.min(delta.to) };
+            if gap.after < gap.until {
+                self.add_gap(gap);
+            }
         }
         for removal in delta.removed {
             self.remove(removal, &mut changed);
@@ -239,7 +259,8 @@
     /// Returns true when [`Self::delta`] for `since` returns a snapshot.
     #[must_use]
     pub fn needs_snapshot(&self, since: Revision) -> bool {
-        since.is_none() || since < self.floor
+        let is_within = |gap: &Gap| gap.after < since && since < gap.until;
+        since.is_none() || since < self.floor || self.gaps.iter().any(is_within)
     }
 
     /// Returns the changes after revision `since`, or a snapshot when they are no longer known.
@@ -254,7 +275,8 @@
         put.sort_unstable_by(|one, other| one.key.cmp(&other.key));
         let removed = self.removed.iter().filter(|(_, at)| !base.is_none() && **at > base);
         let removed = removed.map(|(key, at)| Removed { key: key.clone(), at: *at }).collect();
-        Delta { base, to: self.as_of, put, removed }
+        let gaps = self.gaps.iter().filter(|gap| !base.is_none() && gap.until > base).copied().collect();
+        Delta { base, to: self.as_of, put, removed, gaps }
     }
 
     /// Returns the snapshot that sets the collection to `values` at revision `to`. Values that are equal to the current
@@ -268,7 +290,7 @@
             let same = self.entries.get(&key).filter(|entry| entry.value == value);
             Item { changed: same.map_or(to, |entry| entry.changed), key, value }
         });
-        Delta { base: Revision::NONE, to, put: put.collect(), removed: Vec::new() }
+        Delta { base: Revision::NONE, to, put: put.collect(), removed: Vec::new(), gaps: Vec::new() }
     }
 
     /// Applies the first snapshot of an epoch. `is_newer` compares a known value with that of the snapshot.
@@ -295,10 +317,30 @@
         self.as_of = snapshot.to;
         self.revision = snapshot.to;
         self.floor = snapshot.to;
+        self.gaps.clear();
         changed.sort_unstable();
         Ok(changed)
     }
 
+    /// Records that a snapshot at `until` skips the revisions since [`Self::as_of`]. Peers that know values from before
+    /// need only the changes, because the comparison with the previous state reveals the removals.
+    fn skip_to(&mut self, until: Revision) {
+        if self.as_of.is_none() {
+            self.floor = until;
+        } else {
+            self.add_gap(Gap { after: self.as_of, until });
+        }
+    }
+
+    fn add_gap(&mut self, gap: Gap) {
+        self.gaps.push_back(gap);
+        if self.gaps.len() > MAX_GAPS
+            && let Some(oldest) = self.gaps.pop_front()
+        {
+            self.floor = self.floor.max(oldest.until);
+        }
+    }
+
     /// Removes the keys that a snapshot does not contain.
     fn remove_unlisted(&mut self, delta: &Delta<K, V>, changed: &mut Vec<K>) {
         let mut listed: Set<&K> = Set::with_hasher(map::state(0));
--- a/crates/poplarpaddle/tests/fleet/drains.rs
+++ b/crates/poplarpaddle/tests/fleet/drains.rs
@@ -25,7 +25,13 @@
 fn snapshot(to: u64, zones: &[(&str, u64)]) -> ZoneDrainDelta {
     let item =
         |(zone, changed): &(&str, u64)| Item { key: zone.to_string(), value: ZoneDrain, changed: (*changed).into() };
-    Delta { base: Revision::NONE, to: to.into(), put: zones.iter().map(item).collect(), removed: Vec::new() }
+    Delta {
+        base: Revision::NONE,
+        to: to.into(),
+        put: zones.iter().map(item).collect(),
+        removed: Vec::new(),
+        gaps: vec![],
+    }
 }
 
 #[test]
@@ -105,7 +111,7 @@
 #[test]
 fn a_member_is_ready_only_once_it_knows_the_drains() {
     let hosts = || Response::Hosts {
-        delta: Delta { base: Revision::NONE, to: 5.into(), put: vec![], removed: vec![] },
+        delta: Delta { base: Revision::NONE, to: 5.into(), put: vec![], removed: vec![], gaps: vec![] },
         faults: vec![],
     };
     let general = General { version: 7, ..Default::default() };
--- a/crates/poplarpaddle/tests/fleet/ledger.rs
+++ b/crates/poplarpaddle/tests/fleet/ledger.rs
@@ -10,7 +10,7 @@
 }
 
 fn snapshot(to: u64, put: Vec<Item<u8, u32>>) -> Delta<u8, u32> {
-    Delta { base: Revision::NONE, to: to.into(), put, removed: Vec::new() }
+    Delta { base: Revision::NONE, to: to.into(), put, removed: Vec::new(), gaps: vec![] }
 }
 
 fn content(replica: &Replica<u8, u32>) -> Vec<(u8, u32)> {
@@ -33,7 +33,7 @@
 fn a_delta_that_starts_later_is_refused() {
     let mut replica = Replica::default();
     replica.merge(snapshot(9, vec![item(1, 10, 9)])).unwrap();
-    let gap = Delta { base: 11.into(), to: 12.into(), put: vec![], removed: vec![] };
+    let gap = Delta { base: 11.into(), to: 12.into(), put: vec![], removed: vec![], gaps: vec![] };
     assert_eq!(replica.merge(gap).unwrap_err().kind(), Kind::Stale);
 }
 
@@ -53,11 +53,21 @@
     let mut replica = Replica::default();
     replica.merge(snapshot(5, vec![item(1, 10, 3)])).unwrap();
     replica
-        .merge(Delta { base: 5.into(), to: 8.into(), put: vec![], removed: vec![Removed { key: 1, at: 8.into() }] })
+        .merge(Delta {
+            base: 5.into(),
+            to: 8.into(),
+            put: vec![],
+            removed: vec![Removed { key: 1, at: 8.into() }],
+            gaps: vec![],
+        })
+        .unwrap();
+    replica
+        .merge(Delta { base: 5.into(), to: 9.into(), put: vec![item(1, 10, 3)], removed: vec![], gaps: vec![] })
         .unwrap();
-    replica.merge(Delta { base: 5.into(), to: 9.into(), put: vec![item(1, 10, 3)], removed: vec![] }).unwrap();
     assert!(replica.is_empty());
-    replica.merge(Delta { base: 9.into(), to: 10.into(), put: vec![item(1, 11, 10)], removed: vec![] }).unwrap();
+    replica
+        .merge(Delta { base: 9.into(), to: 10.into(), put: vec![item(1, 11, 10)], removed: vec![], gaps: vec![] })
+        .unwrap();
     assert_eq!(content(&replica), [(1, 11)]);
 }
 
@@ -74,6 +84,35 @@
     assert_eq!(keys, [2, 3]);
 }
 
+/// A member that reads a snapshot knows nothing of a value that was added and removed since its last one. A peer that had
+/// seen the addition kept the value for good.
+#[test]
+fn a_value_that_a_snapshot_has_skipped_is_removed_at_a_peer_that_knows_it() {
+    let mut reader: Replica<u8, u32> = Replica::default();
+    reader.merge(snapshot(5, vec![item(1, 10, 3)])).unwrap();
+    let mut peer = reader.clone();
+    peer.merge(Delta { base: 5.into(), to: 7.into(), put: vec![item(2, 20, 7)], removed: vec![], gaps: vec![] })
+        .unwrap();
+    reader.merge(snapshot(8, vec![item(1, 10, 3)])).unwrap();
+    peer.merge(reader.delta(peer.as_of())).unwrap();
+    assert_eq!(content(&peer), [(1, 10)]);
+    assert!(!reader.needs_snapshot(5.into()) && !reader.needs_snapshot(8.into()), "others need only the changes");
+}
+
+/// A member that pulls the changes from one that has skipped some skips them as well.
+#[test]
+fn a_value_that_a_peer_of_a_peer_has_skipped_is_removed() {
+    let mut reader: Replica<u8, u32> = Replica::default();
+    reader.merge(snapshot(5, vec![item(1, 10, 3)])).unwrap();
+    let (mut between, mut peer) = (reader.clone(), reader.clone());
+    peer.merge(Delta { base: 5.into(), to: 7.into(), put: vec![item(2, 20, 7)], removed: vec![], gaps: vec![] })
+        .unwrap();
+    reader.merge(snapshot(8, vec![item(1, 10, 3)])).unwrap();
+    between.merge(reader.delta(between.as_of())).unwrap();
+    peer.merge(between.delta(peer.as_of())).unwrap();
+    assert_eq!(content(&peer), [(1, 10)]);
+}
+
 #[derive(Debug, Clone)]
 enum Step {
     Put(u8, u32),
@@ -111,14 +150,14 @@
                     revision += 1;
                     store.insert(key, (value, revision));
                     let base = reader.as_of();
-                    reader.merge(Delta { base, to: revision.into(), put: vec![item(key, value, revision)], removed: vec![] }).unwrap();
+                    reader.merge(Delta { base, to: revision.into(), put: vec![item(key, value, revision)], removed: vec![], gaps: vec![] }).unwrap();
                 }
                 Step::Remove(key) => {
                     revision += 1;
                     if store.remove(&key).is_some() {
                         let base = reader.as_of();
                         let removed = vec![Removed { key, at: revision.into() }];
-                        reader.merge(Delta { base, to: revision.into(), put: vec![], removed }).unwrap();
+                        reader.merge(Delta { base, to: revision.into(), put: vec![], removed, gaps: vec![] }).unwrap();
                     }
                 }
                 Step::Pull => drop(follower.merge(reader.delta(follower.as_of())).unwrap()),
--- a/crates/poplarpaddle/tests/fleet/world.rs
+++ b/crates/poplarpaddle/tests/fleet/world.rs
@@ -663,7 +663,13 @@
                     value: host.clone(),
                     changed: self.at(*changed),
                 });
-                let delta = Delta { base: Revision::NONE, to: self.as_of(), put: put.collect(), removed: Vec::new() };
+                let delta = Delta {
+                    base: Revision::NONE,
+                    to: self.as_of(),
+                    put: put.collect(),
+                    removed: Vec::new(),
+                    gaps: vec![],
+                };
                 Response::Hosts { delta, faults: Vec::new() }
             }
             Topic::Routes => {
@@ -713,7 +719,7 @@
         let removed = self.ended_drains.iter().filter(|(_, at)| base > 0 && **at > base);
         let removed = removed.map(|(zone, at)| Removed { key: zone.clone(), at: self.at(*at) }).collect();
         let base = if base > 0 { self.at(base) } else { Revision::NONE };
-        Delta { base, to: self.as_of(), put, removed }
+        Delta { base, to: self.as_of(), put, removed, gaps: vec![] }
     }
 
     /// Returns the changes after a revision, or none when there are none.
@@ -744,7 +750,7 @@
                 let removed = self.removed.iter().filter(|(_, at)| **at > since);
                 let removed: Vec<_> = removed.map(|(key, at)| Removed { key: key.clone(), at: self.at(*at) }).collect();
                 let has_changes = !put.is_empty() || !removed.is_empty();
-                let delta = Delta { base: self.at(since), to: self.as_of(), put, removed };
+                let delta = Delta { base: self.at(since), to: self.as_of(), put, removed, gaps: vec![] };
                 has_changes.then_some(Response::Hosts { delta, faults: Vec::new() })
             }
         }
