Count a renewal at a version that the store has assigned before

A store that was restored from a copy assigns versions again, so the latest renewal can have the version of an earlier one: the contender took over 100 ms after a live holder had renewed the lease, and both acted as holder. It compares the value as well, which counts the renewals.

tests/lease.rs, a_renewal_at_a_version_that_was_given_out_before_counts, failed before.

--- a/crates/poplarpaddle/src/lease.rs
+++ b/crates/poplarpaddle/src/lease.rs
@@ -22,8 +22,8 @@
 //! # Trade-offs
 //!
 //! The holder and the contenders each measure time with their own clock only. The holder may act for
-//! [`Settings::hold_ms`] after it sent its last write. A contender takes over when the version has not
-//! changed for [`Settings::lease_ms`] since the contender first read it. The difference between the two limits the clock
+//! [`Settings::hold_ms`] after it sent its last write. A contender takes over when version and value have not
+//! changed for [`Settings::lease_ms`] since the contender first read them. The difference between the two limits the clock
 //! drift that is tolerated.
 
 use serde::{Deserialize, Serialize};
@@ -93,7 +93,7 @@
 enum State {
     /// The object has to be read before any other call.
     Unknown,
-    /// The object has been at `version` since `since` or earlier.
+    /// The object has been at `version` with `value` since `since` or earlier.
     Observed { version: u64, value: Value, since: Time },
     /// The last write of this contender took effect.
     Held { version: u64, value: Value, until: Time },
@@ -307,7 +307,8 @@
 
     fn observe(&mut self, now: Time, version: u64, value: Value) {
         let since = match self.state {
-            State::Observed { version: known, since, .. } if known == version => since,
+            // A store that was restored from a copy assigns versions again, so the value has to be the same as well.
+            State::Observed { version: known, value: ref last, since } if known == version && *last == value => since,
             State::Observed { .. } | State::Held { .. } | State::Unknown => now,
         };
         let poll = now + millis(self.settings.poll_ms);
--- a/crates/poplarpaddle/tests/lease.rs
+++ b/crates/poplarpaddle/tests/lease.rs
@@ -149,3 +149,15 @@
         assert!(matches!(call, Some(Call::Put { version: 3, .. })), "{value}: {call:?}");
     }
 }
+
+/// Guards against a contender that takes over from a live holder because a restored store has given the version of an
+/// earlier renewal to the latest one.
+#[test]
+fn a_renewal_at_a_version_that_was_given_out_before_counts() {
+    let renewal = |renewal: u64| object(5, serde_json::json!({ "holder": "rival", "epoch": 1, "renewal": renewal }));
+    let mut lease = contender(7);
+    assert_eq!(read_then_tick(&mut lease, 0, &renewal(4)), None);
+    assert_eq!(read_then_tick(&mut lease, 9_900, &renewal(9)), None);
+    assert!(next_write(&mut lease, 10_000, &renewal(9)).is_none(), "the holder renewed the lease 100 ms ago");
+    assert!(next_write(&mut lease, 19_900, &renewal(9)).is_some(), "the lease has expired");
+}
