Read the manifest again after a failed watch

In the own path, a lease holder watches the manifest for a version that differs from the last one. A store that was restored from a copy can give that version to another manifest, which no member then reads: generation 3 was not in force 7 s after the store was back, nor later. After a watch without a response the holder reads the manifest whatever its version is; the digest tells whether it is known.

tests/control.rs, a_generation_at_a_version_that_was_given_out_before_is_in_force, failed before.

--- a/crates/poplarpaddle/src/control/store_client.rs
+++ b/crates/poplarpaddle/src/control/store_client.rs
@@ -244,7 +244,11 @@
         // The pause prevents a busy loop when a watch returns an unchanged object before its deadline.
         let pause = (self.store.watch.started + millis(self.settings.store_retry_ms)).max(now);
         self.store.watch.end(pause);
-        let Outcome::Object(Some(object)) = outcome else { return };
+        let Outcome::Object(Some(object)) = outcome else {
+            // A store that was restored from a copy may have given the version to another manifest meanwhile.
+            self.store.manifest_version = 0;
+            return;
+        };
         if object.version == self.store.manifest_version {
             return;
         }
--- a/crates/poplarpaddle/tests/control.rs
+++ b/crates/poplarpaddle/tests/control.rs
@@ -378,3 +378,22 @@
         assert!(most < 4_000, "{count} members: {most} B/s");
     }
 }
+
+/// Guards against a generation that no member reads because the restored store has given it the version of another one.
+#[test]
+fn a_generation_at_a_version_that_was_given_out_before_is_in_force() {
+    let mut net = Net::fleet(11, 6, 10_000);
+    net.store.publish(1, &["a"]);
+    net.run(10_000);
+    let copy = net.store.copy();
+    net.store.publish(2, &["b"]);
+    net.run(10_000);
+    assert_eq!(net.generations(), [2].into());
+    net.store.down = true;
+    net.run(2_000);
+    net.store.restore(copy);
+    net.store.publish(3, &["c"]);
+    net.store.down = false;
+    let elapsed = net.run_until(7_000, |net| net.generations() == [3].into());
+    assert!(elapsed.is_some(), "generations {:?} 7 s after the store is back", net.generations());
+}
--- a/crates/poplarpaddle/tests/control/store.rs
+++ b/crates/poplarpaddle/tests/control/store.rs
@@ -48,6 +48,16 @@
         sorted
     }
 
+    /// Returns a copy of the objects and of the latest version.
+    pub fn copy(&self) -> (BTreeMap<(String, String), Object>, u64) {
+        (self.objects.clone(), self.version)
+    }
+
+    /// Goes back to a copy, and assigns the versions since then again.
+    pub fn restore(&mut self, copy: (BTreeMap<(String, String), Object>, u64)) {
+        (self.objects, self.version) = copy;
+    }
+
     /// Writes a manifest with its parts.
     pub fn publish(&mut self, generation: u64, parts: &[&str]) {
         for part in parts {
