Number a generation above those that the balancers have in force

In the own path, an operator who published after the store had been restored from a copy got a number that the balancers already had from before: they refused the generation for its digest, or as an older one. A publish of unchanged objects ended without a generation although the balancers had another one in force.

The publisher now lists the statuses of the zones, which the lease holders keep writing, and takes a higher number than any generation in them. It costs one list a publish. A publish before the statuses are written again can still collide.

tests/objects/publish.rs, a_generation_is_higher_than_those_in_force_that_a_restored_store_has_lost, failed before: the publish ended with `Unchanged { generation: 1 }`.

--- a/crates/poplarpaddle/src/publish.rs
+++ b/crates/poplarpaddle/src/publish.rs
@@ -15,7 +15,8 @@
 //! ```
 //!
 //! The manifest is read before the objects, and its version is the condition of the final write. A generation therefore
-//! never contains objects older than those of the generation before it. Not-before times are compared with the clock of
+//! never contains objects older than those of the generation before it. Its number is higher than that of every
+//! generation that a zone reports in force, since a store that was restored from a copy may have lost some. Not-before times are compared with the clock of
 //! the publisher, so the clocks of operators' machines must agree to within seconds for a released endpoint to stay
 //! reserved for its whole time. Calls are made one at a time; parallel part writes would speed up the first publish of
 //! a large fleet, but not that of a single change.
@@ -29,7 +30,7 @@
 use rand::{RngExt as _, SeedableRng as _};
 use rand_pcg::Pcg64;
 
-use self::draft::{Base, Draft};
+use self::draft::{Base, Draft, Earlier};
 pub use self::end::{Conflict, End, Published, Step};
 use crate::config::{Digest, Manifest, Part, PublishId, Seed, encode};
 use crate::error::{Error, Kind, Result};
@@ -41,6 +42,7 @@
 
 const MANIFEST: &str = "manifest";
 const PART: &str = "part";
+const STATUS: &str = "status";
 
 /// Settings of one publish.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -82,6 +84,8 @@
     ReadManifest,
     /// Lists the objects of the kind at this index of [`object::Kind::ALL`].
     ListObjects(usize),
+    /// Lists the statuses of the zones, for the generations that they have in force.
+    ListStatuses,
     /// Reads the parts that the new generation replaces, to determine the endpoints and addresses that are released.
     ReadReplaced(VecDeque<Digest>),
     /// Writes the parts that the store does not have yet.
@@ -125,6 +129,8 @@
     phase: Phase,
     base: Option<Base>,
     objects: Input,
+    /// Highest generation in force according to the statuses of the zones.
+    in_force: u64,
     /// Parts read from the store.
     fetched: Map<Digest, Part>,
     draft: Option<Draft>,
@@ -148,6 +154,7 @@
             phase: Phase::ReadManifest,
             base: None,
             objects: Input::default(),
+            in_force: 0,
             fetched: seeded(0),
             draft: None,
             unconfirmed: false,
@@ -196,6 +203,7 @@
                 Some(Call::Get { kind: MANIFEST.to_owned(), name: self.settings.fleet.clone() })
             }
             Phase::ListObjects(index) => Some(Call::List { kind: object::Kind::ALL.get(*index)?.to_string() }),
+            Phase::ListStatuses => Some(Call::List { kind: STATUS.to_owned() }),
             Phase::ReadReplaced(digests) | Phase::ReadTheirs(_, digests) => digests.front().map(part),
             Phase::WriteParts(digests) => {
                 let digest = digests.front()?;
@@ -218,8 +226,9 @@
             (Phase::ReadManifest, Outcome::Object(object)) => self.on_manifest(object)?,
             (Phase::ListObjects(index), Outcome::Objects(objects)) => {
                 let index = *index;
-                self.on_objects(now, index, &objects)?;
+                self.on_objects(index, &objects);
             }
+            (Phase::ListStatuses, Outcome::Objects(statuses)) => self.on_statuses(now, &statuses)?,
             (Phase::ReadReplaced(_) | Phase::ReadTheirs(..), Outcome::Object(object)) => self.on_part(now, object)?,
             (Phase::WriteParts(digests), Outcome::Written(_) | Outcome::Conflict(1..)) => {
                 digests.pop_front();
@@ -246,16 +255,21 @@
         Ok(())
     }
 
-    fn on_objects(&mut self, now: Time, index: usize, objects: &[Object]) -> Result<()> {
+    fn on_objects(&mut self, index: usize, objects: &[Object]) {
         if let Some(kind) = object::Kind::ALL.get(index) {
             self.objects.add_objects(*kind, objects);
         }
-        self.phase = Phase::ListObjects(index + 1);
-        if index + 1 < object::Kind::ALL.len() {
-            return Ok(());
-        }
+        let is_last = index + 1 >= object::Kind::ALL.len();
+        self.phase = if is_last { Phase::ListStatuses } else { Phase::ListObjects(index + 1) };
+    }
+
+    fn on_statuses(&mut self, now: Time, statuses: &[Object]) -> Result<()> {
+        // A status that cannot be decoded is that of another writer.
+        let reported = statuses.iter().filter_map(|status| status.value.get("generation")?.as_u64());
+        self.in_force = reported.max().unwrap_or(0);
         let seed = Seed(self.random.random());
-        let draft = Draft::new(&self.settings.fleet, self.id, seed, &self.objects.set, self.base.as_ref())?;
+        let earlier = Earlier { base: self.base.as_ref(), in_force: self.in_force };
+        let draft = Draft::new(&self.settings.fleet, self.id, seed, &self.objects.set, earlier)?;
         let replaced = draft.replaced(self.base.as_ref());
         self.draft = Some(draft);
         self.phase = Phase::ReadReplaced(replaced);
@@ -302,7 +316,8 @@
             self.finish(End::Rejected(faults));
             return Ok(());
         }
-        if let Some(base) = self.base.as_ref().filter(|base| draft.is_unchanged(base)) {
+        let is_in_force = |base: &&Base| base.manifest.generation >= self.in_force;
+        if let Some(base) = self.base.as_ref().filter(is_in_force).filter(|base| draft.is_unchanged(base)) {
             let generation = base.manifest.generation;
             self.finish(End::Unchanged { generation });
             return Ok(());
--- a/crates/poplarpaddle/src/publish/draft.rs
+++ b/crates/poplarpaddle/src/publish/draft.rs
@@ -34,6 +34,14 @@
     }
 }
 
+/// What a new generation follows.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Earlier<'a> {
+    pub(super) base: Option<&'a Base>,
+    /// Highest generation that a zone has in force.
+    pub(super) in_force: u64,
+}
+
 /// A generation that has not been written yet.
 #[derive(Debug)]
 pub(super) struct Draft {
@@ -49,13 +57,13 @@
 }
 
 impl Draft {
-    pub(super) fn new(fleet: &str, publish: PublishId, seed: Seed, set: &Set, base: Option<&Base>) -> Result<Self> {
-        let before = base.map(|base| &base.manifest);
+    pub(super) fn new(fleet: &str, publish: PublishId, seed: Seed, set: &Set, earlier: Earlier<'_>) -> Result<Self> {
+        let before = earlier.base.map(|base| &base.manifest);
         let count = bucket_count(set.targets.len(), before.map(|manifest| manifest.parts.len()))?;
         let manifest = Manifest {
             format: FORMAT,
             fleet: fleet.to_owned(),
-            generation: before.map_or(0, |manifest| manifest.generation).saturating_add(1),
+            generation: before.map_or(0, |manifest| manifest.generation).max(earlier.in_force).saturating_add(1),
             publish,
             earlier: before.map(Manifest::lineage).unwrap_or_default(),
             seed: before.map_or(seed, |manifest| manifest.seed),
--- a/crates/poplarpaddle/tests/objects/publish.rs
+++ b/crates/poplarpaddle/tests/objects/publish.rs
@@ -95,6 +95,21 @@
     assert!(error.message().contains("added target \"host-901\""), "{error}");
 }
 
+/// Guards against a generation that balancers refuse because they have one with the same number, or a higher one, from
+/// before the store was restored from a copy.
+#[test]
+fn a_generation_is_higher_than_those_in_force_that_a_restored_store_has_lost() {
+    let store = filled(&set(1, 3));
+    assert_eq!(published(publish(&store, 1, START)).generation, 1);
+    store.put("status", "zone-0", json!({"generation": 4}));
+    store.put("status", "zone-1", json!({"generation": 3}));
+    store.put("status", "zone-2", json!("unreadable"));
+    assert_eq!(published(publish(&store, 2, START)).generation, 5, "the objects in the store are not in force");
+    assert_eq!(publish(&store, 3, START), End::Unchanged { generation: 5 });
+    add(&store, 900);
+    assert_eq!(published(publish(&store, 4, START)).generation, 6);
+}
+
 /// Guards against a lost response that is treated as a success or a failure, or leads to a second generation.
 #[test]
 fn a_lost_answer_is_read_back() {
