--- a/crates/poplarpaddle/src/feed.rs
+++ b/crates/poplarpaddle/src/feed.rs
@@ -25,12 +25,12 @@
 //! is cut off from its reader, but not from the store, detects this within the bound.
 
 mod announcement;
+mod collection;
 mod settings;
 
 pub use announcement::{Announcement, Position, Topic};
 pub use settings::Settings;
 
-use std::cmp::Ordering;
 use std::time::Duration;
 
 use crate::map;
@@ -38,6 +38,8 @@
 use crate::revision::Revision;
 use crate::time::Time;
 
+use collection::{Call, Collection, Comparison};
+
 /// Maximum number of children of a member in the tree along which announcements are forwarded.
 pub const FANOUT: usize = 8;
 
@@ -91,67 +93,6 @@
     Failed,
 }
 
-/// State of the calls to the store for one topic.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Call {
-    Idle,
-    InFlight,
-    /// The last call failed; there is no other one before this time.
-    Backoff(Time),
-}
-
-/// Replication state of the collection of one topic.
-#[derive(Debug, Clone, Copy)]
-struct Collection {
-    revision: Revision,
-    as_of: Revision,
-    digest: u64,
-    /// When the store last confirmed the state, to this member or to another one.
-    confirmed: Time,
-    /// When the store last confirmed the state to another member, according to announcements.
-    peer_confirmed: Time,
-    call: Call,
-    failures: u32,
-    /// True when the next call has to read a snapshot.
-    reread: bool,
-}
-
-/// What the position of another member says about its state, compared with the own one.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Comparison {
-    /// It has, or may have, changes that this member lacks.
-    Ahead,
-    /// It includes the last change that this member has, and no later one.
-    Equal,
-    /// It is older, or too different to say.
-    Other,
-}
-
-impl Collection {
-    /// Compares the state of another member at `position` with this one.
-    fn compare(&self, topic: Topic, position: &Position) -> Comparison {
-        if self.as_of.is_none() {
-            return Comparison::Ahead;
-        }
-        // A store that was restored from a copy may have an older configuration for a while, so its revisions do not
-        // tell which of two members has the later one.
-        if topic == Topic::Routes {
-            return match position.revision.cmp(&self.revision) {
-                Ordering::Greater => Comparison::Ahead,
-                Ordering::Equal => Comparison::Equal,
-                Ordering::Less => Comparison::Other,
-            };
-        }
-        if position.revision > self.as_of {
-            return Comparison::Ahead;
-        }
-        if position.digest != self.digest {
-            return if position.as_of > self.as_of { Comparison::Ahead } else { Comparison::Other };
-        }
-        if position.as_of >= self.revision { Comparison::Equal } else { Comparison::Other }
-    }
-}
-
 /// One member's part in reading the store and forwarding announcements.
 #[derive(Debug)]
 pub struct Feed {
@@ -171,20 +112,10 @@
     /// Returns the feed of the member `me`, without any state.
     #[must_use]
     pub fn new(settings: Settings, me: MemberId) -> Self {
-        let collection = Collection {
-            revision: Revision::NONE,
-            as_of: Revision::NONE,
-            digest: 0,
-            confirmed: Time::default(),
-            peer_confirmed: Time::default(),
-            call: Call::Idle,
-            failures: 0,
-            reread: false,
-        };
         Self {
             settings,
             me,
-            collections: [collection; 3],
+            collections: [Collection::default(); 3],
             members: Vec::new(),
             pull: None,
             pending_root: None,
--- a/crates/poplarpaddle/src/fleet.rs
+++ b/crates/poplarpaddle/src/fleet.rs
@@ -24,6 +24,7 @@
 //! The node writes nothing to the store but [`former`] services; members find each other only through seeds and gossip.
 //! A member that finds no other one still serves packets, but reads the store itself, which costs additional calls.
 
+mod action;
 mod apply;
 mod messages;
 mod outlier;
@@ -38,14 +39,14 @@
 use crate::feed::{self, Announcement, Feed, Topic};
 use crate::former::{self, Tracker};
 use crate::map::{self, Map};
-use crate::mark::HostId;
 use crate::membership::{self, Membership};
 use crate::path::MemberId;
-use crate::registry::{Address, General, Hosts, Routes, ZoneDrains};
+use crate::registry::{General, Hosts, Routes, ZoneDrains};
 use crate::revision::Revision;
 use crate::time::Time;
 use crate::wire::{Record, State, TRANSFER_VERSION, Transfer};
 
+pub use action::{Action, Revisions};
 use messages::Requests;
 pub use outlier::MAX_OUTLIERS;
 use outlier::Outliers;
@@ -80,67 +81,6 @@
     }
 }
 
-/// Revisions of the collections that a node has; none for those that it lacks.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
-pub struct Revisions {
-    /// Revision of the hosts.
-    pub hosts: Revision,
-    /// Version of the configuration.
-    pub routes: Revision,
-    /// Revision of the zone drains.
-    pub zone_drains: Revision,
-}
-
-/// Action that a [`Node`] requests from its caller.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Action {
-    /// Send a datagram to a peer.
-    Send(SocketAddr, Vec<u8>),
-    /// Read a snapshot of a collection from the store.
-    Read(Topic),
-    /// Watch a collection in the store for changes.
-    Watch {
-        /// The collection.
-        topic: Topic,
-        /// Revision of the store that this node's state corresponds to.
-        revision: Revision,
-        /// When the store has to respond if there is no change.
-        until: Time,
-    },
-    /// Pull changes from a peer, which gets them from [`Node::changes_since`].
-    Pull {
-        /// The member.
-        member: MemberId,
-        /// Address of the member.
-        peer: SocketAddr,
-        /// Revisions that this node has.
-        since: Revisions,
-        /// When the pull times out.
-        until: Time,
-    },
-    /// The hosts with these names were added, changed or removed in [`Node::hosts`].
-    HostsChanged(Vec<String>),
-    /// The routes with these addresses were added, changed or removed in [`Node::routes`].
-    RoutesChanged(Vec<Address>),
-    /// The services in [`Node::general`] changed.
-    ServicesChanged,
-    /// These zones were added to or removed from [`Node::zone_drains`]. The list is empty when the zone drains became
-    /// known and there is none.
-    ZoneDrainsChanged(Vec<String>),
-    /// A message from a member of this zone arrived, so the zone is reachable.
-    ZoneAlive(String),
-    /// The members in the own zone changed, so the routers may move flows between them.
-    NeighborsChanged,
-    /// Several members report that these hosts do not respond.
-    HostsSuspected(Vec<HostId>),
-    /// Call the store for former services of routes.
-    Former(former::Action),
-    /// Established flows of these routes may belong to these services.
-    FormerServices(Vec<former::Entry>),
-    /// Record an event.
-    Event(Event),
-}
-
 /// One balancer.
 #[derive(Debug)]
 pub struct Node {
--- a/crates/poplarpaddle/src/replica.rs
+++ b/crates/poplarpaddle/src/replica.rs
@@ -25,6 +25,8 @@
 //! A replica remembers removed keys, so that a peer that is slightly behind gets a small delta. The number of these
 //! keys is bounded; a peer that is further behind gets a snapshot of the whole collection.
 
+mod restore;
+
 use std::collections::{BTreeMap, VecDeque};
 use std::hash::Hash;
 
@@ -225,37 +227,6 @@
         Ok(changed)
     }
 
-    /// Returns true when there are values of which it is not known whether the restored store has them for good, until
-    /// [`Self::settle`] is called.
-    #[must_use]
-    pub fn is_unsettled(&self) -> bool {
-        !self.held.is_empty() || self.entries.values().any(|entry| entry.changed.epoch < self.as_of.epoch)
-    }
-
-    /// Takes over the state of the current epoch as it is: removes the values that the store has not had in it, and adds
-    /// those that it still has although they had been removed before. Returns the keys that changed, sorted.
-    pub fn settle(&mut self) -> Vec<K> {
-        let (epoch, at) = (self.as_of.epoch, self.as_of);
-        self.removed.retain(|_, removed_at| removed_at.epoch == epoch);
-        let mut changed = Vec::new();
-        let lost = self.entries.iter().filter(|(_, entry)| entry.changed.epoch < epoch);
-        let lost: Vec<K> = lost.map(|(key, _)| key.clone()).collect();
-        for key in lost {
-            self.remove(Removed { key, at }, &mut changed);
-        }
-        let mut held = std::mem::take(&mut self.held);
-        for (key, entry) in &held {
-            self.digest = self.digest.wrapping_sub(hash(key, entry.changed));
-        }
-        // What another member kept from an earlier epoch is lost as well.
-        held.retain(|_, entry| entry.changed.epoch == epoch);
-        for (key, Entry { value, changed: revision }) in held {
-            self.put(Item { key, value, changed: revision }, &mut changed);
-        }
-        changed.sort_unstable();
-        changed
-    }
-
     /// Returns true when [`Self::delta`] for `since` returns a snapshot.
     #[must_use]
     pub fn needs_snapshot(&self, since: Revision) -> bool {
@@ -293,35 +264,6 @@
         Delta { base: Revision::NONE, to, put: put.collect(), removed: Vec::new(), gaps: Vec::new() }
     }
 
-    /// Applies the first snapshot of an epoch. `is_newer` compares a known value with that of the snapshot.
-    fn start_epoch(&mut self, snapshot: Delta<K, V>, is_newer: impl Fn(&V, &V) -> bool) -> Result<Vec<K>> {
-        if !snapshot.base.is_none() {
-            let text = format!("delta starts at revision {} of another epoch than {}", snapshot.base, self.as_of);
-            return Err(Error::new(Kind::Stale, text));
-        }
-        let mut changed = Vec::new();
-        for Item { key, value, changed: revision } in snapshot.put {
-            match self.entries.get_mut(&key) {
-                Some(known) if is_newer(&known.value, &value) => {
-                    self.digest = self.digest.wrapping_sub(hash(&key, known.changed));
-                    known.changed = known.changed.max(revision);
-                    self.digest = self.digest.wrapping_add(hash(&key, known.changed));
-                }
-                None if self.removed.contains_key(&key) => {
-                    self.digest = self.digest.wrapping_add(hash(&key, revision));
-                    self.held.insert(key, Entry { value, changed: revision });
-                }
-                _ => self.put(Item { key, value, changed: revision }, &mut changed),
-            }
-        }
-        self.as_of = snapshot.to;
-        self.revision = snapshot.to;
-        self.floor = snapshot.to;
-        self.gaps.clear();
-        changed.sort_unstable();
-        Ok(changed)
-    }
-
     /// Records that a snapshot at `until` skips the revisions since [`Self::as_of`]. Peers that know values from before
     /// need only the changes, because the comparison with the previous state reveals the removals.
     fn skip_to(&mut self, until: Revision) {
