--- a/crates/poplarpaddle/src/publish.rs
+++ b/crates/poplarpaddle/src/publish.rs
@@ -16,10 +16,10 @@
 //!
 //! The manifest is read before the objects, and its version is the condition of the final write. A generation therefore
 //! never contains objects older than those of the generation before it. Its number is higher than that of every
-//! generation that a zone reports in force, since a store that was restored from a copy may have lost some. Not-before times are compared with the clock of
-//! the publisher, so the clocks of operators' machines must agree to within seconds for a released endpoint to stay
-//! reserved for its whole time. Calls are made one at a time; parallel part writes would speed up the first publish of
-//! a large fleet, but not that of a single change.
+//! generation that a zone reports in force, since a store that was restored from a copy may have lost some. Not-before
+//! times are compared with the clock of the publisher, so the clocks of operators' machines must agree to within seconds
+//! for a released endpoint to stay reserved for its whole time. Calls are made one at a time; parallel part writes would
+//! speed up the first publish of a large fleet, but not that of a single change.
 
 mod draft;
 mod end;
--- a/crates/poplarpaddle/src/replica.rs
+++ b/crates/poplarpaddle/src/replica.rs
@@ -77,7 +77,8 @@
     pub gaps: Vec<Gap>,
 }
 
-/// Range of revisions that a snapshot has skipped. A value that was added and removed within it is not known.
+/// Range of revisions that a snapshot has skipped. A replica with a gap does not know of values that were added and
+/// removed within it, so it cannot tell a peer that was in between to remove them.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Gap {
     /// Last revision before the range.
@@ -99,6 +100,7 @@
     revision: Revision,
     /// Lowest revision for which [`Self::delta`] returns changes; for lower ones it returns a snapshot.
     floor: Revision,
+    /// Ranges of revisions that were skipped, for which [`Self::delta`] returns a snapshot as well.
     gaps: VecDeque<Gap>,
     entries: Map<K, Entry<V>>,
     removed: BTreeMap<K, Revision>,
