--- a/crates/poplarpaddle/src/fleet/action.rs
+++ b/crates/poplarpaddle/src/fleet/action.rs
@@ -55,8 +55,8 @@
     RoutesChanged(Vec<Address>),
     /// The services in [`Node::general`](super::Node::general) changed.
     ServicesChanged,
-    /// These zones were added to or removed from [`Node::zone_drains`](super::Node::zone_drains). The list is empty when the zone drains became
-    /// known and there is none.
+    /// These zones were added to or removed from [`Node::zone_drains`](super::Node::zone_drains). The list is empty when
+    /// the zone drains became known and there is none.
     ZoneDrainsChanged(Vec<String>),
     /// A message from a member of this zone arrived, so the zone is reachable.
     ZoneAlive(String),
